--- /dev/null
+++ b/rattanvalve/admin_api.py
@@ -0,0 +1,336 @@
+"""Administration HTTP API of an entry process."""
+
+import functools
+import json
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.configdiff import list_changes
+from rattanvalve.configedit import (
+    Edit,
+    drain_endpoint,
+    grant_key,
+    undrain_endpoint,
+    withdraw_key,
+)
+from rattanvalve.counters import Metrics
+from rattanvalve.errors import StoreConflictError, StoreError
+from rattanvalve.inventory import Config, parse_config
+from rattanvalve.keys import generate_key, key_digest
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.resultcodes import ResultCode, info_of
+
+__all__ = ('AdminContext', 'build_admin_app')
+
+MAX_CONFIG_BYTES = 1024 * 1024
+#: A single edit is repeated this often when other operators write meanwhile.
+EDIT_ATTEMPTS = 8
+ROLE_EDITOR = 'editor'
+_OPENAPI_PATH = Path(__file__).with_name('openapi.json')
+
+_log = part_logger(LogPart.ADMIN)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdminContext:
+    """What the administration API acts on.
+
+    ``apply`` writes a configuration by conditional update: configuration,
+    expected generation, author, change id; it returns the new generation.
+    ``refresh`` reads the newest configuration from the store. ``status`` and
+    ``explain`` describe this process and one program or request as JSON.
+    ``record`` and ``audit`` write and read the audit records.
+    """
+
+    blackboard: Blackboard
+    metrics: Metrics
+    operators: dict[str, str]
+    apply: Callable[[Config, int, str, str], Awaitable[int]]
+    refresh: Callable[[], Awaitable[None]]
+    status: Callable[[], dict[str, Any]]
+    explain: Callable[[str, str, str], Awaitable[dict[str, Any]]]
+    record: Callable[[int, dict[str, Any]], Awaitable[None]]
+    audit: Callable[[int], Awaitable[list[dict[str, Any]]]]
+    viewers: frozenset[str] = field(default_factory=frozenset)
+
+
+class _AdminError(Exception):
+    """A request that is answered with a result code."""
+
+    def __init__(self, code: ResultCode, detail: str, **extra: Any) -> None:
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
+        self.extra = extra
+
+
+_CONTEXT = web.AppKey('context', AdminContext)
+_OPERATOR = web.RequestKey('operator', str)
+
+
+def build_admin_app(context: AdminContext) -> web.Application:
+    """Build the administration API.
+
+    :param context: what it acts on.
+    :returns: aiohttp application; its routes are described by
+        ``openapi.json``.
+    """
+    app = web.Application(
+        middlewares=(_report_errors, _authenticate),
+        client_max_size=MAX_CONFIG_BYTES,
+    )
+    app[_CONTEXT] = context
+    app.router.add_routes(_ROUTES)
+    return app
+
+
+@web.middleware
+async def _report_errors(request, handler):
+    context = request.app[_CONTEXT]
+    try:
+        return await handler(request)
+    except _AdminError as error:
+        return _error_response(context, error)
+    except StoreConflictError as error:
+        return _error_response(context, _conflict(context, str(error)))
+    except StoreError as error:
+        return _error_response(
+            context,
+            _AdminError(ResultCode.STORE_UNAVAILABLE, str(error)),
+        )
+
+
+@web.middleware
+async def _authenticate(request, handler):
+    context = request.app[_CONTEXT]
+    scheme, _, key = request.headers.get('Authorization', '').partition(' ')
+    if scheme.lower() != 'bearer' or not key:
+        raise _AdminError(ResultCode.KEY_MISSING, 'an operator key is needed')
+    digest = key_digest(key.strip())
+    # The digest of a random key is compared, so timing reveals nothing.
+    names = {known: name for name, known in context.operators.items()}
+    if digest not in names:
+        raise _AdminError(ResultCode.KEY_UNKNOWN, 'unknown operator key')
+    name = names[digest]
+    if request.method not in {'GET', 'HEAD'} and name in context.viewers:
+        raise _AdminError(ResultCode.NOT_PERMITTED, f'{name} may only read')
+    request[_OPERATOR] = name
+    return await handler(request)
+
+
+def _error_response(context: AdminContext, error: _AdminError) -> web.Response:
+    info = info_of(error.code)
+    context.metrics.count_code(error.code)
+    body = {
+        'error': {
+            'message': f'{info.text}: {error.detail}',
+            'type': info.error_type,
+            'code': int(error.code),
+            'param': None,
+            **error.extra,
+        },
+    }
+    headers = {'Retry-After': '5'} if info.http_status == 503 else {}
+    return web.json_response(body, status=info.http_status, headers=headers)
+
+
+async def _get_config(request: web.Request) -> web.Response:
+    context = request.app[_CONTEXT]
+    catalog = context.blackboard.catalog
+    return web.json_response(
+        {
+            'generation': catalog.generation,
+            'config': msgspec.to_builtins(catalog.config),
+        },
+        headers={'ETag': f'"{catalog.generation}"'},
+    )
+
+
+async def _put_config(request: web.Request) -> web.Response:
+    context = request.app[_CONTEXT]
+    expected = _expected_generation(request)
+    parsed = parse_config(await request.read())
+    if parsed.is_err():
+        error = parsed.unwrap_err()
+        raise _AdminError(
+            ResultCode.BAD_CONFIGURATION,
+            str(error),
+            place=error.place,
+        )
+    config = parsed.unwrap()
+    if context.blackboard.catalog.generation != expected:
+        await context.refresh()
+    if context.blackboard.catalog.generation != expected:
+        raise _conflict(context, f'If-Match names generation {expected}')
+    changes = _changes(context.blackboard.catalog.config, config)
+    if request.query.get('dry_run') == 'true' or not changes:
+        return web.json_response({'generation': expected, 'changes': changes})
+    generation = await _write(request, config, expected, changes)
+    return web.json_response({'generation': generation, 'changes': changes})
+
+
+def _expected_generation(request: web.Request) -> int:
+    tag = request.headers.get('If-Match', '').strip('"')
+    if not tag.isdigit():
+        raise _AdminError(
+            ResultCode.BAD_FIELD,
+            'If-Match must name the generation that the change starts from',
+        )
+    return int(tag)
+
+
+def _conflict(context: AdminContext, detail: str) -> _AdminError:
+    """Describe a conflict by the newest generation known."""
+    return _AdminError(
+        ResultCode.CONFLICT,
+        detail,
+        generation=context.blackboard.catalog.generation,
+    )
+
+
+def _changes(before: Config, after: Config) -> list[dict[str, Any]]:
+    return [asdict(change) for change in list_changes(before, after)]
+
+
+async def _write(
+    request: web.Request,
+    config: Config,
+    expected: int,
+    changes: list[dict[str, Any]],
+) -> int:
+    context = request.app[_CONTEXT]
+    author = request[_OPERATOR]
+    change_id = uuid.uuid4().hex
+    generation = await context.apply(config, expected, author, change_id)
+    _log.info('wrote generation %d for %s', generation, author)
+    await context.record(
+        generation,
+        {
+            'generation': generation,
+            'author': author,
+            'change_id': change_id,
+            'changes': changes,
+        },
+    )
+    return generation
+
+
+async def _edit(request: web.Request, edit: Edit) -> int:
+    """Apply a single edit, again on a newer generation after a conflict."""
+    context = request.app[_CONTEXT]
+    await context.refresh()
+    for _ in range(EDIT_ATTEMPTS):
+        catalog = context.blackboard.catalog
+        edited = edit(catalog.config)
+        if edited.is_err():
+            raise _AdminError(
+                ResultCode.BAD_CONFIGURATION,
+                str(edited.unwrap_err()),
+                place=edited.unwrap_err().place,
+            )
+        config = edited.unwrap()
+        changes = _changes(catalog.config, config)
+        if not changes:
+            return catalog.generation
+        try:
+            return await _write(request, config, catalog.generation, changes)
+        except StoreConflictError:
+            await context.refresh()
+    raise _conflict(context, 'other operators kept writing')
+
+
+async def _post_key(request: web.Request) -> web.Response:
+    wanted = await _read_fields(request, 'name', 'workspace')
+    key = generate_key()
+    edit = grant_key(wanted['name'], wanted['workspace'], key_digest(key))
+    generation = await _edit(request, edit)
+    return web.json_response({'generation': generation, 'key': key})
+
+
+async def _read_fields(request: web.Request, *names: str) -> dict[str, str]:
+    try:
+        body = await request.json()
+    except ValueError as error:
+        raise _AdminError(ResultCode.BAD_JSON, str(error)) from error
+    if not isinstance(body, dict):
+        raise _AdminError(ResultCode.BAD_FIELD, 'an object is expected')
+    for name in names:
+        if not isinstance(body.get(name), str):
+            raise _AdminError(ResultCode.BAD_FIELD, f'`{name}` is missing')
+    return body
+
+
+async def _edit_by_name(
+    request: web.Request,
+    make_edit: Callable[[str], Edit],
+) -> web.Response:
+    generation = await _edit(request, make_edit(request.match_info['name']))
+    return web.json_response({'generation': generation})
+
+
+async def _get_status(request: web.Request) -> web.Response:
+    return web.json_response(request.app[_CONTEXT].status())
+
+
+async def _get_audit(request: web.Request) -> web.Response:
+    last = request.query.get('last', '20')
+    if not last.isdigit() or not 1 <= int(last) <= 100:
+        raise _AdminError(ResultCode.BAD_FIELD, '`last` must be 1 to 100')
+    records = await request.app[_CONTEXT].audit(int(last))
+    return web.json_response({'records': records})
+
+
+async def _get_explanation(request: web.Request) -> web.Response:
+    query = request.query
+    if not query.get('workspace') or not (
+        query.get('program') or query.get('request')
+    ):
+        raise _AdminError(
+            ResultCode.BAD_FIELD,
+            '`workspace` and one of `program`, `request` are needed',
+        )
+    explanation = await request.app[_CONTEXT].explain(
+        query['workspace'],
+        query.get('program', ''),
+        query.get('request', ''),
+    )
+    return web.json_response(explanation)
+
+
+@functools.cache
+def _openapi_text() -> str:
+    return json.dumps(json.loads(_OPENAPI_PATH.read_text()))
+
+
+async def _get_openapi(request: web.Request) -> web.Response:
+    return web.Response(text=_openapi_text(), content_type='application/json')
+
+
+_ROUTES = (
+    web.get('/v1/config', _get_config),
+    web.put('/v1/config', _put_config),
+    web.post('/v1/keys', _post_key),
+    web.delete(
+        '/v1/keys/{name}',
+        functools.partial(_edit_by_name, make_edit=withdraw_key),
+    ),
+    web.put(
+        '/v1/drains/{name}',
+        functools.partial(_edit_by_name, make_edit=drain_endpoint),
+    ),
+    web.delete(
+        '/v1/drains/{name}',
+        functools.partial(_edit_by_name, make_edit=undrain_endpoint),
+    ),
+    web.get('/v1/status', _get_status),
+    web.get('/v1/audit', _get_audit),
+    web.get('/v1/explain', _get_explanation),
+    web.get('/v1/openapi.json', _get_openapi),
+)
--- /dev/null
+++ b/rattanvalve/admin_client.py
@@ -0,0 +1,80 @@
+"""Client of the administration HTTP API, as ``rattanvalvectl`` uses it."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from result import Err, Ok, Result
+
+__all__ = ('AdminFailure', 'AdminRequest', 'send')
+
+TIMEOUT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdminRequest:
+    """One request to the administration API."""
+
+    method: str
+    path: str
+    params: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] = field(default_factory=dict)
+    body: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class AdminFailure:
+    """A request that failed; ``code`` is 0 if there was no response."""
+
+    code: int
+    text: str
+    generation: int = 0
+
+
+def send(
+    base_url: str,
+    key: str,
+    request: AdminRequest,
+) -> Result[dict[str, Any], AdminFailure]:
+    """Send a request and wait for its response.
+
+    :param base_url: address of the administration API.
+    :param key: operator key.
+    :param request: request to send.
+    :returns: the JSON body, or why the request failed.
+    """
+    try:
+        return asyncio.run(_send(base_url, key, request))
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        return Err(AdminFailure(0, f'no response from {base_url}: {error}'))
+
+
+async def _send(
+    base_url: str,
+    key: str,
+    request: AdminRequest,
+) -> Result[dict[str, Any], AdminFailure]:
+    async with (
+        aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+        ) as session,
+        session.request(
+            request.method,
+            base_url.rstrip('/') + request.path,
+            params=request.params,
+            headers={'Authorization': f'Bearer {key}', **request.headers},
+            json=request.body,
+        ) as response,
+    ):
+        body = await response.json()
+    error = body.get('error')
+    if error is None:
+        return Ok(body)
+    return Err(
+        AdminFailure(
+            error.get('code', 0),
+            error.get('message', ''),
+            error.get('generation', 0),
+        ),
+    )
--- /dev/null
+++ b/rattanvalve/configdiff.py
@@ -0,0 +1,79 @@
+"""Differences between two configurations, named by their place."""
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from rattanvalve.inventory import Config
+
+__all__ = ('ChangeKind', 'ConfigChange', 'list_changes')
+
+
+class ChangeKind(enum.StrEnum):
+    """What happened to a place."""
+
+    ADDED = 'added'
+    REMOVED = 'removed'
+    CHANGED = 'changed'
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigChange:
+    """One difference.
+
+    ``before`` and ``after`` are JSON values; ``None`` where there is none.
+    """
+
+    place: str
+    kind: ChangeKind
+    before: Any = None
+    after: Any = None
+
+
+def list_changes(before: Config, after: Config) -> list[ConfigChange]:
+    """Compare two configurations.
+
+    :param before: older configuration.
+    :param after: newer configuration.
+    :returns: differences in the order of their places. Entries of a list are
+        compared by name, so that a new order of entries is no difference.
+    """
+    return list(
+        _compare('', msgspec.to_builtins(before), msgspec.to_builtins(after)),
+    )
+
+
+def _compare(place: str, before: Any, after: Any) -> Iterator[ConfigChange]:
+    if before == after:
+        return
+    old, new = _as_table(before), _as_table(after)
+    if old is None or new is None:
+        yield ConfigChange(place, ChangeKind.CHANGED, before, after)
+        return
+    for name in sorted(old.keys() | new.keys()):
+        inner = f'{place}.{name}' if place else name
+        yield from _compare_entry(inner, old.get(name), new.get(name))
+
+
+def _compare_entry(place: str, old: Any, new: Any) -> Iterator[ConfigChange]:
+    # A configuration holds no null, so None stands for an absent entry.
+    if new is None:
+        yield ConfigChange(place, ChangeKind.REMOVED, before=old)
+    elif old is None:
+        yield ConfigChange(place, ChangeKind.ADDED, after=new)
+    else:
+        yield from _compare(place, old, new)
+
+
+def _as_table(content: Any) -> dict[str, Any] | None:
+    """See a JSON object, or a list of named entries, as a table by name."""
+    if isinstance(content, dict):
+        return content
+    if not isinstance(content, (list, tuple)):
+        return None
+    if all(isinstance(entry, dict) and 'name' in entry for entry in content):
+        return {entry['name']: entry for entry in content}
+    return None
--- /dev/null
+++ b/tests/ctl_main.feature
@@ -0,0 +1,27 @@
+Feature: command line of operators
+
+  Scenario Outline: exit codes tell what went wrong
+    Given an administration API
+    When rattanvalvectl runs <arguments>
+    Then it exits with <exit_code> and prints <text>
+
+    Examples:
+      | arguments                          | exit_code | text                              |
+      | validate good.json                 | 0         | valid                             |
+      | validate bad.json                  | 3         | unknown workspace `nobody`        |
+      | validate broken.json               | 3         | broken.json                       |
+      | validate good.json good.json       | 3         | given twice                       |
+      | apply good.json                    | 0         | generation 2                      |
+      | apply good.json --dry-run          | 0         | rules.rates.north.rate_per_s      |
+      | apply good.json --generation 9     | 4         | newest generation 1               |
+      | diff good.json                     | 0         | rules.rates.north.rate_per_s      |
+      | get                                | 0         | "orders-app"                      |
+      | grant north north-9                | 0         | rv-                               |
+      | grant nobody key-9                 | 3         | unknown workspace                 |
+      | withdraw north-1                   | 0         | generation 2                      |
+      | withdraw missing                   | 3         | unknown key                       |
+      | drain models-1                     | 0         | generation 2                      |
+      | drain models-1 --undo              | 3         | is not drained                    |
+      | --url http://127.0.0.1:1 get       | 5         | no response                       |
+      | --output json withdraw north-1     | 0         | "generation": 2                   |
+      | --version                          | 0         | rattanvalvectl                    |
--- /dev/null
+++ b/tests/steps/admin_api_steps.py
@@ -0,0 +1,251 @@
+"""Steps of admin_api.feature."""
+
+import asyncio
+import json
+
+import msgspec
+from aiohttp.test_utils import TestClient, TestServer
+from behave import given, then, when
+from openapi_spec_validator import validate
+
+from rattanvalve import admin_api
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.catalog import build_catalog
+from rattanvalve.counters import Metrics
+from rattanvalve.errors import StoreConflictError, StoreError
+from rattanvalve.keys import key_digest
+from tests.samples import sample_catalog, sample_document
+
+OPERATOR_KEYS = {'editor': 'rv-op-editor', 'viewer': 'rv-op-viewer'}
+KEYS = {**OPERATOR_KEYS, 'unknown': 'rv-op-unknown', 'none': ''}
+
+
+class FakeConfigStore:
+    """Conditional updates in memory, with a yield before each effect."""
+
+    def __init__(self, blackboard):
+        self.blackboard = blackboard
+        self.newest = blackboard.catalog
+        self.records = {}
+        self.is_down = False
+
+    async def apply(self, config, expected, author, change_id):
+        await asyncio.sleep(0)
+        if self.is_down:
+            raise StoreError('store is down')
+        if self.newest.generation != expected:
+            raise StoreConflictError('generation changed')
+        self.newest = build_catalog(config, expected + 1)
+        await self.refresh()
+        return self.newest.generation
+
+    async def refresh(self):
+        await asyncio.sleep(0)
+        self.blackboard.catalog = self.newest
+
+    async def record(self, generation, entry):
+        self.records[generation] = entry
+
+    async def audit(self, last):
+        return [self.records[key] for key in sorted(self.records)][-last:]
+
+
+@given('an administration API')
+def step_api(context):
+    context.blackboard = Blackboard(catalog=sample_catalog())
+    context.store = FakeConfigStore(context.blackboard)
+    context.app = admin_api.build_admin_app(
+        admin_api.AdminContext(
+            blackboard=context.blackboard,
+            metrics=Metrics(),
+            operators={
+                name: key_digest(key) for name, key in OPERATOR_KEYS.items()
+            },
+            viewers=frozenset(('viewer',)),
+            apply=context.store.apply,
+            refresh=context.store.refresh,
+            status=dict,
+            explain=None,
+            record=context.store.record,
+            audit=context.store.audit,
+        ),
+    )
+
+    async def start():
+        client = TestClient(TestServer(context.app))
+        await client.start_server()
+        return client
+
+    context.client = context.run(start())
+    context.closers.append(context.client.close)
+
+
+async def ask(context, method, path, key='editor', **parts):
+    """Send a request and give status and JSON body."""
+    headers = parts.pop('headers', {})
+    if KEYS[key]:
+        headers['Authorization'] = f'Bearer {KEYS[key]}'
+    response = await context.client.request(
+        method,
+        path,
+        headers=headers,
+        **parts,
+    )
+    return await response.json()
+
+
+def put_config(context, document, **parts):
+    """Replace generation 1 by a document."""
+    return ask(
+        context,
+        'PUT',
+        '/v1/config',
+        headers={'If-Match': '"1"'},
+        json=document,
+        **parts,
+    )
+
+
+def changed_document(rate):
+    """Give the sample document another rate."""
+    document = sample_document()
+    document['rules']['rates']['north']['rate_per_s'] = rate
+    return document
+
+
+@when('{method} {path} is sent with key {key}')
+def step_send(context, method, path, key):
+    context.body = context.run(ask(context, method, path, key))
+
+
+@then('the answer has code {code:d}')
+def step_code(context, code):
+    assert context.body['error']['code'] == code, context.body
+
+
+@then('routes and OpenAPI document name the same operations')
+def step_routes(context):
+    routes = {
+        (route.method.lower(), route.resource.canonical)
+        for route in context.app.router.routes()
+        if route.method != 'HEAD'
+    }
+    document = json.loads(admin_api._openapi_text())
+    described = {
+        (method, path)
+        for path, operations in document['paths'].items()
+        for method in operations
+    }
+    assert routes == described, routes ^ described
+
+
+@then('the OpenAPI document is valid')
+def step_openapi(context):
+    validate(json.loads(admin_api._openapi_text()))
+
+
+@when('a key is granted to north')
+def step_grant(context):
+    fields = {'name': 'north-2', 'workspace': 'north'}
+    body = context.run(ask(context, 'POST', '/v1/keys', json=fields))
+    context.key = body['key']
+
+
+@then('the configuration holds its digest and not the key')
+def step_digest(context):
+    catalog = context.blackboard.catalog
+    assert catalog.workspace_of_key(key_digest(context.key)) == 'north'
+    assert context.key not in msgspec.json.encode(catalog.config).decode()
+
+
+@then('the audit record names the operator and not the key')
+def step_audit(context):
+    body = context.run(ask(context, 'GET', '/v1/audit', 'viewer'))
+    assert body['records'][0]['author'] == 'editor'
+    assert context.key not in json.dumps(body)
+
+
+@when('two operators replace generation 1')
+def step_race(context):
+    async def race():
+        return await asyncio.gather(
+            *(put_config(context, changed_document(rate)) for rate in (7, 8)),
+        )
+
+    context.bodies = context.run(race())
+
+
+@then('one change is in force and the other answer has code {code:d}')
+def step_one(context, code):
+    won = [body for body in context.bodies if 'error' not in body]
+    lost = [body for body in context.bodies if 'error' in body]
+    assert [body['generation'] for body in won] == [2]
+    context.body = lost[0]
+    assert len(lost) == 1
+    assert context.body['error']['code'] == code
+
+
+@then('the conflict names the newest generation')
+def step_newest(context):
+    assert context.body['error']['generation'] == 2
+
+
+@when('{count:d} keys are granted at once')
+def step_grant_many(context, count):
+    async def grant_all():
+        await asyncio.gather(
+            *(
+                ask(
+                    context,
+                    'POST',
+                    '/v1/keys',
+                    json={'name': f'many-{index}', 'workspace': 'south'},
+                )
+                for index in range(count)
+            ),
+        )
+
+    context.run(grant_all())
+
+
+@then('all {count:d} keys are in force')
+def step_all_keys(context, count):
+    names = {key.name for key in context.store.newest.config.inventory.keys}
+    assert {f'many-{index}' for index in range(count)} <= names
+
+
+@when('a configuration with an unknown workspace is sent')
+def step_invalid(context):
+    document = sample_document()
+    document['inventory']['keys'][0]['workspace'] = 'nobody'
+    context.body = context.run(put_config(context, document))
+
+
+@then('the answer names the place {place}')
+def step_place(context, place):
+    assert context.body['error']['place'] == place
+
+
+@then('generation {generation:d} is in force')
+def step_generation(context, generation):
+    assert context.store.newest.generation == generation
+
+
+@when('a change is sent as a dry run')
+def step_dry_run(context):
+    context.body = context.run(
+        put_config(context, changed_document(7), params={'dry_run': 'true'}),
+    )
+
+
+@then('the answer lists the change')
+def step_lists(context):
+    places = [change['place'] for change in context.body['changes']]
+    assert places == ['rules.rates.north.rate_per_s']
+
+
+@when('the store is down and a key is granted')
+def step_down(context):
+    context.store.is_down = True
+    fields = {'name': 'north-2', 'workspace': 'north'}
+    context.body = context.run(ask(context, 'POST', '/v1/keys', json=fields))
