--- a/rattanvalve/settings.py
+++ b/rattanvalve/settings.py
@@ -65,6 +65,7 @@
     caller_listen: Listen
     admin_listen: Listen
     admin_key_digests: dict[str, str] = {}
+    admin_viewers: tuple[str, ...] = ()
     store_url: Url
     vm_list_url: str = ''
     request_timeout_s: Seconds = 600.0
