--- /dev/null
+++ b/rattanvalve/outcome_lookup.py
@@ -0,0 +1,85 @@
+"""Finds the outcome of an earlier request by its idempotency key."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from rattanvalve import outcomes
+from rattanvalve.errors import PeerError
+from rattanvalve.messages import Begin, Outcome, Refusal, Resolve
+from rattanvalve.owner_client import OwnerClient
+from rattanvalve.peers import PeerPool
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.settling import fetch_settled
+
+__all__ = ('LOOKUP_REASON', 'OutcomeLookup')
+
+#: ``reason`` of a ``Resolve`` that only looks an idempotency key up. The
+#: message holds the key in ``request_id`` and no ticket number.
+LOOKUP_REASON = 'lookup'
+
+
+@dataclass(slots=True)
+class OutcomeLookup:
+    """Looks outcomes up at owners and endpoint processes.
+
+    :param owner_client: finds and asks owners.
+    :param pool: connections to endpoint processes.
+    """
+
+    owner_client: OwnerClient
+    pool: PeerPool
+
+    async def find(
+        self,
+        begin: Begin,
+        deadline_s: float,
+    ) -> Result[dict[str, Any], Refusal]:
+        """Find an outcome.
+
+        :param begin: workspace, shard, program and idempotency key.
+        :param deadline_s: time of ``time.monotonic()`` to give up at.
+        :returns: document for the caller, or a refusal.
+        """
+        decision = await self.owner_client.ask(
+            Resolve(
+                request_id=begin.idempotency_key,
+                workspace=begin.workspace,
+                shard=begin.shard,
+                program_id=begin.program_id,
+                reason=LOOKUP_REASON,
+            ),
+            deadline_s,
+        )
+        if isinstance(decision, Refusal):
+            return Err(decision)
+        if not isinstance(decision, Outcome):
+            return Err(Refusal(code=ResultCode.UNKNOWN_OUTCOME_KEY))
+        found = {
+            'object': 'rattanvalve.outcome',
+            'idempotency_key': begin.idempotency_key,
+            'program_id': decision.program_id,
+            'outcome': decision.outcome,
+        }
+        if decision.outcome == outcomes.ANSWERED:
+            found.update(await self._response_of(decision, deadline_s))
+        return Ok(found)
+
+    async def _response_of(
+        self,
+        outcome: Outcome,
+        deadline_s: float,
+    ) -> dict[str, Any]:
+        """Fetch the recorded response, if it still exists."""
+        epoch = self.owner_client.blackboard.view.epoch
+        try:
+            settled = await fetch_settled(self.pool, outcome, epoch, deadline_s)
+        except PeerError:
+            return {}
+        if settled.outcome != outcomes.ANSWERED:
+            return {}
+        return {
+            'http_status': settled.http_status,
+            'body': settled.body.decode(errors='replace'),
+        }
--- /dev/null
+++ b/rattanvalve/relay.py
@@ -0,0 +1,253 @@
+"""Takes one request from its admission to a complete response."""
+
+import asyncio
+import time
+
+from rattanvalve import outcomes
+from rattanvalve.counters import Counter, Metrics
+from rattanvalve.delivery import Delivery
+from rattanvalve.errors import InvariantError, PeerError
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import (
+    Outcome,
+    Refusal,
+    Resolve,
+    Run,
+    Ticket,
+)
+from rattanvalve.owner_client import OwnerClient, OwnerDecision
+from rattanvalve.peers import PeerPool
+from rattanvalve.relay_state import (
+    Progress,
+    RelayRequest,
+    check_ticket,
+    pass_on,
+    timeout_refusal,
+)
+from rattanvalve.responder import Responder
+from rattanvalve.responses import honest_outcome
+from rattanvalve.resultcodes import ResultCode, info_of
+from rattanvalve.runs import open_run
+from rattanvalve.settling import fetch_settled
+from rattanvalve.streams import OpenRequest, OpenRequests
+
+__all__ = ('Relay',)
+
+#: Decisions of the owner that one request follows before it is given up. An
+#: endpoint that fails every time must not keep a caller until its deadline.
+MAX_DECISIONS = 6
+
+_log = part_logger(LogPart.RELAY)
+
+
+class Relay:
+    """Data path of the ingress.
+
+    :param owner_client: finds and asks owners.
+    :param pool: connections to endpoint processes.
+    :param open_requests: registry of open requests.
+    :param metrics: counters.
+    """
+
+    def __init__(
+        self,
+        owner_client: OwnerClient,
+        pool: PeerPool,
+        open_requests: OpenRequests,
+        metrics: Metrics,
+    ) -> None:
+        self._owner_client = owner_client
+        self._pool = pool
+        self._open_requests = open_requests
+        self._metrics = metrics
+
+    async def run(self, request: RelayRequest, responder: Responder) -> None:
+        """Run a request and answer the caller.
+
+        :param request: checked request.
+        :param responder: connection to the caller.
+        :raises CallerGoneError: if the caller has left.
+        """
+        responder.program_id = request.begin.program_id
+        delivery = Delivery(
+            responder,
+            is_chat=request.is_chat,
+            is_resumable=request.is_resumable,
+        )
+        progress = Progress(request, delivery)
+        refusal = await self._run_until_deadline(progress)
+        if refusal is None:
+            self._metrics.count(Counter.ANSWERS)
+            self._metrics.count(Counter.OUTCOME_ANSWERED)
+        else:
+            await self.refuse(refusal, request.entry, responder)
+
+    async def refuse(
+        self,
+        refusal: Refusal,
+        entry: OpenRequest,
+        responder: Responder,
+    ) -> None:
+        """Answer a request with a refusal that claims only what is known.
+
+        :param refusal: why the request is not answered.
+        :param entry: the open request.
+        :param responder: connection to the caller.
+        :raises CallerGoneError: if the caller has left.
+        """
+        info = info_of(refusal.code)
+        if info.was_not_run and entry.may_have_run:
+            refusal = Refusal(
+                code=ResultCode.OUTCOME_UNKNOWN,
+                detail=info.text,
+            )
+        outcome = honest_outcome(
+            refusal.code,
+            may_have_run=entry.may_have_run,
+        )
+        self._metrics.count_code(info_of(refusal.code).code)
+        self._metrics.count(f'outcome.{outcome}')
+        await responder.fail(refusal, outcome)
+
+    async def _run_until_deadline(self, progress: Progress) -> Refusal | None:
+        left_s = progress.request.deadline_s - time.monotonic()
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._follow_decisions(progress)
+        except TimeoutError:
+            return timeout_refusal(progress)
+        except InvariantError as error:
+            self._metrics.count(Counter.INVARIANT_VIOLATED)
+            _log.error('invariant violated: %s', error)
+            return Refusal(code=ResultCode.INTERNAL_ERROR)
+
+    async def _follow_decisions(self, progress: Progress) -> Refusal | None:
+        """Do what the owner decides until the response is complete."""
+        decision = await self._begin(progress.request)
+        for _ in range(MAX_DECISIONS):
+            try:
+                return await self._follow(decision, progress)
+            except PeerError as error:
+                progress.refusal = getattr(error, 'refusal', None)
+            if progress.delivery.is_complete:
+                # Only the report of the endpoint process was lost.
+                return await progress.delivery.end()
+            decision = await self._resolve(progress)
+        return progress.refusal or Refusal(code=ResultCode.BACKEND_FAILED)
+
+    async def _follow(
+        self,
+        decision: OwnerDecision,
+        progress: Progress,
+    ) -> Refusal | None:
+        """Do what the owner decided once.
+
+        :param decision: decision of the owner.
+        :param progress: state of the request.
+        :returns: the final refusal, or ``None`` after a complete response.
+        :raises PeerError: if the owner must decide again.
+        """
+        if isinstance(decision, Refusal):
+            return decision
+        if isinstance(decision, Outcome):
+            return await self._follow_outcome(decision, progress)
+        if not progress.delivery.can_run_again:
+            return Refusal(code=ResultCode.BACKEND_FAILED)
+        await self._run_ticket(decision, progress)
+        return None
+
+    async def _begin(self, request: RelayRequest) -> OwnerDecision:
+        begin = request.begin
+        decision = await self._owner_client.ask(begin, request.deadline_s)
+        if isinstance(decision, Outcome):
+            self._metrics.count(Counter.OUTCOME_REPLAYED)
+        is_unanswered = (
+            isinstance(decision, Refusal)
+            and decision.code == ResultCode.OWNER_UNAVAILABLE
+        )
+        if is_unanswered and begin.idempotency_key:
+            # Only the owner knows whether an earlier request with this
+            # idempotency key ran.
+            return Refusal(code=ResultCode.OUTCOME_UNKNOWN)
+        return decision
+
+    async def _resolve(self, progress: Progress) -> OwnerDecision:
+        """Ask the owner what to do after a broken run."""
+        request, refusal = progress.request, progress.refusal
+        begin = request.begin
+        decision = await self._owner_client.ask(
+            Resolve(
+                number=progress.number,
+                request_id=begin.request_id,
+                workspace=begin.workspace,
+                shard=begin.shard,
+                program_id=begin.program_id,
+                reason=f'refused {refusal.code}' if refusal else 'broken',
+                is_relay_started=not progress.delivery.can_run_again,
+            ),
+            request.deadline_s,
+        )
+        if isinstance(decision, Ticket):
+            self._note_retry(progress)
+        return decision
+
+    def _note_retry(self, progress: Progress) -> None:
+        """Note that the owner lets the request run again."""
+        if not progress.is_repeatable:
+            # The owner gives another ticket only after the endpoint process
+            # has settled the earlier ones as not run.
+            progress.note_not_run(*progress.unsettled)
+        self._metrics.count(
+            Counter.RETRY_REPEATABLE
+            if progress.number in progress.unsettled
+            else Counter.RETRY_NOT_RUN,
+        )
+
+    async def _follow_outcome(
+        self,
+        outcome: Outcome,
+        progress: Progress,
+    ) -> Refusal | None:
+        """Deliver the recorded response of an earlier run."""
+        if outcome.outcome == outcomes.NOT_RUN:
+            progress.note_not_run(outcome.number)
+            return progress.refusal or Refusal(code=ResultCode.TICKET_VOID)
+        progress.hand_over(outcome.number)
+        if outcome.outcome == outcomes.UNKNOWN:
+            return Refusal(code=ResultCode.OUTCOME_UNKNOWN)
+        settled = await fetch_settled(
+            self._pool,
+            outcome,
+            self._owner_client.blackboard.view.epoch,
+            progress.request.deadline_s,
+        )
+        if settled.outcome == outcomes.NOT_RUN:
+            progress.note_not_run(outcome.number)
+        await progress.delivery.settle(settled)
+        return None
+
+    async def _run_ticket(self, ticket: Ticket, progress: Progress) -> None:
+        """Run a ticket and pass its response on.
+
+        :param ticket: ticket of the owner.
+        :param progress: state of the request.
+        :raises PeerError: if the run was refused or broke.
+        """
+        request = progress.request
+        check_ticket(ticket, request.begin)
+        progress.is_repeatable = ticket.is_repeatable
+        progress.delivery.start_run(ticket.number)
+        run = Run(
+            ticket=ticket,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+            is_stream=request.is_stream,
+            resume_text=progress.delivery.resume_text,
+        )
+        progress.hand_over(ticket.number)
+        entry, open_requests = request.entry, self._open_requests
+        async with open_run(self._pool, run, entry, open_requests) as stream:
+            async for message in stream:
+                await pass_on(message, progress)
--- /dev/null
+++ b/rattanvalve/responder.py
@@ -0,0 +1,164 @@
+"""Writes one response to one caller over HTTP."""
+
+from aiohttp import web
+
+from rattanvalve import outcomes
+from rattanvalve.errors import RattanvalveError
+from rattanvalve.messages import Header, Refusal
+from rattanvalve.responses import (
+    OUTCOME_HEADER,
+    PROGRAM_HEADER,
+    allowed_headers,
+    error_body,
+    error_event,
+    error_headers,
+)
+from rattanvalve.resultcodes import info_of
+
+__all__ = ('CallerGoneError', 'Responder')
+
+
+class CallerGoneError(RattanvalveError):
+    """The caller closed its connection before the response was complete."""
+
+
+class Responder:
+    """The response to one request.
+
+    :param request: request of the caller.
+    :param is_closing: whether the connection ends with this response.
+    """
+
+    def __init__(
+        self,
+        request: web.Request,
+        *,
+        is_closing: bool = False,
+    ) -> None:
+        self.program_id = ''
+        self._request = request
+        self._is_closing = is_closing
+        self._is_events = False
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def is_started(self) -> bool:
+        """Whether a part of the response was sent."""
+        return self._response is not None
+
+    @property
+    def response(self) -> web.StreamResponse | None:
+        """The response that was sent, if any."""
+        return self._response
+
+    async def start(
+        self,
+        http_status: int,
+        headers: tuple[Header, ...],
+        *,
+        is_events: bool,
+    ) -> None:
+        """Send status and headers of a response that is sent in parts.
+
+        :param http_status: status of the endpoint.
+        :param headers: headers of the endpoint.
+        :param is_events: whether the body is a stream of events.
+        :raises CallerGoneError: if the caller has left.
+        """
+        self._is_events = is_events
+        await self._send(
+            web.StreamResponse(
+                status=http_status,
+                headers=self._headers(headers),
+            ),
+        )
+
+    async def write(self, content: bytes) -> None:
+        """Send a part of the body and wait while the caller is slow.
+
+        :param content: bytes to send.
+        :raises CallerGoneError: if the caller has left.
+        """
+        try:
+            await self._response.write(content)
+        except OSError as error:
+            raise CallerGoneError('caller disconnected') from error
+
+    async def finish(self) -> None:
+        """End a response that was sent in parts.
+
+        :raises CallerGoneError: if the caller has left.
+        """
+        try:
+            await self._response.write_eof()
+        except OSError as error:
+            raise CallerGoneError('caller disconnected') from error
+
+    async def send_all(
+        self,
+        http_status: int,
+        headers: tuple[Header, ...],
+        body: bytes,
+    ) -> None:
+        """Send a complete response.
+
+        :param http_status: status of the endpoint.
+        :param headers: headers of the endpoint.
+        :param body: the whole body.
+        :raises CallerGoneError: if the caller has left.
+        """
+        await self._send(
+            web.Response(
+                status=http_status,
+                headers=self._headers(headers),
+                body=body,
+            ),
+        )
+        await self.finish()
+
+    async def fail(self, refusal: Refusal, outcome: str) -> None:
+        """End the response with a refusal.
+
+        A stream of events ends with an error event. The connection of any
+        other response that has begun is broken, so that the caller cannot
+        take it for complete.
+
+        :param refusal: refusal with a result code.
+        :param outcome: outcome name.
+        :raises CallerGoneError: if the caller has left.
+        """
+        if not self.is_started:
+            await self._send(
+                web.Response(
+                    status=info_of(refusal.code).http_status,
+                    headers=error_headers(refusal, self.program_id, outcome),
+                    body=error_body(refusal),
+                ),
+            )
+            await self.finish()
+        elif self._is_events:
+            await self.write(error_event(refusal))
+            await self.finish()
+        else:
+            self.abort()
+
+    def abort(self) -> None:
+        """Break the connection to the caller."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    def _headers(self, headers: tuple[Header, ...]) -> dict[str, str]:
+        return {
+            **allowed_headers(headers),
+            PROGRAM_HEADER: self.program_id,
+            OUTCOME_HEADER: outcomes.ANSWERED,
+        }
+
+    async def _send(self, response: web.StreamResponse) -> None:
+        if self._is_closing:
+            response.force_close()
+        self._response = response
+        try:
+            await response.prepare(self._request)
+        except OSError as error:
+            raise CallerGoneError('caller disconnected') from error
