--- /dev/null
+++ b/rattanvalve/entry_main.py
@@ -0,0 +1,80 @@
+"""Program ``rattanvalve-entry``: command line and event loop."""
+
+import sys
+from pathlib import Path
+
+import aiomisc
+import click
+import uvloop
+
+from rattanvalve import __version__
+from rattanvalve.errors import SettingsError
+from rattanvalve.logs import configure_logging
+from rattanvalve.settings import (
+    SETTINGS_EXIT_CODE,
+    EntrySettings,
+    load_settings,
+)
+from rattanvalve.wire import MAX_FRAME_BYTES
+
+__all__ = ('main', 'run_service')
+
+#: Room in a frame for the ticket, the headers and the text to continue.
+_FRAME_RESERVE_BYTES = 5 * 1024 * 1024
+#: Time to close connections after the last request.
+_CLOSE_GRACE_S = 10.0
+
+
+@click.command()
+@click.version_option(__version__, prog_name='rattanvalve-entry')
+@click.option(
+    '--settings',
+    'settings_path',
+    required=True,
+    type=click.Path(path_type=Path),
+    help='JSON file with the settings of this process.',
+)
+def main(settings_path: Path) -> None:
+    """Take requests of callers and own workspaces."""
+    try:
+        settings = _read_settings(settings_path)
+    except SettingsError as error:
+        click.echo(' '.join(str(error).split()), err=True)
+        sys.exit(SETTINGS_EXIT_CODE)
+    configure_logging(settings.log_level, settings.name)
+    # The wiring loads every module of the process, which wrong settings and
+    # --version need not wait for.
+    from rattanvalve.entry_process import EntryProcess
+
+    run_service(
+        EntryProcess(settings),
+        settings.drain_grace_s + settings.stop_timeout_s + _CLOSE_GRACE_S,
+    )
+
+
+def run_service(service: aiomisc.Service, stop_s: float) -> None:
+    """Run a service until SIGTERM or SIGINT.
+
+    :param service: service to start and stop.
+    :param stop_s: longest time for its stop in seconds.
+    """
+    with aiomisc.entrypoint(
+        service,
+        log_config=False,
+        loop_factory=uvloop.new_event_loop,
+        shutdown_timeout=stop_s,
+    ) as loop:
+        loop.run_forever()
+
+
+def _read_settings(path: Path) -> EntrySettings:
+    settings = load_settings(path, EntrySettings)
+    if settings.max_body_bytes > MAX_FRAME_BYTES - _FRAME_RESERVE_BYTES:
+        raise SettingsError(
+            f'{path}: a body of max_body_bytes does not fit into a frame',
+        )
+    return settings
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/rattanvalve/shutdown.py
@@ -0,0 +1,61 @@
+"""Order of a planned stop, so that it interrupts no request."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.streams import OpenRequests
+
+__all__ = ('Shutdown',)
+
+_log = part_logger(LogPart.PROCESS)
+
+_Step = Callable[[], Awaitable[None]]
+
+
+@dataclass(slots=True, kw_only=True)
+class Shutdown:
+    """A planned stop of an entry process.
+
+    :param blackboard: state of the process.
+    :param open_requests: registry of open requests.
+    :param leave: leaves the view and hands the ledgers over.
+    :param stop_listening: refuses new connections of callers.
+    :param grace_s: seconds until the load balancer sends no new callers.
+    :param timeout_s: seconds for everything after the grace period.
+    """
+
+    blackboard: Blackboard
+    open_requests: OpenRequests
+    leave: _Step
+    stop_listening: _Step
+    grace_s: float
+    timeout_s: float
+
+    async def run(self) -> bool:
+        """Stop taking work and finish what is open.
+
+        :returns: whether everything finished in time.
+        """
+        self.blackboard.readiness.is_stopping = True
+        self.blackboard.publish()
+        _log.info('stopping, new callers are accepted for a short time')
+        await asyncio.sleep(self.grace_s)
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                await self._finish()
+        except TimeoutError:
+            _log.warning('requests were still open at the end of the stop')
+            return False
+        return True
+
+    async def _finish(self) -> None:
+        # Open requests are finished even if the view cannot be left.
+        try:
+            await self.leave()
+        except Exception as error:
+            _log.error('could not leave the view', exc_info=error)
+        await self.stop_listening()
+        await self.open_requests.wait_idle()
