--- a/rattanvalve/caller_api.py
+++ b/rattanvalve/caller_api.py
@@ -10,32 +10,31 @@
 import msgspec
 from aiohttp import web
 from multidict import CIMultiDict
-from result import Result
 
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.call_headers import (
     Caller,
     build_begin,
     find_caller,
-    forwarded_headers,
 )
 from rattanvalve.caller_errors import (
     RefusedError,
+    accept,
     refusal_middleware,
     refusal_response,
 )
+from rattanvalve.calls import (
+    CHAT_PATH,
+    CallLimits,
+    chat_call,
+    service_call,
+)
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Begin, Refusal
 from rattanvalve.outcome_lookup import OutcomeLookup
 from rattanvalve.relay import Relay
-from rattanvalve.relay_state import RelayRequest
-from rattanvalve.request_checks import (
-    check_id,
-    check_service_path,
-    estimate_tokens,
-    parse_chat_body,
-)
+from rattanvalve.request_checks import check_id, check_service_path
 from rattanvalve.responder import CallerGoneError, Responder
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.streams import KeyWithdrawnError, OpenRequest, OpenRequests
@@ -47,12 +46,10 @@
 #: our own check, which answers in the protocol's format.
 RUNNER_OPTIONS = {'handler_cancellation': True, 'max_field_size': 65_536}
 
-CHAT_PATH = '/v1/chat/completions'
 _METHODS = frozenset(
     ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'),
 )
 
-HistoryDigests = Callable[[list[dict[str, Any]]], tuple[int, ...]]
 _log = part_logger(LogPart.CALLER)
 _Work = Callable[[OpenRequest, Responder], Awaitable[None]]
 
@@ -66,10 +63,7 @@
     relay: Relay
     open_requests: OpenRequests
     outcome_lookup: OutcomeLookup
-    history_digests: HistoryDigests
-    request_timeout_s: float
-    max_body_bytes: int
-    max_body_depth: int
+    limits: CallLimits
 
     async def chat(self, request: web.Request) -> web.StreamResponse:
         """Answer ``POST /v1/chat/completions``.
@@ -89,7 +83,7 @@
         """
         _, _, service, tail = request.rel_url.raw_path.split('/', 3)
         query = request.rel_url.raw_query_string
-        path = _accept(check_service_path(f'/{tail}', query))
+        path = accept(check_service_path(f'/{tail}', query))
         method = request.method
         catalog = self.blackboard.catalog
         caller = self._caller(
@@ -98,7 +92,7 @@
         )
         self._check_service(service, method)
         begin = replace(
-            _accept(build_begin(request.headers, caller, catalog)),
+            accept(build_begin(request.headers, caller, catalog)),
             service_name=service,
             is_repeatable=catalog.is_repeatable(service, method, path.plain),
         )
@@ -130,19 +124,19 @@
         :returns: the outcome and the recorded response.
         """
         caller = self._caller(request)
-        key = _accept(
+        key = accept(
             check_id('Idempotency-Key', request.match_info['key']),
         )
         headers = CIMultiDict(request.headers)
         headers['Idempotency-Key'] = key
         catalog = self.blackboard.catalog
-        begin = _accept(build_begin(headers, caller, catalog))
+        begin = accept(build_begin(headers, caller, catalog))
         async with self.open_requests.enter(OpenRequest(caller.key_digest)):
             found = await self.outcome_lookup.find(
                 begin,
-                time.monotonic() + self.request_timeout_s,
+                time.monotonic() + self.limits.request_timeout_s,
             )
-        return _json_response(_accept(found))
+        return _json_response(accept(found))
 
     async def health(self, request: web.Request) -> web.Response:
         """Answer ``GET /healthz``.
@@ -169,7 +163,7 @@
         is_open_route: bool = False,
     ) -> Caller:
         catalog = self.blackboard.catalog
-        return _accept(
+        return accept(
             find_caller(
                 request.headers,
                 catalog,
@@ -196,15 +190,7 @@
         entry: OpenRequest,
         responder: Responder,
     ) -> None:
-        call = RelayRequest(
-            begin=begin,
-            entry=entry,
-            method=request.method,
-            path=path,
-            headers=forwarded_headers(request.headers),
-            body=await _read_body(request),
-            deadline_s=time.monotonic() + self.request_timeout_s,
-        )
+        call = await service_call(request, begin, path, entry, self.limits)
         await self.relay.run(call, responder)
 
     async def _run_chat(
@@ -214,31 +200,12 @@
         entry: OpenRequest,
         responder: Responder,
     ) -> None:
-        body = await _read_body(request)
-        chat = _accept(parse_chat_body(body, self.max_body_depth))
-        catalog = self.blackboard.catalog
-        service = catalog.service_of_model(chat.model)
-        if service is None:
-            raise RefusedError(Refusal(code=ResultCode.UNKNOWN_MODEL))
-        begin = _accept(build_begin(request.headers, caller, catalog))
-        call = RelayRequest(
-            begin=replace(
-                begin,
-                service_name=service,
-                is_repeatable=catalog.is_repeatable(service, 'POST', CHAT_PATH),
-                prompt_tokens=estimate_tokens(body),
-                max_tokens=chat.limit_tokens(),
-                history_digests=self.history_digests(list(chat.messages)),
-            ),
-            entry=entry,
-            method='POST',
-            path=CHAT_PATH,
-            headers=forwarded_headers(request.headers),
-            body=body,
-            deadline_s=time.monotonic() + self.request_timeout_s,
-            is_stream=bool(chat.stream),
-            is_chat=True,
-            is_resumable=chat.choice_count in {None, 1},
+        call = await chat_call(
+            request,
+            caller,
+            entry,
+            self.limits,
+            self.blackboard,
         )
         await self.relay.run(call, responder)
 
@@ -302,7 +269,7 @@
     """
     app = web.Application(
         middlewares=[refusal_middleware(api.metrics)],
-        client_max_size=api.max_body_bytes,
+        client_max_size=api.limits.max_body_bytes,
     )
     app.router.add_post(CHAT_PATH, api.chat)
     app.router.add_get('/v1/models', api.models)
@@ -313,19 +280,6 @@
     return app
 
 
-def _accept(checked: Result[Any, Refusal]) -> Any:
-    """Take the value of a check or refuse the request."""
-    return checked.unwrap_or_raise(RefusedError)
-
-
-async def _read_body(request: web.Request) -> bytes:
-    try:
-        return await request.read()
-    except web.RequestPayloadError as error:
-        refusal = Refusal(code=ResultCode.BAD_FIELD, detail='body encoding')
-        raise RefusedError(refusal) from error
-
-
 def _json_response(document: dict[str, Any]) -> web.Response:
     return web.Response(
         body=msgspec.json.encode(document),
--- a/rattanvalve/caller_errors.py
+++ b/rattanvalve/caller_errors.py
@@ -1,18 +1,26 @@
 """Turns refusals and failures of handlers into responses."""
 
 from functools import partial
+from typing import Any
 
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
+from result import Result
 
-from rattanvalve.counters import Metrics
-from rattanvalve.errors import RattanvalveError
+from rattanvalve.counters import Counter, Metrics
+from rattanvalve.errors import InvariantError, RattanvalveError
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Refusal
 from rattanvalve.responses import error_body, error_headers, honest_outcome
 from rattanvalve.resultcodes import ResultCode, info_of
+from rattanvalve.streams import KeyWithdrawnError
 
-__all__ = ('RefusedError', 'refusal_middleware', 'refusal_response')
+__all__ = (
+    'RefusedError',
+    'accept',
+    'refusal_middleware',
+    'refusal_response',
+)
 
 _HTTP_CODES = {
     400: ResultCode.BAD_FIELD,
@@ -35,6 +43,16 @@
         self.refusal = refusal
 
 
+def accept(checked: Result[Any, Refusal]) -> Any:
+    """Take the value of a check or refuse the request.
+
+    :param checked: result of a check.
+    :returns: the checked value.
+    :raises RefusedError: if the check refused.
+    """
+    return checked.unwrap_or_raise(RefusedError)
+
+
 def refusal_response(refusal: Refusal) -> web.Response:
     """Build the response of a request that was not handed over.
 
@@ -65,14 +83,23 @@
 ) -> web.StreamResponse:
     try:
         return await handler(request)
-    except RefusedError as error:
-        refusal = error.refusal
-    except web.HTTPException as error:
-        code = _HTTP_CODES.get(error.status, ResultCode.INTERNAL_ERROR)
-        refusal = Refusal(code=code)
     except Exception as error:
-        # The text of an unexpected error may hold a part of the request.
-        _log.error('handler failed: %s', type(error).__name__)
-        refusal = Refusal(code=ResultCode.INTERNAL_ERROR)
+        refusal = _refusal_of(error, metrics)
     metrics.count_code(info_of(refusal.code).code)
     return refusal_response(refusal)
+
+
+def _refusal_of(error: Exception, metrics: Metrics) -> Refusal:
+    """Choose what a caller is told about an exception."""
+    if isinstance(error, RefusedError):
+        return error.refusal
+    if isinstance(error, KeyWithdrawnError):
+        return Refusal(code=ResultCode.KEY_WITHDRAWN)
+    if isinstance(error, web.HTTPException):
+        code = _HTTP_CODES.get(error.status, ResultCode.INTERNAL_ERROR)
+        return Refusal(code=code)
+    if isinstance(error, InvariantError):
+        metrics.count(Counter.INVARIANT_VIOLATED)
+    # The text of an unexpected error may hold a part of the request.
+    _log.error('handler failed: %s', type(error).__name__)
+    return Refusal(code=ResultCode.INTERNAL_ERROR)
--- a/rattanvalve/entry_process.py
+++ b/rattanvalve/entry_process.py
@@ -11,21 +11,19 @@
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.caller_api import (
     RUNNER_OPTIONS,
-    CallerApi,
     build_caller_app,
 )
+from rattanvalve.calls import CallLimits
 from rattanvalve.config_controller import ConfigController
 from rattanvalve.confirmations import Confirmation
 from rattanvalve.counters import Metrics
+from rattanvalve.ingress import IngressParts, build_ingress
 from rattanvalve.load_controller import LoadController
 from rattanvalve.loads import EndpointLoads
 from rattanvalve.messages import Member, Pull, View
-from rattanvalve.outcome_lookup import OutcomeLookup
-from rattanvalve.owner_client import OwnerClient
 from rattanvalve.owner_service import OwnerService
 from rattanvalve.peers import Address, Handler, PeerPool, PeerServer
 from rattanvalve.pull_dispatch import pull_handler
-from rattanvalve.relay import Relay
 from rattanvalve.settings import EntrySettings, Listen
 from rattanvalve.shutdown import Shutdown
 from rattanvalve.store import StoreClient
@@ -80,10 +78,7 @@
                 self._open_requests.watch(self._blackboard),
             )
         )
-        await self._listen(
-            build_caller_app(self._caller_api()),
-            self._settings.caller_listen,
-        )
+        await self._listen(self._caller_app(), self._settings.caller_listen)
         await self._listen(self._admin_app(), self._settings.admin_listen)
         self._blackboard.readiness.is_started = True
         self._blackboard.publish()
@@ -165,32 +160,24 @@
             Pull: pull_handler(pulls),
         }
 
-    def _caller_api(self) -> CallerApi:
+    def _caller_app(self) -> web.Application:
         settings = self._settings
-        owner_client = OwnerClient(
+        parts = IngressParts(
             own_name=settings.name,
             blackboard=self._blackboard,
-            local=self._owner_service,
-            pool=self._pool,
             metrics=self._metrics,
+            pool=self._pool,
+            open_requests=self._open_requests,
+            local_owner=self._owner_service,
             find_owner=find_owner,
         )
-        return CallerApi(
-            blackboard=self._blackboard,
-            metrics=self._metrics,
-            relay=Relay(
-                owner_client,
-                self._pool,
-                self._open_requests,
-                self._metrics,
-            ),
-            open_requests=self._open_requests,
-            outcome_lookup=OutcomeLookup(owner_client, self._pool),
-            history_digests=history.chain_digests,
+        limits = CallLimits(
             request_timeout_s=settings.request_timeout_s,
             max_body_bytes=settings.max_body_bytes,
             max_body_depth=settings.max_body_depth,
+            history_digests=history.chain_digests,
         )
+        return build_caller_app(build_ingress(parts, limits))
 
     def _admin_app(self) -> web.Application:
         return admin_api.build_admin_app(
--- a/rattanvalve/owner_client.py
+++ b/rattanvalve/owner_client.py
@@ -116,32 +116,19 @@
         message = replace(message, epoch=view.epoch)
         if isinstance(message, Begin):
             message = replace(message, timeout_ms=int(left_s * 1000))
-        if owner.name == self.own_name:
-            return await self._ask_local(message, left_s)
-        return await self._ask_peer(message, owner, left_s)
-
-    async def _ask_local(
-        self,
-        message: Begin | Resolve,
-        left_s: float,
-    ) -> OwnerDecision | None:
-        is_begin = isinstance(message, Begin)
-        ask = self.local.begin if is_begin else self.local.resolve
-        try:
-            async with asyncio.timeout(left_s):
-                return await ask(message)
-        except TimeoutError:
-            return None
+        return await self._ask_while_owner(message, owner, left_s)
 
-    async def _ask_peer(
+    async def _ask_while_owner(
         self,
         message: Begin | Resolve,
         owner: Member,
         left_s: float,
     ) -> OwnerDecision | None:
-        """Ask another entry until it answers or stops being the owner."""
-        address = Address(owner.host, owner.port)
-        call = asyncio.ensure_future(self.pool.call(address, message, left_s))
+        """Ask an owner until it answers or stops being the owner."""
+        ask = self._ask_peer
+        if owner.name == self.own_name:
+            ask = self._ask_local
+        call = asyncio.ensure_future(ask(message, owner, left_s))
         moved = asyncio.ensure_future(self._wait_moved(message, owner))
         try:
             await asyncio.wait(
@@ -149,12 +136,32 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             return call.result() if call.done() else None
-        except PeerError:
+        except (PeerError, TimeoutError):
             return None
         finally:
             call.cancel()
             moved.cancel()
 
+    async def _ask_local(
+        self,
+        message: Begin | Resolve,
+        owner: Member,
+        left_s: float,
+    ) -> OwnerDecision:
+        is_begin = isinstance(message, Begin)
+        ask = self.local.begin if is_begin else self.local.resolve
+        async with asyncio.timeout(left_s):
+            return await ask(message)
+
+    async def _ask_peer(
+        self,
+        message: Begin | Resolve,
+        owner: Member,
+        left_s: float,
+    ) -> OwnerDecision:
+        address = Address(owner.host, owner.port)
+        return await self.pool.call(address, message, left_s)
+
     async def _wait_moved(
         self,
         message: Begin | Resolve,
--- a/rattanvalve/runs.py
+++ b/rattanvalve/runs.py
@@ -111,8 +111,10 @@
 async def _settle_task(task: asyncio.Task) -> None:
     """Let a task that has read the last message end, else cancel it."""
     # After the last message the task needs one step to return its connection.
-    await asyncio.sleep(0)
-    task.cancel()
+    try:
+        await asyncio.sleep(0)
+    finally:
+        task.cancel()
 
 
 def _address_of(run: Run) -> Address:
--- /dev/null
+++ b/tests/ingress_bench.py
@@ -0,0 +1,266 @@
+"""An ingress between a client, a fake owner and a fake endpoint process."""
+
+import asyncio
+import json
+from collections import defaultdict
+
+from aiohttp.test_utils import TestClient, TestServer
+
+from rattanvalve import messages, outcomes
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.caller_api import RUNNER_OPTIONS, build_caller_app
+from rattanvalve.calls import CallLimits
+from rattanvalve.counters import Metrics
+from rattanvalve.errors import PeerError
+from rattanvalve.ingress import IngressParts, build_ingress
+from rattanvalve.peers import Address, PeerPool, PeerServer
+from rattanvalve.streams import OpenRequests
+from tests.samples import NORTH_KEY, sample_catalog
+
+SECRET = b's' * 32
+TEXT = 'one two three four'
+AUTH = {'Authorization': f'Bearer {NORTH_KEY}'}
+EVENT_STREAM = 'text/event-stream'
+#: Tries of `eventually`, which only a failing check uses up.
+MAX_TRIES = 300
+
+
+async def eventually(condition):
+    """Wait for a condition, which a working product reaches soon."""
+    for _ in range(MAX_TRIES):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError('the condition was not reached')
+
+
+def chat_body(**fields):
+    """Build a small chat-completions body."""
+    base = {'model': 'small', 'messages': [{'role': 'user', 'content': 'hi'}]}
+    return base | fields
+
+
+def event(**delta):
+    """Write one event of a chat stream."""
+    document = {'choices': [{'index': 0, 'delta': delta}]}
+    return f'data: {json.dumps(document)}\n\n'.encode()
+
+
+def body_parts(run):
+    """Write the response of the fake engine to a run."""
+    if not run.is_stream:
+        return [b'{"text": "', TEXT.encode(), b'"}']
+    assert TEXT.startswith(run.resume_text)
+    words = TEXT[len(run.resume_text) :].split(' ')
+    spaced = [f'{word} ' for word in words[:-1]] + words[-1:]
+    return [
+        event(role='assistant', content=''),
+        *(event(content=word) for word in spaced if word),
+        b'data: [DONE]\n\n',
+    ]
+
+
+def text_of(raw):
+    """Read the text of a chat stream as a client does."""
+    pieces = []
+    for line in raw.decode().splitlines():
+        if line.startswith('data: {'):
+            for choice in json.loads(line[6:]).get('choices', ()):
+                pieces.append(choice['delta'].get('content') or '')
+    return ''.join(pieces)
+
+
+class FakeOwner:
+    """Decides what a list of words says; ``ticket`` when it is empty."""
+
+    def __init__(self, address):
+        self.address = address
+        self.decisions = []
+        self.begins = []
+        self.resolves = []
+        self.ticket_count = 0
+
+    async def begin(self, begin):
+        """Decide about a new request."""
+        self.begins.append(begin)
+        return self._decide()
+
+    async def resolve(self, resolve):
+        """Decide about a broken run."""
+        self.resolves.append(resolve)
+        return self._decide()
+
+    def _decide(self):
+        word = self.decisions.pop(0) if self.decisions else 'ticket'
+        if word.isdigit():
+            return messages.Refusal(code=int(word), retry_after_ms=1500)
+        place = {'host': self.address.host, 'port': self.address.port}
+        if word != 'ticket':
+            return messages.Outcome(
+                number=f'owner/1/{self.ticket_count}',
+                outcome=word,
+                **place,
+            )
+        self.ticket_count += 1
+        begin = self.begins[-1]
+        return messages.Ticket(
+            number=f'owner/1/{self.ticket_count}',
+            request_id=begin.request_id,
+            workspace=begin.workspace,
+            program_id=begin.program_id,
+            is_repeatable=begin.is_repeatable,
+            timeout_ms=begin.timeout_ms,
+            **place,
+        )
+
+
+class FakeEndpoint:
+    """Does with each run what the next word of a script says.
+
+    ``answer`` is the default; ``1203`` refuses with this code; ``break3``
+    breaks off within part 3; ``hold3`` waits before part 3; ``crossed``
+    answers with the number of another ticket.
+    """
+
+    def __init__(self):
+        self.script = []
+        self.settle_script = []
+        self.runs = []
+        self.ended = defaultdict(str)
+        self.release = asyncio.Event()
+        self.parts_sent = 0
+
+    async def run(self, run, send):
+        """Answer a run as the script says."""
+        self.runs.append(run)
+        word = self.script.pop(0) if self.script else 'answer'
+        number = run.ticket.number
+        self.ended[number] = 'running'
+        try:
+            await self._answer(run, send, word)
+        except asyncio.CancelledError:
+            self.ended[number] = 'cancelled'
+            raise
+        self.ended[number] = 'finished'
+
+    async def settle(self, settle, send):
+        """Answer with a record as the script says."""
+        word = (
+            self.settle_script.pop(0)
+            if self.settle_script
+            else outcomes.ANSWERED
+        )
+        run = self.runs[-1] if self.runs else messages.Run()
+        kind = EVENT_STREAM if run.is_stream else 'application/json'
+        await send(
+            messages.Settled(
+                number='owner/9/9' if word == 'crossed' else settle.number,
+                outcome=outcomes.ANSWERED if word == 'crossed' else word,
+                http_status=200,
+                headers=(messages.Header(name='Content-Type', content=kind),),
+                body=b''.join(body_parts(run)),
+            ),
+        )
+
+    async def _answer(self, run, send, word):
+        number = run.ticket.number
+        if word.isdigit():
+            await send(messages.Refusal(code=int(word)))
+            return
+        shown = 'owner/9/9' if word == 'crossed' else number
+        kind = EVENT_STREAM if run.is_stream else 'application/json'
+        headers = tuple(
+            messages.Header(name=name, content=content)
+            for name, content in (('Content-Type', kind), ('X-Host', 'vm-7'))
+        )
+        await send(
+            messages.Head(number=number, http_status=200, headers=headers),
+        )
+        for index, part in enumerate(body_parts(run)):
+            if word == f'break{index}':
+                await send(messages.Chunk(number=shown, content=part[:5]))
+                raise PeerError('broken on purpose')
+            if word == f'hold{index}':
+                await self.release.wait()
+            await send(messages.Chunk(number=shown, content=part))
+            self.parts_sent += 1
+        await send(messages.End(number=shown, outcome=outcomes.ANSWERED))
+
+
+class Bench:
+    """Everything that one scenario uses."""
+
+    def __init__(self):
+        self.blackboard = Blackboard(catalog=sample_catalog())
+        self.blackboard.readiness.is_started = True
+        self.metrics = Metrics()
+        self.pool = PeerPool(SECRET)
+        self.open_requests = OpenRequests(self.metrics)
+        self.endpoint = FakeEndpoint()
+        self.server = PeerServer(
+            SECRET,
+            {
+                messages.Run: self.endpoint.run,
+                messages.Settle: self.endpoint.settle,
+            },
+            self.metrics,
+        )
+        self.own = messages.Member(name='entry-a')
+
+    async def start(self):
+        """Start all parts on loopback."""
+        address = await self.server.start(Address('127.0.0.1', 0))
+        self.owner = FakeOwner(address)
+        parts = IngressParts(
+            own_name='entry-a',
+            blackboard=self.blackboard,
+            metrics=self.metrics,
+            pool=self.pool,
+            open_requests=self.open_requests,
+            local_owner=self.owner,
+            find_owner=lambda *_: self.own,
+        )
+        limits = CallLimits(
+            history_digests=lambda chat: tuple(range(len(chat))),
+            request_timeout_s=60,
+            max_body_bytes=4096,
+            max_body_depth=8,
+        )
+        self.watcher = asyncio.ensure_future(
+            self.open_requests.watch(self.blackboard),
+        )
+        http = TestServer(build_caller_app(build_ingress(parts, limits)))
+        options = dict(RUNNER_OPTIONS)
+        options.pop('handler_cancellation')  # the test server sets it itself
+        await http.start_server(**options)
+        self.client = TestClient(http)
+        await self.client.start_server()
+        return self
+
+    async def close(self):
+        """Close all parts."""
+        self.endpoint.release.set()
+        self.watcher.cancel()
+        await self.client.close()
+        self.pool.close()
+        await self.server.stop()
+
+    def set_catalog(self, catalog):
+        """Publish another configuration."""
+        self.blackboard.catalog = catalog
+        self.blackboard.publish()
+
+    def chat(self, *, headers=None, **fields):
+        """Send a chat request with the sample key."""
+        return self.client.post(
+            '/v1/chat/completions',
+            json=chat_body(**fields),
+            headers=AUTH | (headers or {}),
+        )
+
+
+def open_bench(context):
+    """Start a bench that the scenario closes."""
+    context.bench = context.run(Bench().start())
+    context.closers.append(context.bench.close)
+    return context.bench
--- /dev/null
+++ b/tests/ingress_checks.py
@@ -0,0 +1,181 @@
+"""Checks of the ingress that features run with and without a mechanism."""
+
+import asyncio
+import json
+
+from rattanvalve import inventory
+from rattanvalve.catalog import build_catalog
+from rattanvalve.counters import Counter
+from rattanvalve.keys import key_digest
+from rattanvalve.runs import _KeptRun
+from tests.ingress_bench import (
+    AUTH,
+    TEXT,
+    eventually,
+    open_bench,
+    text_of,
+)
+from tests.samples import NORTH_KEY, sample_document
+
+#: A stream that has begun keeps its status.
+STATUS_OF_CUT = {True: 200, False: 401}
+
+
+class FragileRun(_KeptRun):
+    """A run that ends with its caller."""
+
+    def leave(self):
+        """Cancel the run."""
+        self.task.cancel()
+
+
+def without_north_key():
+    """Build the sample catalog after the key of north was withdrawn."""
+    document = sample_document()
+    digest = key_digest(NORTH_KEY)
+    document['inventory']['keys'] = [
+        key
+        for key in document['inventory']['keys']
+        if key['digest_sha256'] != digest
+    ]
+    raw = json.dumps(document).encode()
+    return build_catalog(inventory.parse_config(raw).unwrap(), 2)
+
+
+async def read_all(sent):
+    """Read a response to its end."""
+    async with sent as response:
+        return response, await response.read()
+
+
+def read_chat(context, endpoint, owner='ticket', **fields):
+    """Send a chat request to a new ingress and read the response."""
+    bench = open_bench(context)
+    bench.endpoint.script = endpoint.split()
+    bench.owner.decisions = owner.split()
+    return context.run(read_all(bench.chat(**fields)))
+
+
+def check_resume(context):
+    """Check that a resumed stream holds each word once."""
+    try:
+        text = text_of(read_chat(context, 'break3', stream=True)[1])
+    except ValueError as error:
+        raise AssertionError('a part of an event was passed on') from error
+    assert text == TEXT, text
+
+
+def check_crossed(context):
+    """Check that no byte of another run reaches the caller."""
+    assert TEXT.encode() not in read_chat(context, 'crossed')[1]
+
+
+def check_honest(context):
+    """Check that a broken run is not called one that did not run."""
+    response, _ = read_chat(context, 'break1', 'ticket 1301')
+    assert response.headers['Rattanvalve-Outcome'] == 'unknown'
+
+
+def check_key_withheld(context):
+    """Check that neither endpoint nor owner gets the key or a cookie."""
+    bench = open_bench(context)
+    headers = AUTH | {'Cookie': 'c=1', 'X-Api-Key': NORTH_KEY}
+    for sent in (
+        bench.chat(headers=headers),
+        bench.client.get('/services/orders-app/list', headers=headers),
+    ):
+        response, _ = context.run(read_all(sent))
+        assert response.status == 200
+        assert 'X-Host' not in response.headers
+    assert len(bench.endpoint.runs) == 2
+    seen = repr((bench.endpoint.runs, bench.owner.begins))
+    assert NORTH_KEY not in seen
+    assert 'Cookie' not in seen
+
+
+def check_key_cut(context, *, is_stream=True):
+    """Check that withdrawing a key ends its request."""
+    bench = open_bench(context)
+    bench.endpoint.script = ['hold2' if is_stream else 'hold0']
+    counts = bench.metrics.counts
+
+    async def withdraw():
+        reads = asyncio.ensure_future(read_all(bench.chat(stream=is_stream)))
+        await eventually(lambda: bench.endpoint.runs)
+        await eventually(lambda: bench.endpoint.parts_sent == 2 * is_stream)
+        bench.set_catalog(without_north_key())
+        await eventually(lambda: counts[Counter.STREAM_CUT_KEY] == 1)
+        return await reads
+
+    response, raw = context.run(withdraw())
+    error = raw.decode().strip().rpartition('data: ')[2]
+    assert json.loads(error)['error']['code'] == 1103
+    assert response.status == STATUS_OF_CUT[is_stream]
+    assert counts['refused.key_withdrawn'] == 1
+    check_end(context, 'cancelled')
+
+
+def check_closed_route(context):
+    """Check that no spelling of a path reaches a route without a key."""
+    bench = open_bench(context)
+    for path in ('public/../orders', 'public/%2e%2e/orders'):
+        # The client resolves dots in a path unless it is set encoded.
+        url = bench.client.make_url('/').with_path(
+            f'/services/orders-app/{path}',
+            encoded=True,
+        )
+        response, _ = context.run(read_all(bench.client.session.get(url)))
+        assert response.status == 404, response.status
+    assert not bench.endpoint.runs
+
+
+def check_order_kept(context):
+    """Check that a non-repeatable run survives its caller."""
+    leave_early(context, 'order')
+    check_end(context, 'finished')
+
+
+def check_end(context, end):
+    """Check how the endpoint saw the end of a run without a caller."""
+    endpoint = context.bench.endpoint
+    number = endpoint.runs[0].ticket.number
+    if end == 'finished':
+        assert endpoint.ended[number] == 'running', 'ended with its caller'
+        endpoint.release.set()
+    context.run(eventually(lambda: endpoint.ended[number] == end))
+
+
+def request_of(bench, kind):
+    """Start an order or a chat request."""
+    if kind == 'order':
+        return bench.client.post('/services/orders-app/orders', headers=AUTH)
+    return bench.chat(stream=kind.startswith('stream'))
+
+
+def leave_early(context, kind):
+    """Send a request and disconnect while the endpoint works."""
+    bench = open_bench(context)
+    bench.endpoint.script = ['hold2']
+
+    async def leave():
+        sent = request_of(bench, kind)
+        sending = asyncio.ensure_future(sent)
+        await eventually(lambda: bench.endpoint.parts_sent == 2)
+        if kind == 'stream':
+            (await sending).close()
+        sending.cancel()
+        counts = bench.metrics.counts
+        await eventually(lambda: counts[Counter.CALLER_DISCONNECTED] == 1)
+
+    context.run(leave())
+
+
+CHECKS = {
+    'resume': check_resume,
+    'crossed': check_crossed,
+    'honest': check_honest,
+    'key withheld': check_key_withheld,
+    'key cut': check_key_cut,
+    'closed route': check_closed_route,
+    'order kept': check_order_kept,
+}
--- /dev/null
+++ b/tests/shutdown.feature
@@ -0,0 +1,17 @@
+Feature: a planned stop of the entry process
+
+  Scenario: open requests finish after the view was left
+    Given an ingress
+    When the process stops while a stream is open
+    Then readiness, leaving, listening and the stream end in this order
+    And requests on open connections are still answered and close them
+
+  Scenario: a view that cannot be left interrupts no request
+    Given an ingress
+    When the process stops while a stream is open and the view cannot be left
+    Then readiness, leaving, listening and the stream end in this order
+
+  Scenario: a stop ends at its time limit
+    Given an ingress
+    When the process stops with a stream that never ends
+    Then the stop reports what was left open
--- /dev/null
+++ b/tests/steps/relay_steps.py
@@ -0,0 +1,158 @@
+"""Steps of relay.feature."""
+
+import json
+from contextlib import suppress
+from unittest import mock
+
+from behave import given, then, when
+from result import Ok
+
+from rattanvalve import (
+    caller_api,
+    calls,
+    chatstream,
+    delivery,
+    relay,
+    relay_state,
+    runs,
+    streams,
+)
+from rattanvalve.counters import Counter
+from rattanvalve.messages import Header
+from rattanvalve.request_checks import ServicePath
+from rattanvalve.resultcodes import ResultCode, info_of
+from tests import ingress_checks
+from tests.ingress_bench import TEXT, event, open_bench, text_of
+
+
+def words_of(text):
+    """Read a list of words; a dash stands for none."""
+    return text.replace('-', '').split()
+
+
+@given('an ingress whose endpoint does "{endpoint}" and owner "{owner}"')
+def step_bench(context, endpoint, owner):
+    bench = open_bench(context)
+    bench.endpoint.script = words_of(endpoint)
+    bench.owner.decisions = words_of(owner)
+
+
+@given('the records say "{records}"')
+def step_records(context, records):
+    context.bench.endpoint.settle_script = words_of(records)
+
+
+@when('a "{kind}" request is sent')
+def step_send(context, kind):
+    sent = ingress_checks.request_of(context.bench, kind)
+    context.found = context.run(ingress_checks.read_all(sent))
+
+
+@then('the caller has the complete text once after {count:d} runs')
+def step_complete(context, count):
+    response, raw = context.found
+    is_stream = response.content_type == 'text/event-stream'
+    text = text_of(raw) if is_stream else json.loads(raw)['text']
+    assert text == TEXT, text
+    assert raw.count(b'"role"') == is_stream
+    assert raw.endswith(b'data: [DONE]\n\n') == is_stream
+    assert response.headers['Rattanvalve-Outcome'] == 'answered'
+    assert response.headers['Rattanvalve-Program']
+    assert len(context.bench.endpoint.runs) == count
+    numbers = [run.ticket.number for run in context.bench.endpoint.runs]
+    assert len(set(numbers)) == count
+
+
+@then('the last run continued "{text}"')
+def step_resumed(context, text):
+    found = context.bench.endpoint.runs[-1:]
+    resumed = ''.join(run.resume_text for run in found)
+    assert resumed.split() == words_of(text), resumed
+
+
+@then('the caller gets status {status:d}, code {code:d} and outcome {outcome}')
+def step_refused(context, status, code, outcome):
+    response, raw = context.found
+    error = json.loads(raw)['error']
+    found = (response.status, error['code'])
+    assert found == (status, code), found
+    assert response.headers['Rattanvalve-Outcome'] == outcome
+    assert error['type'] == info_of(code).error_type
+    assert ('Retry-After' in response.headers) == (status in {429, 503})
+    assert int(response.headers.get('Retry-After', 1)) >= 1
+    name = f'refused.{ResultCode(code).name.lower()}'
+    assert context.bench.metrics.counts[name] == 1
+    violations = context.bench.metrics.counts[Counter.INVARIANT_VIOLATED]
+    assert violations == (code == ResultCode.INTERNAL_ERROR)
+
+
+@then('the stream ends with an error event of code {code:d}')
+def step_error_event(context, code):
+    raw = context.found[1]
+    last = raw.decode().strip().rpartition('\n\n')[2]
+    assert json.loads(last.removeprefix('data: '))['error']['code'] == code
+    assert b'[DONE]' not in raw
+
+
+@then('a chat stream with tool calls or several choices is not resumable')
+def step_not_resumable(context):
+    tools = chatstream.ChatStream(is_resumable=True)
+    tools.feed(event(content='a'))
+    assert tools.is_resumable
+    tools.feed(event(tool_calls=[{'index': 0}]))
+    several = chatstream.ChatStream(is_resumable=False)
+    assert several.is_resumable, 'nothing was sent yet'
+    several.feed(event(content='a'))
+    assert not tools.is_resumable
+    assert not several.is_resumable
+
+
+def all_headers(headers):
+    """Forward everything, as a proxy without an allow-list does."""
+    return tuple(
+        Header(name=name, content=content) for name, content in headers.items()
+    )
+
+
+async def pass_unchecked(message, progress):
+    """Pass a message on without looking at its number."""
+    await relay_state._deliver(message, progress.delivery)
+
+
+#: What is replaced to remove each mechanism.
+MECHANISMS = {
+    'resume text': (delivery.Delivery, 'resume_text', ''),
+    'whole events': (
+        chatstream.ChatStream,
+        'feed',
+        lambda stream, content: content,
+    ),
+    'number check': (relay, 'pass_on', pass_unchecked),
+    'hand-over note': (
+        relay_state.Progress,
+        'hand_over',
+        lambda progress, number: setattr(progress, 'number', number),
+    ),
+    'header list': (calls, 'forwarded_headers', all_headers),
+    'catalog watch': (
+        streams.OpenRequests,
+        'cut_withdrawn',
+        lambda requests, catalog: None,
+    ),
+    'path check': (
+        caller_api,
+        'check_service_path',
+        lambda raw, query: Ok(ServicePath(raw, raw)),
+    ),
+    'kept run': (runs, '_KeptRun', ingress_checks.FragileRun),
+}
+
+
+@then('the check of "{check}" fails without "{mechanism}"')
+def step_catches(context, check, mechanism):
+    ingress_checks.CHECKS[check](context)
+    has_passed = False
+    with mock.patch.object(*MECHANISMS[mechanism]), suppress(AssertionError):
+        ingress_checks.CHECKS[check](context)
+        has_passed = True
+    assert not has_passed, 'the check does not notice'
--- /dev/null
+++ b/tests/steps/shutdown_steps.py
@@ -0,0 +1,80 @@
+"""Steps of shutdown.feature."""
+
+import asyncio
+
+from behave import then, when
+
+from rattanvalve.errors import StoreError
+from rattanvalve.shutdown import Shutdown
+from tests.ingress_bench import TEXT, eventually, text_of
+from tests.ingress_checks import read_all
+
+
+async def stop(context, *, leave_fails=False, timeout_s=60, is_released=True):
+    """Stop while a stream is open."""
+    bench = context.bench
+    bench.endpoint.script = ['hold2']
+    events = context.events = []
+
+    async def leave():
+        assert not bench.blackboard.readiness.is_ready()
+        events.append('left')
+        if leave_fails:
+            raise StoreError('store down on purpose')
+
+    async def stop_listening():
+        events.append('closed')
+
+    reading = asyncio.ensure_future(read_all(bench.chat(stream=True)))
+    await eventually(lambda: bench.endpoint.parts_sent == 2)
+    stopping = asyncio.ensure_future(
+        Shutdown(
+            blackboard=bench.blackboard,
+            open_requests=bench.open_requests,
+            leave=leave,
+            stop_listening=stop_listening,
+            grace_s=0,
+            timeout_s=timeout_s,
+        ).run(),
+    )
+    await eventually(lambda: 'closed' in events)
+    if is_released:
+        context.during = (await read_all(bench.chat()))[0]
+        assert not stopping.done()
+        bench.endpoint.release.set()
+        _, raw = await reading
+        events.append(text_of(raw))
+    context.is_complete = await stopping
+    reading.cancel()
+
+
+@when('the process stops while a stream is open')
+def step_stop(context):
+    context.run(stop(context))
+
+
+@when('the process stops while a stream is open and the view cannot be left')
+def step_stop_down(context):
+    context.run(stop(context, leave_fails=True))
+
+
+@when('the process stops with a stream that never ends')
+def step_stop_limit(context):
+    context.run(stop(context, timeout_s=0.05, is_released=False))
+
+
+@then('readiness, leaving, listening and the stream end in this order')
+def step_order(context):
+    assert context.events == ['left', 'closed', TEXT]
+    assert context.is_complete
+
+
+@then('requests on open connections are still answered and close them')
+def step_during(context):
+    assert context.during.status == 200
+    assert context.during.headers['Connection'] == 'close'
+
+
+@then('the stop reports what was left open')
+def step_left_open(context):
+    assert not context.is_complete
