--- a/tests/ingress_bench.py
+++ b/tests/ingress_bench.py
@@ -119,7 +119,8 @@
 
     ``answer`` is the default; ``1203`` refuses with this code; ``break3``
     breaks off within part 3; ``hold3`` waits before part 3; ``crossed``
-    answers with the number of another ticket.
+    answers with the number of another ticket; ``lost`` breaks off before the
+    end message.
     """
 
     def __init__(self):
@@ -184,6 +185,8 @@
                 await self.release.wait()
             await send(messages.Chunk(number=shown, content=part))
             self.parts_sent += 1
+        if word == 'lost':
+            raise PeerError('the end is lost on purpose')
         await send(messages.End(number=shown, outcome=outcomes.ANSWERED))
 
 
--- a/tests/ingress_checks.py
+++ b/tests/ingress_checks.py
@@ -140,6 +140,8 @@
     endpoint = context.bench.endpoint
     number = endpoint.runs[0].ticket.number
     if end == 'finished':
+        # Another request gives a wrong cancellation the time to arrive.
+        context.run(read_all(context.bench.chat()))
         assert endpoint.ended[number] == 'running', 'ended with its caller'
         endpoint.release.set()
     context.run(eventually(lambda: endpoint.ended[number] == end))
--- a/tests/relay.feature
+++ b/tests/relay.feature
@@ -21,6 +21,8 @@
       | plain | break1 | ticket answered | - | 1 | - |
       | stream | break3 answer | ticket running ticket | not_run | 2 | one two |
       | plain | - | answered | - | 0 | - |
+      | stream | lost | ticket | - | 1 | - |
+      | plain | lost answer | ticket ticket | - | 2 | - |
 
   Scenario Outline: a failed request claims only what is known
     Given an ingress whose endpoint does "<endpoint>" and owner "<owner>"
@@ -48,6 +50,17 @@
     When a "stream" request is sent
     Then the stream ends with an error event of code 1503
 
+  Scenario: the rest of a large response comes from the record
+    Given an ingress whose endpoint does "break1" and owner "ticket answered"
+    And responses are held up to 5 bytes
+    When a "plain" request is sent
+    Then the caller has the complete text once after 1 runs
+
+  Scenario: a large response that cannot be completed breaks the connection
+    Given an ingress whose endpoint does "break1" and owner "ticket ticket"
+    And responses are held up to 5 bytes
+    Then a "plain" request ends with a broken connection
+
   Scenario: a response of tool calls is not continued as text
     Then a chat stream with tool calls or several choices is not resumable
 
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 from unittest import mock
 
+from aiohttp import ClientPayloadError
 from behave import given, then, when
 from result import Ok
 
@@ -42,6 +43,23 @@
     context.bench.endpoint.settle_script = words_of(records)
 
 
+@given('responses are held up to {limit:d} bytes')
+def step_held(context, limit):
+    patch = mock.patch.object(delivery, 'HELD_BYTES', limit)
+    patch.start()
+    context.closers.append(patch.stop)
+
+
+@then('a "{kind}" request ends with a broken connection')
+def step_broken(context, kind):
+    sent = ingress_checks.request_of(context.bench, kind)
+    try:
+        found = context.run(ingress_checks.read_all(sent))
+    except ClientPayloadError:
+        return
+    raise AssertionError(found)
+
+
 @when('a "{kind}" request is sent')
 def step_send(context, kind):
     sent = ingress_checks.request_of(context.bench, kind)
