--- /dev/null
+++ b/rattanvalve/caller_errors.py
@@ -0,0 +1,105 @@
+"""Turns refusals and failures of handlers into responses."""
+
+from functools import partial
+from typing import Any
+
+from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
+from result import Result
+
+from rattanvalve.counters import Counter, Metrics
+from rattanvalve.errors import InvariantError, RattanvalveError
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import Refusal
+from rattanvalve.responses import error_body, error_headers, honest_outcome
+from rattanvalve.resultcodes import ResultCode, info_of
+from rattanvalve.streams import KeyWithdrawnError
+
+__all__ = (
+    'RefusedError',
+    'accept',
+    'refusal_middleware',
+    'refusal_response',
+)
+
+_HTTP_CODES = {
+    400: ResultCode.BAD_FIELD,
+    404: ResultCode.UNKNOWN_PATH,
+    405: ResultCode.METHOD_NOT_ALLOWED,
+    413: ResultCode.BODY_TOO_LARGE,
+}
+
+_log = part_logger(LogPart.CALLER)
+
+
+class RefusedError(RattanvalveError):
+    """A request is refused before it was handed over.
+
+    :param refusal: refusal for the caller.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+def accept(checked: Result[Any, Refusal]) -> Any:
+    """Take the value of a check or refuse the request.
+
+    :param checked: result of a check.
+    :returns: the checked value.
+    :raises RefusedError: if the check refused.
+    """
+    return checked.unwrap_or_raise(RefusedError)
+
+
+def refusal_response(refusal: Refusal) -> web.Response:
+    """Build the response of a request that was not handed over.
+
+    :param refusal: refusal for the caller.
+    :returns: response in the protocol's error format.
+    """
+    outcome = honest_outcome(refusal.code, may_have_run=False)
+    return web.Response(
+        status=info_of(refusal.code).http_status,
+        headers=error_headers(refusal, '', outcome),
+        body=error_body(refusal),
+    )
+
+
+def refusal_middleware(metrics: Metrics) -> Middleware:
+    """Make the middleware that answers and counts refusals.
+
+    :param metrics: counters.
+    :returns: middleware for ``aiohttp.web.Application``.
+    """
+    return web.middleware(partial(_answer, metrics))
+
+
+async def _answer(
+    metrics: Metrics,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except Exception as error:
+        refusal = _refusal_of(error, metrics)
+    metrics.count_code(info_of(refusal.code).code)
+    return refusal_response(refusal)
+
+
+def _refusal_of(error: Exception, metrics: Metrics) -> Refusal:
+    """Choose what a caller is told about an exception."""
+    if isinstance(error, RefusedError):
+        return error.refusal
+    if isinstance(error, KeyWithdrawnError):
+        return Refusal(code=ResultCode.KEY_WITHDRAWN)
+    if isinstance(error, web.HTTPException):
+        code = _HTTP_CODES.get(error.status, ResultCode.INTERNAL_ERROR)
+        return Refusal(code=code)
+    if isinstance(error, InvariantError):
+        metrics.count(Counter.INVARIANT_VIOLATED)
+    # The text of an unexpected error may hold a part of the request.
+    _log.error('handler failed: %s', type(error).__name__)
+    return Refusal(code=ResultCode.INTERNAL_ERROR)
