--- /dev/null
+++ b/rattanvalve/experiment.py
@@ -0,0 +1,136 @@
+"""One run of a scenario: processes, programs, events and evidence."""
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+
+from rattanvalve.admin_client import AdminClient
+from rattanvalve.client_records import ProgramRecord, RunRecord, write_run
+from rattanvalve.fleet import Fleet, running_fleet
+from rattanvalve.history_check import Evidence, read_evidence
+from rattanvalve.loadrun import LoadRun, run_programs
+from rattanvalve.program_plans import plan_programs
+from rattanvalve.scenario import Scenario
+from rattanvalve.scenario_events import (
+    EventContext,
+    initial_rates,
+    run_events,
+)
+
+__all__ = ('DIRECT_POLICY', 'Experiment', 'run_experiment')
+
+#: Name of the comparison without the product.
+DIRECT_POLICY = 'direct'
+#: Cache holds of programs that ended without a last call expire by then.
+_CACHE_TIMEOUT_S = 15.0
+_POLL_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    """What to run.
+
+    ``policy`` is ``<placement policy>/<queue policy>`` or ``direct``.
+    ``report`` receives lines about the progress, ``on_program_end`` each
+    finished program.
+    """
+
+    scenario: Scenario
+    seed: int
+    policy: str
+    folder: Path
+    report: Callable[[str], None] = id
+    on_program_end: Callable[[ProgramRecord], None] = id
+
+
+async def run_experiment(experiment: Experiment) -> Evidence:
+    """Run a scenario once and stop all its processes.
+
+    :param experiment: what to run. Its folder receives ``run.json``, the
+        callers' keys in ``keys.json``, journals and logs.
+    :returns: evidence for the history check.
+    :raises RattanvalveError: if a process or a change fails.
+    """
+    is_direct = experiment.policy == DIRECT_POLICY
+    run = RunRecord(
+        scenario=experiment.scenario.name,
+        seed=experiment.seed,
+        policy=experiment.policy,
+        is_direct=is_direct,
+    )
+    experiment.report('starting processes')
+    placement, _, queue = experiment.policy.partition('/')
+    async with running_fleet(
+        experiment.scenario,
+        experiment.folder,
+        (placement, queue or 'program_fair'),
+        is_direct=is_direct,
+    ) as fleet:
+        experiment.report('running programs')
+        await _run_load(experiment, fleet, run, is_direct=is_direct)
+        if not is_direct:
+            await _wait_cache_released(fleet)
+        keys = [*fleet.keys.values(), fleet.admin_key]
+        experiment.report('stopping processes')
+    return _collect(experiment.folder, run, keys)
+
+
+async def _run_load(
+    experiment: Experiment,
+    fleet: Fleet,
+    run: RunRecord,
+    *,
+    is_direct: bool,
+) -> None:
+    load = LoadRun(
+        experiment.scenario,
+        fleet.direct_targets() if is_direct else fleet.product_targets(),
+        # Servers must not see keys, so none are sent to them directly.
+        {} if is_direct else fleet.keys,
+        experiment.seed,
+        time.monotonic(),
+        run.programs,
+        experiment.on_program_end,
+    )
+    plans = plan_programs(experiment.scenario, experiment.seed)
+    if is_direct:
+        await run_programs(load, plans)
+        return
+    run.rates.extend(initial_rates(fleet, load.began_s))
+    async with aiohttp.ClientSession() as session:
+        urls = [entry.admin.url for entry in fleet.plan.entries]
+        admin = AdminClient(session, urls, fleet.admin_key)
+        context = EventContext(fleet, admin, run, experiment.report)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(run_events(context, load.began_s))
+            group.create_task(run_programs(load, plans))
+
+
+async def _wait_cache_released(fleet: Fleet) -> None:
+    deadline_s = time.monotonic() + _CACHE_TIMEOUT_S
+    async with aiohttp.ClientSession() as session:
+        while time.monotonic() < deadline_s:
+            held = [
+                key
+                for url in fleet.engine_urls()
+                for key in await _cache_keys(session, url)
+            ]
+            if not held:
+                return
+            await asyncio.sleep(_POLL_S)
+
+
+async def _cache_keys(session: aiohttp.ClientSession, url: str) -> list[str]:
+    async with session.get(f'{url}/v1/cache') as response:
+        return (await response.json())['cache_keys']
+
+
+def _collect(folder: Path, run: RunRecord, keys: list[str]) -> Evidence:
+    write_run(folder / 'run.json', run)
+    (folder / 'keys.json').write_text(json.dumps(keys))
+    return read_evidence(run, folder, tuple(keys))
--- /dev/null
+++ b/rattanvalve/fleet.py
@@ -0,0 +1,276 @@
+"""Real processes of a scenario on loopback addresses."""
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Iterable, Iterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+from rattanvalve.child_processes import ChildError, Children
+from rattanvalve.fleet_settings import (
+    Address,
+    EndpointPlan,
+    FleetPlan,
+    plan_fleet,
+)
+from rattanvalve.keys import generate_key, key_digest
+from rattanvalve.loadrun import Targets, direct_targets, product_targets
+from rattanvalve.scenario import Scenario, config_document
+
+__all__ = ('Fleet', 'running_fleet')
+
+_READY_TIMEOUT_S = 30.0
+_POLL_S = 0.05
+_STOP_GRACE_S = 6.0
+_SUCCESS_STATUS = 200
+_STANDIN = 'rattanvalve.standin_main'
+_NOT_ANSWERING = (aiohttp.ClientError, OSError, TimeoutError)
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Processes of one scenario.
+
+    ``folder`` receives settings, journals and logs. ``keys`` holds the keys
+    of callers by key name, ``admin_key`` is the operator's.
+    """
+
+    scenario: Scenario
+    folder: Path
+    plan: FleetPlan
+    children: Children
+    keys: dict[str, str] = field(default_factory=dict)
+    admin_key: str = field(default_factory=generate_key)
+
+    def product_targets(self) -> Targets:
+        """Address the entry processes.
+
+        :returns: targets of the load client.
+        """
+        urls = [entry.caller.url for entry in self.plan.entries]
+        return product_targets(urls, self.scenario)
+
+    def direct_targets(self) -> Targets:
+        """Address the servers without the product.
+
+        :returns: targets of the load client.
+        """
+        urls: dict[str, list[str]] = {}
+        for endpoint in self.plan.endpoints:
+            urls.setdefault(endpoint.service.name, []).append(
+                endpoint.server.url,
+            )
+        return direct_targets(urls[self.scenario.engine_service().name], urls)
+
+    def engine_urls(self) -> list[str]:
+        """List the engines.
+
+        :returns: base URLs.
+        """
+        return [
+            endpoint.server.url
+            for endpoint in self.plan.endpoints
+            if endpoint.service.kind == 'engine'
+        ]
+
+
+@asynccontextmanager
+async def running_fleet(
+    scenario: Scenario,
+    folder: Path,
+    policy: tuple[str, str] = ('affinity', 'program_fair'),
+    *,
+    is_direct: bool = False,
+) -> AsyncIterator[Fleet]:
+    """Run the processes of a scenario.
+
+    :param scenario: scenario.
+    :param folder: empty folder for settings, journals and logs.
+    :param policy: placement policy and queue policy.
+    :param is_direct: start only the stand-ins, without the product.
+    :returns: fleet that is ready; all its processes have ended afterwards,
+        also after an exception or a cancellation.
+    :raises ChildError: if a process ends or does not become ready.
+    """
+    for folder_name in ('settings', 'journals', 'logs'):
+        (folder / folder_name).mkdir(parents=True)
+    fleet = Fleet(
+        scenario,
+        folder,
+        plan_fleet(scenario),
+        Children(folder / 'logs'),
+        {name: generate_key() for name in scenario.initial_keys()},
+    )
+    try:
+        async with aiohttp.ClientSession() as session:
+            await _start_standins(fleet, session)
+            if not is_direct:
+                await _start_product(fleet, session, policy)
+        yield fleet
+        await _stop_gently(fleet)
+    finally:
+        fleet.children.stop_all(_STOP_GRACE_S)
+
+
+async def _stop_gently(fleet: Fleet) -> None:
+    # Waiting here and not in stop_all() lets another fleet of this process
+    # go on.
+    fleet.children.terminate()
+    deadline_s = time.monotonic() + _STOP_GRACE_S
+    # Exits of processes are polled; they raise no event in this loop.
+    while fleet.children.alive() and time.monotonic() < deadline_s:  # noqa: ASYNC110
+        await asyncio.sleep(_POLL_S)
+
+
+async def _start_standins(
+    fleet: Fleet,
+    session: aiohttp.ClientSession,
+) -> None:
+    _start_standin(fleet, 'store', 'store', fleet.plan.store)
+    _start_standin(fleet, 'vms', 'vms', fleet.plan.vms)
+    for endpoint in fleet.plan.endpoints:
+        kind = 'engine' if endpoint.service.kind == 'engine' else 'service'
+        _start_standin(
+            fleet,
+            f'{endpoint.name}-server',
+            kind,
+            endpoint.server,
+            *_behaviour_options(endpoint),
+        )
+    servers = [planned.server for planned in fleet.plan.endpoints]
+    await _wait_ready(
+        fleet,
+        session,
+        (fleet.plan.store, fleet.plan.vms, *servers),
+    )
+
+
+def _start_standin(
+    fleet: Fleet,
+    name: str,
+    kind: str,
+    address: Address,
+    *options: str,
+) -> None:
+    journal = fleet.folder / 'journals' / f'{name}.jsonl'
+    fleet.children.start(
+        name,
+        _STANDIN,
+        kind,
+        f'--host={address.host}',
+        f'--port={address.port}',
+        f'--name={name}',
+        f'--journal={journal}',
+        *options,
+    )
+
+
+def _behaviour_options(endpoint: EndpointPlan) -> Iterator[str]:
+    for name, number in endpoint.service.behaviour.items():
+        yield f'--{name.replace("_", "-")}={number:g}'
+    if endpoint.service.checks_fencing:
+        yield '--checks-fencing'
+
+
+async def _start_product(
+    fleet: Fleet,
+    session: aiohttp.ClientSession,
+    policy: tuple[str, str],
+) -> None:
+    await _store_config(fleet, session, policy)
+    digest = key_digest(fleet.admin_key)
+    for entry in fleet.plan.entries:
+        settings = fleet.plan.entry_settings(entry, digest)
+        _start_process(fleet, 'rattanvalve.entry_main', settings)
+    for endpoint in fleet.plan.endpoints:
+        settings = fleet.plan.endpoint_settings(endpoint)
+        _start_process(fleet, 'rattanvalve.endpoint_main', settings)
+    callers = [planned.caller for planned in fleet.plan.entries]
+    await _wait_ready(fleet, session, callers)
+    await _wait_endpoints(fleet, session)
+
+
+async def _store_config(
+    fleet: Fleet,
+    session: aiohttp.ClientSession,
+    policy: tuple[str, str],
+) -> None:
+    stored = {
+        'generation': 1,
+        'change_id': 'initial',
+        'author': 'operator',
+        'config': config_document(fleet.scenario, fleet.keys, policy),
+    }
+    async with session.put(
+        f'{fleet.plan.store.url}/v1/objects/config',
+        json=stored,
+        headers={'If-None-Match': '*'},
+    ) as response:
+        response.raise_for_status()
+
+
+def _start_process(fleet: Fleet, module: str, settings: dict) -> None:
+    path = fleet.folder / 'settings' / f'{settings["name"]}.json'
+    path.write_text(json.dumps(settings, indent=2))
+    fleet.children.start(settings['name'], module, f'--settings={path}')
+
+
+async def _wait_ready(
+    fleet: Fleet,
+    session: aiohttp.ClientSession,
+    addresses: Iterable[Address],
+) -> None:
+    for address in addresses:
+        await _wait_until(fleet, session, f'{address.url}/readyz', ())
+
+
+async def _wait_endpoints(
+    fleet: Fleet,
+    session: aiohttp.ClientSession,
+) -> None:
+    # Endpoint processes serve no HTTP, so readiness is that every entry
+    # lists all of them in its status.
+    names = [endpoint.name for endpoint in fleet.plan.endpoints]
+    for entry in fleet.plan.entries:
+        await _wait_until(
+            fleet,
+            session,
+            f'{entry.admin.url}/v1/status',
+            names,
+        )
+
+
+async def _wait_until(
+    fleet: Fleet,
+    session: aiohttp.ClientSession,
+    url: str,
+    names: Iterable[str],
+) -> None:
+    deadline_s = time.monotonic() + _READY_TIMEOUT_S
+    quoted = [f'"{name}"' for name in names]
+    while time.monotonic() < deadline_s:
+        fleet.children.check_alive()
+        text = await _get_text(session, url, fleet.admin_key)
+        if text is not None and all(name in text for name in quoted):
+            return
+        await asyncio.sleep(_POLL_S)
+    raise ChildError(f'{url} was not ready within {_READY_TIMEOUT_S:g} s')
+
+
+async def _get_text(
+    session: aiohttp.ClientSession,
+    url: str,
+    admin_key: str,
+) -> str | None:
+    is_admin = url.endswith('/v1/status')
+    headers = {'Authorization': f'Bearer {admin_key}'} if is_admin else {}
+    try:
+        async with session.get(url, headers=headers) as response:
+            text = await response.text()
+            return text if response.status == _SUCCESS_STATUS else None
+    except _NOT_ANSWERING:
+        return None
--- /dev/null
+++ b/rattanvalve/fleet_settings.py
@@ -0,0 +1,179 @@
+"""Addresses and settings of the processes of a scenario."""
+
+import secrets
+import socket
+from collections.abc import Iterator
+from contextlib import ExitStack
+from dataclasses import dataclass
+from itertools import cycle
+
+from rattanvalve.errors import SettingsError
+from rattanvalve.scenario import Scenario, ServiceSpec
+
+__all__ = ('Address', 'EndpointPlan', 'EntryPlan', 'FleetPlan', 'plan_fleet')
+
+HOST = '127.0.0.1'
+#: Below the range from which Linux takes ports of outgoing connections, so
+#: that a chosen port stays free until its process listens.
+_PORTS = range(15_000, 32_000)
+_DRAIN_GRACE_S = 0.2
+_STOP_TIMEOUT_S = 4.0
+_SECRET_BYTES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """A loopback address."""
+
+    port: int
+    host: str = HOST
+
+    @property
+    def url(self) -> str:
+        """Base URL of an HTTP server at this address."""
+        return f'http://{self.host}:{self.port}'
+
+    def listen(self) -> dict:
+        """Give the address as it stands in settings.
+
+        :returns: fields of ``Listen``.
+        """
+        return {'host': self.host, 'port': self.port}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryPlan:
+    """An entry process and its addresses."""
+
+    name: str
+    zone: str
+    caller: Address
+    admin: Address
+    peer: Address
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointPlan:
+    """A stand-in server and its endpoint process."""
+
+    name: str
+    zone: str
+    service: ServiceSpec
+    server: Address
+    peer: Address
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPlan:
+    """All processes of a scenario. ``peer_secret`` is random."""
+
+    cell: str
+    store: Address
+    vms: Address
+    entries: tuple[EntryPlan, ...]
+    endpoints: tuple[EndpointPlan, ...]
+    peer_secret: str
+
+    def entry_settings(self, entry: EntryPlan, admin_digest: str) -> dict:
+        """Build the settings of an entry process.
+
+        :param entry: entry process.
+        :param admin_digest: digest of the operator's key.
+        :returns: fields of ``EntrySettings``.
+        """
+        return {
+            **self._shared(entry.name, entry.zone, entry.peer),
+            'caller_listen': entry.caller.listen(),
+            'admin_listen': entry.admin.listen(),
+            'admin_key_digests': {'operator': admin_digest},
+            'store_url': self.store.url,
+            'vm_list_url': self.vms.url,
+        }
+
+    def endpoint_settings(self, endpoint: EndpointPlan) -> dict:
+        """Build the settings of an endpoint process.
+
+        :param endpoint: endpoint process.
+        :returns: fields of ``EndpointSettings``.
+        """
+        return {
+            **self._shared(endpoint.name, endpoint.zone, endpoint.peer),
+            'service': endpoint.service.name,
+            'kind': endpoint.service.kind,
+            'server_url': endpoint.server.url,
+            'capacity_count': endpoint.service.capacity_count,
+            'checks_fencing': endpoint.service.checks_fencing,
+        }
+
+    def _shared(self, name: str, zone: str, peer: Address) -> dict:
+        return {
+            'name': name,
+            'cell': self.cell,
+            'zone': zone,
+            'peer_listen': peer.listen(),
+            'peer_secret': self.peer_secret,
+            'seed_peers': [entry.peer.listen() for entry in self.entries],
+            'drain_grace_s': _DRAIN_GRACE_S,
+            'stop_timeout_s': _STOP_TIMEOUT_S,
+        }
+
+
+def plan_fleet(scenario: Scenario) -> FleetPlan:
+    """Choose addresses for all processes of a scenario.
+
+    :param scenario: scenario.
+    :returns: plan with ports that were free a moment ago.
+    """
+    server_count = sum(service.server_count for service in scenario.services)
+    count = 2 + 3 * len(scenario.zones) + 2 * server_count
+    ports = iter(_free_ports(count))
+    return FleetPlan(
+        cell=scenario.cell,
+        store=Address(next(ports)),
+        vms=Address(next(ports)),
+        entries=tuple(
+            EntryPlan(
+                name=f'entry-{zone}',
+                zone=zone,
+                caller=Address(next(ports)),
+                admin=Address(next(ports)),
+                peer=Address(next(ports)),
+            )
+            for zone in scenario.zones
+        ),
+        endpoints=tuple(_endpoints(scenario, ports)),
+        peer_secret=secrets.token_hex(_SECRET_BYTES),
+    )
+
+
+def _endpoints(
+    scenario: Scenario,
+    ports: Iterator[int],
+) -> Iterator[EndpointPlan]:
+    zones = cycle(scenario.zones)
+    for service in scenario.services:
+        for number in range(service.server_count):
+            yield EndpointPlan(
+                name=f'{service.name}-{number + 1}',
+                zone=next(zones),
+                service=service,
+                server=Address(next(ports)),
+                peer=Address(next(ports)),
+            )
+
+
+def _free_ports(count: int) -> list[int]:
+    # A random start keeps two runs at the same time apart.
+    offset = secrets.randbelow(len(_PORTS))
+    with ExitStack() as stack:
+        found: list[int] = []
+        for port in (*_PORTS[offset:], *_PORTS[:offset]):
+            if len(found) == count:
+                return found
+            held = stack.enter_context(socket.socket())
+            try:
+                held.bind((HOST, port))
+            except OSError:
+                continue
+            found.append(port)
+    raise SettingsError(f'fewer than {count} free ports')
--- /dev/null
+++ b/rattanvalve/history_check.py
@@ -0,0 +1,263 @@
+"""Checks of a run: journals of the servers against records of the clients."""
+
+import json
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from itertools import pairwise
+from pathlib import Path
+
+from rattanvalve.client_records import (
+    Attempt,
+    CallRecord,
+    ProgramRecord,
+    RunRecord,
+)
+from rattanvalve.history_journal import ServerRun, index_runs
+from rattanvalve.history_rates import find_rate_excess
+from rattanvalve.resultcodes import RESULT_CODES
+from rattanvalve.standin_journal import JournalLine, read_journal
+from rattanvalve.standin_text import expected_text, is_text_complete
+
+__all__ = (
+    'CHECKS',
+    'Evidence',
+    'Verdict',
+    'check_history',
+    'read_evidence',
+)
+
+#: A withdrawn key must have no effect after this time.
+WITHDRAWAL_LIMIT_S = 5.0
+
+
+@dataclass(slots=True)
+class Evidence:
+    """What a run left behind.
+
+    ``texts`` holds journals and logs as raw text by file name, and
+    ``caller_keys`` the keys that must not occur in them.
+    """
+
+    run: RunRecord
+    lines: list[JournalLine] = field(default_factory=list)
+    texts: dict[str, str] = field(default_factory=dict)
+    caller_keys: tuple[str, ...] = ()
+    runs: dict[str, list[ServerRun]] = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Index the journals."""
+        self.runs = index_runs(self.lines)
+
+    def calls(self) -> Iterator[tuple[ProgramRecord, CallRecord]]:
+        """List all calls.
+
+        :returns: each call with its program.
+        """
+        for program in self.run.programs:
+            for call in program.calls:
+                yield program, call
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Result of one check: every violation in one line of text."""
+
+    name: str
+    violations: tuple[str, ...]
+
+
+def check_history(evidence: Evidence) -> list[Verdict]:
+    """Run all checks.
+
+    :param evidence: what a run left behind.
+    :returns: one verdict for each check; a run without the product has none
+        for duties that only the product has.
+    """
+    skipped = _PRODUCT_CHECKS if evidence.run.is_direct else frozenset()
+    return [
+        Verdict(name, tuple(check(evidence)))
+        for name, check in CHECKS.items()
+        if name not in skipped
+    ]
+
+
+def read_evidence(
+    run: RunRecord,
+    folder: Path,
+    caller_keys: tuple[str, ...],
+) -> Evidence:
+    """Read the journals and logs of a run.
+
+    :param run: records of the clients.
+    :param folder: folder with ``journals`` and ``logs``.
+    :param caller_keys: keys that must not occur in them.
+    :returns: evidence.
+    """
+    journals = sorted((folder / 'journals').glob('*.jsonl'))
+    logs = sorted((folder / 'logs').glob('*.log'))
+    return Evidence(
+        run=run,
+        lines=[line for path in journals for line in read_journal(path)],
+        texts={
+            path.name: path.read_text(errors='replace')
+            for path in journals + logs
+        },
+        caller_keys=caller_keys,
+    )
+
+
+def _check_order(evidence: Evidence) -> Iterator[str]:
+    for program in evidence.run.programs:
+        for earlier, later in pairwise(program.calls):
+            last_s = max(
+                map(_completed_s, evidence.runs.get(earlier.identity, ())),
+                default=0,
+            )
+            for run in evidence.runs.get(later.identity, ()):
+                if run.started_s < last_s:
+                    yield (
+                        f'{program.name}: a call started on {run.server} '
+                        f'{last_s - run.started_s:.3f} s before the end of '
+                        'the call before it'
+                    )
+
+
+def _completed_s(run: ServerRun) -> float:
+    # The cancellation of an abandoned run may reach a server late, so only
+    # the start of such a run counts.
+    return run.ended_s if run.event == 'end' else run.started_s
+
+
+def _check_at_most_once(evidence: Evidence) -> Iterator[str]:
+    for program, call in evidence.calls():
+        count = len(evidence.runs.get(call.identity, ()))
+        if call.kind == 'order' and count > 1:
+            yield f'{program.name}: {call.identity} ran {count} times'
+
+
+def _check_responses(evidence: Evidence) -> Iterator[str]:
+    for program, call in evidence.calls():
+        if call.kind == 'order':
+            is_own = not call.is_answered or _order_of(call) == call.identity
+        else:
+            text = expected_text(call.messages, call.max_tokens)
+            is_own = text.startswith(call.text)
+        if not is_own:
+            yield f'{program.name}: response of another request: {call.text!r}'
+
+
+def _order_of(call: CallRecord) -> str:
+    try:
+        return json.loads(call.text).get('order_id', '')
+    except (ValueError, AttributeError):
+        return ''
+
+
+def _check_whole(evidence: Evidence) -> Iterator[str]:
+    for program, call in evidence.calls():
+        if call.kind == 'order' or not call.is_answered:
+            continue
+        is_complete = is_text_complete(call.messages, call.max_tokens)
+        reason = 'stop' if is_complete else 'length'
+        text = expected_text(call.messages, call.max_tokens)
+        if call.text != text or call.finish_reason != reason:
+            yield (
+                f'{program.name}: {len(call.text)} of {len(text)} characters, '
+                f'finish_reason {call.finish_reason!r}'
+            )
+
+
+def _check_answers_ran(evidence: Evidence) -> Iterator[str]:
+    for program, call in evidence.calls():
+        runs = evidence.runs.get(call.identity, ())
+        if call.is_answered and not any(run.event == 'end' for run in runs):
+            yield f'{program.name}: answered, but no server ran {call.identity}'
+
+
+def _check_not_run(evidence: Evidence) -> Iterator[str]:
+    for program, call in evidence.calls():
+        for begin_s, end_s, code in _not_run_windows(call):
+            for run in evidence.runs.get(call.identity, ()):
+                if begin_s <= run.started_s < end_s:
+                    yield (
+                        f'{program.name}: told "not run" with code '
+                        f'{code}, but {run.server} started it'
+                    )
+
+
+def _not_run_windows(call: CallRecord) -> Iterator[tuple[float, float, int]]:
+    ends_s = [attempt.started_s for attempt in call.attempts[1:]]
+    for attempt, end_s in zip(
+        call.attempts,
+        (*ends_s, float('inf')),
+        strict=True,
+    ):
+        if not attempt.status:
+            # An attempt without a response may start during later ones.
+            return
+        if _says_not_run(attempt):
+            yield attempt.started_s, end_s, attempt.code
+
+
+def _says_not_run(attempt: Attempt) -> bool:
+    info = RESULT_CODES.get(attempt.code) if attempt.code else None
+    return attempt.outcome == 'not_run' or bool(info and info.was_not_run)
+
+
+def _check_caller_keys(evidence: Evidence) -> Iterator[str]:
+    for name, text in evidence.texts.items():
+        if any(key in text for key in evidence.caller_keys):
+            yield f'{name} contains a key of a caller'
+
+
+def _check_cache(evidence: Evidence) -> Iterator[str]:
+    last_events = {
+        (line.server, line.cache_key): line.event
+        for line in evidence.lines
+        if line.cache_key
+    }
+    for (server, cache_key), event in last_events.items():
+        if event != 'release':
+            yield f'{server} still holds cache of {cache_key}'
+
+
+def _check_withdrawn(evidence: Evidence) -> Iterator[str]:
+    for program, call in evidence.calls():
+        withdrawn_s = evidence.run.withdrawn_s.get(program.key_name)
+        if withdrawn_s is None:
+            continue
+        limit_s = withdrawn_s + WITHDRAWAL_LIMIT_S
+        for run in evidence.runs.get(call.identity, ()):
+            if max(run.started_s, run.ended_s) > limit_s:
+                yield (
+                    f'{program.name}: {run.server} worked for the withdrawn '
+                    f'key {program.key_name}'
+                )
+
+
+def _check_rates(evidence: Evidence) -> Iterator[str]:
+    yield from find_rate_excess(evidence.run, evidence.runs)
+
+
+CHECKS: dict[str, Callable[[Evidence], Iterator[str]]] = {
+    'calls in order': _check_order,
+    'orders at most once': _check_at_most_once,
+    'responses match requests': _check_responses,
+    'responses whole': _check_whole,
+    'answered calls ran': _check_answers_ran,
+    'not run is true': _check_not_run,
+    'no caller keys': _check_caller_keys,
+    'rates respected': _check_rates,
+    'cache released': _check_cache,
+    'withdrawn keys stop': _check_withdrawn,
+}
+
+_PRODUCT_CHECKS = frozenset(
+    (
+        'not run is true',
+        'no caller keys',
+        'rates respected',
+        'cache released',
+        'withdrawn keys stop',
+    ),
+)
--- /dev/null
+++ b/tests/steps/standin_http.py
@@ -0,0 +1,79 @@
+"""Helpers that serve stand-ins on loopback and talk to them."""
+
+import asyncio
+import io
+import json
+
+import aiohttp
+
+from rattanvalve.standin_batch import EngineCosts
+from rattanvalve.standin_engine import (
+    Engine,
+    EngineBehaviour,
+    build_engine_app,
+)
+from rattanvalve.standin_journal import journal_writer
+from rattanvalve.standin_main import serve
+
+TIMEOUT_S = 30
+FAST_COSTS = EngineCosts(
+    step_base_s=0,
+    step_per_request_s=0,
+    prefill_per_token_s=0,
+)
+
+
+def start(context, app):
+    """Serve an application; returns its base URL."""
+    runner = context.run(serve(app, '127.0.0.1', 0))
+    context.closers.append(runner.cleanup)
+    return f'http://127.0.0.1:{runner.addresses[0][1]}'
+
+
+def start_engine(context, costs=FAST_COSTS, **behaviour):
+    """Serve an engine whose journal is kept in memory."""
+    journal = io.StringIO()
+
+    async def make():
+        return Engine(
+            costs,
+            EngineBehaviour(**behaviour),
+            journal_writer('engine', journal),
+        )
+
+    context.engine = context.run(make())
+    context.engine_journal = journal
+    return start(context, build_engine_app(context.engine))
+
+
+def events_of(journal):
+    """Read the events of a journal in memory."""
+    lines = map(json.loads, journal.getvalue().splitlines())
+    return [(line['event'], line['cache_key']) for line in lines]
+
+
+def send(context, method, url, **options):
+    """Send a request; returns status, headers and body."""
+
+    async def run():
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(method, url, **options) as response,
+        ):
+            return response.status, response.headers, await response.read()
+
+    return context.run(run())
+
+
+async def poll(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(TIMEOUT_S):
+        # The state under test offers no event to wait for.
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0)
+
+
+def wait_for(context, condition):
+    """Run the loop until a condition holds."""
+    context.run(poll(condition))
