--- /dev/null
+++ b/tests/steps/history_check_steps.py
@@ -0,0 +1,297 @@
+"""Steps of history_check.feature.
+
+The correct history: one program with a chat from 10 to 12 s, an order from 14
+to 15 s and a last chat from 16 to 18 s.
+"""
+
+import json
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from rattanvalve.client_records import (
+    Attempt,
+    CallRecord,
+    ProgramRecord,
+    RateInForce,
+    RunRecord,
+)
+from rattanvalve.history_check import Evidence, check_history
+from rattanvalve.standin_journal import JournalLine, read_journal
+from rattanvalve.standin_text import expected_text, messages_digest
+
+KEY = 'rv-secret-of-a-caller'
+FIRST = [{'role': 'user', 'content': 'p1 turn 0'}]
+LAST = [*FIRST, {'role': 'user', 'content': 'p1 turn 1'}]
+ENGINE = 'engine-1'
+SERVICE = 'service-1'
+
+
+def chat(messages, sent_s):
+    """Build the client's record of a chat."""
+    return CallRecord(
+        kind='chat',
+        identity=messages_digest(messages),
+        messages=messages,
+        max_tokens=64,
+        attempts=[Attempt(started_s=sent_s, status=200)],
+        is_answered=True,
+        text=expected_text(messages, 64),
+        finish_reason='stop',
+    )
+
+
+def lines_of(server, body, start_s, end_s, request_id='e/1/1'):
+    """Build the journal lines of a run."""
+    key = 'north/p1' if server == ENGINE else ''
+    return [
+        JournalLine(
+            event=event,
+            server=server,
+            request_id=request_id,
+            cache_key=key,
+            body=json.dumps(body),
+            time_s=time_s,
+        )
+        for event, time_s in (('start', start_s), ('end', end_s))
+    ]
+
+
+def build_history(context):
+    """Build the correct history."""
+    order = CallRecord(
+        kind='order',
+        identity='o1',
+        attempts=[Attempt(started_s=13, status=200)],
+        is_answered=True,
+        text=json.dumps({'order_id': 'o1'}),
+    )
+    program = ProgramRecord(
+        name='p1',
+        workspace='north',
+        key_name='north-1',
+        calls=[chat(FIRST, 9), order, chat(LAST, 15.5)],
+    )
+    context.program = program
+    context.history = RunRecord(
+        programs=[program],
+        rates=[
+            RateInForce(workspace='north', from_s=0, rate_per_s=0.1, burst=3),
+        ],
+    )
+    context.lines = [
+        *lines_of(ENGINE, {'messages': FIRST}, 10, 12),
+        *lines_of(SERVICE, {'order_id': 'o1'}, 14, 15),
+        *lines_of(ENGINE, {'messages': LAST}, 16, 18),
+        JournalLine(
+            event='release',
+            server=ENGINE,
+            cache_key='north/p1',
+            time_s=19,
+        ),
+    ]
+    context.texts = {'engine-1.jsonl': 'no key', 'entry.log': 'no key'}
+
+
+@given('a correct history')
+def step_history(context):
+    build_history(context)
+
+
+def violated(context):
+    """Run the check; returns the names of violated checks."""
+    evidence = Evidence(
+        context.history,
+        context.lines,
+        context.texts,
+        (KEY,),
+    )
+    return [found.name for found in check_history(evidence) if found.violations]
+
+
+@then('no check is violated')
+def step_clean(context):
+    assert violated(context) == []
+
+
+@then('exactly "{name}" is violated')
+def step_violated(context, name):
+    assert violated(context) == [name], violated(context)
+
+
+def starts_early(context):
+    """Let the order start before the first chat has ended."""
+    order = context.program.calls[1]
+    order.attempts[0].started_s = 9
+    context.lines[2].time_s = 11
+
+
+def runs_late(context):
+    """Run the first chat a second time after the order has started."""
+    body = {'messages': FIRST}
+    context.lines.extend(lines_of(ENGINE, body, 15, 15.2, 'x'))
+    context.lines.append(context.lines[6])
+
+
+def runs_twice(context):
+    """Run the order a second time."""
+    body = {'order_id': 'o1'}
+    context.lines.extend(lines_of(SERVICE, body, 15, 15.3, 'e/1/2'))
+
+
+def swaps_text(context):
+    """Deliver the response of another request."""
+    other = [{'role': 'user', 'content': 'p2 turn 0'}]
+    call = context.program.calls[0]
+    call.text = expected_text(other, 64)
+
+
+def swaps_broken_text(context):
+    """Deliver a part of another response and then break off."""
+    swaps_text(context)
+    call = context.program.calls[0]
+    call.text = call.text[:9]
+    call.is_answered = False
+
+
+def swaps_receipt(context):
+    """Deliver the receipt of another order."""
+    context.program.calls[1].text = '{"order_id": "o2"}'
+
+
+def cuts_text(context):
+    """Leave out the last word."""
+    call = context.program.calls[0]
+    call.text = f'{call.text.rstrip().rpartition(" ")[0]} '
+
+
+def drops_reason(context):
+    """Leave out the finish reason."""
+    context.program.calls[0].finish_reason = ''
+
+
+def drops_order(context):
+    """Leave the order out of the journal."""
+    context.lines = context.lines[:2] + context.lines[4:]
+
+
+def cancels_order(context):
+    """Let the order be cancelled."""
+    context.lines[3].event = 'cancel'
+
+
+def refuses_by_code(context):
+    """Tell the client by code that the order did not run, then repeat."""
+    refusal = Attempt(started_s=13, status=503, code=1203)
+    context.program.calls[1].attempts = [
+        refusal,
+        Attempt(started_s=14.5, status=200),
+    ]
+
+
+def refuses_by_header(context):
+    """Tell the client by header that the order did not run."""
+    refuses_by_code(context)
+    first = context.program.calls[1].attempts[0]
+    first.code = 0
+    first.outcome = 'not_run'
+
+
+def leaks_in_journal(context):
+    """Write a key into a journal."""
+    context.texts['engine-1.jsonl'] = f'"Authorization": "Bearer {KEY}"'
+
+
+def leaks_in_log(context):
+    """Write a key into a log."""
+    context.texts['entry.log'] = f'key {KEY} refused'
+
+
+def lowers_burst(context):
+    """Permit less than was admitted."""
+    context.history.rates[0].burst = 1
+
+
+def keeps_cache(context):
+    """Leave out the release."""
+    context.lines.pop()
+
+
+def withdraws(context):
+    """Withdraw the key more than 5 s before the order."""
+    context.history.withdrawn_s['north-1'] = 8.5
+
+
+def withdraws_before_end(context):
+    """Withdraw the key more than 5 s before the end of the last chat."""
+    context.history.withdrawn_s['north-1'] = 12
+
+
+FORGERIES = {
+    'the order starts before the first chat has ended': starts_early,
+    'an abandoned chat is run again after the order': runs_late,
+    'the order runs twice under two request ids': runs_twice,
+    'the first chat has the text of another program': swaps_text,
+    'a broken chat has kept the text of another program': swaps_broken_text,
+    "the order's receipt is for another order": swaps_receipt,
+    'the first chat lacks its last word': cuts_text,
+    'the first chat has no finish reason': drops_reason,
+    'the journal lacks the order': drops_order,
+    'the order was only cancelled': cancels_order,
+    'the order was refused by code before it ran': refuses_by_code,
+    'the order was refused by header before it ran': refuses_by_header,
+    "a journal header holds a caller's key": leaks_in_journal,
+    "a log file holds a caller's key": leaks_in_log,
+    'the workspace has a burst of 1': lowers_burst,
+    'an engine keeps the cache': keeps_cache,
+    'the key was withdrawn long before the order': withdraws,
+    "the key was withdrawn long before the order's end": withdraws_before_end,
+}
+
+
+@when('the history is forged: {forgery}')
+def step_forge(context, forgery):
+    FORGERIES[forgery](context)
+
+
+@then('a refusal after an unanswered attempt accuses nobody')
+def step_unanswered(context):
+    build_history(context)
+    refuses_by_code(context)
+    lost = Attempt(started_s=12.5, status=0)
+    context.program.calls[1].attempts.insert(0, lost)
+    assert violated(context) == []
+
+
+@then('a burst that queueing caused accuses nobody')
+def step_queueing(context):
+    build_history(context)
+    lowers_burst(context)
+    for call, sent_s in zip(context.program.calls, (-20, -10, 1), strict=True):
+        call.attempts[0].started_s = sent_s
+    assert violated(context) == []
+
+
+@then('a raised rate counts from its change')
+def step_raised(context):
+    build_history(context)
+    lowers_burst(context)
+    raised = RateInForce(
+        workspace='north',
+        from_s=100,
+        rate_per_s=10,
+        burst=10,
+    )
+    context.history.rates.append(raised)
+    assert violated(context) == ['rates respected']
+    raised.from_s = 9.5
+    assert violated(context) == []
+
+
+@then('an incomplete last journal line is passed over')
+def step_incomplete(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'engine.jsonl'
+        path.write_text('{"event": "start"}\n{"event": "en')
+        assert [line.event for line in read_journal(path)] == ['start']
