--- a/rattanvalve/admin_api.py
+++ b/rattanvalve/admin_api.py
@@ -4,6 +4,7 @@
 import json
 import uuid
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from typing import Any
@@ -99,6 +100,9 @@
     except _AdminError as error:
         return _error_response(context, error)
     except StoreConflictError as error:
+        # The winner's change may not have reached this process yet.
+        with suppress(StoreError):
+            await context.refresh()
         return _error_response(context, _conflict(context, str(error)))
     except StoreError as error:
         return _error_response(
--- a/rattanvalve/ctl_main.py
+++ b/rattanvalve/ctl_main.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from rattanvalve import __version__
-from rattanvalve.admin_client import AdminFailure, AdminRequest, send
 from rattanvalve.configdiff import list_changes
+from rattanvalve.ctl_client import AdminFailure, AdminRequest, send
 from rattanvalve.inventory import Config, parse_config
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.tables import format_table
