--- /dev/null
+++ b/rattanvalve/admission.py
@@ -0,0 +1,206 @@
+"""Admission of turns: placement, rate, budget and ticket."""
+
+import math
+from dataclasses import replace
+
+from rattanvalve import outcomes
+from rattanvalve.errors import InvariantError
+from rattanvalve.idempotency import Attempt
+from rattanvalve.messages import Begin, Member, Refusal, Ticket
+from rattanvalve.ownercontext import (
+    OwnerContext,
+    Wait,
+    may_act,
+    refuse,
+    wait_for_rate,
+)
+from rattanvalve.programs import Turn
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.shardstate import Shard
+
+__all__ = ('MAX_TICKETS_PER_TURN', 'admit', 'retry')
+
+#: A request that did not run is placed at most this often.
+MAX_TICKETS_PER_TURN = 4
+#: How long an endpoint process may hold the cache over a tool pause.
+CACHE_HOLD_MS = 30_000
+
+
+def admit(
+    begin: Begin,
+    shard: Shard,
+    number: str,
+    context: OwnerContext,
+    now_s: float,
+) -> Ticket | Refusal | Wait:
+    """Admit a request of an idle program.
+
+    :param begin: request, which is not known.
+    :param shard: its shard.
+    :param number: number for a new ticket.
+    :param context: configuration, view and placement.
+    :param now_s: current time in seconds.
+    :returns: ticket, refusal or a wait for the rate.
+    :raises InvariantError: if the rate or the order is violated.
+    """
+    member = _place(begin, shard, context, now_s)
+    if member is None:
+        return refuse(ResultCode.NO_ENDPOINT)
+    waiting = wait_for_rate(shard.bucket, context, now_s)
+    if waiting is not None:
+        return waiting
+    turn = shard.ledger.begin_turn(
+        begin,
+        context.catalog.budget_of(begin.workspace),
+        context.timeout_s or begin.timeout_ms / 1000,
+        now_s,
+    )
+    if turn is None:
+        return refuse(ResultCode.BUDGET_EXHAUSTED, retry_after_ms=0)
+    if not shard.bucket.take(now_s):
+        raise InvariantError('admission above the rate')
+    ticket = _ticket(begin, turn, number, member, context)
+    shard.ledger.issue(turn, ticket, begin, now_s)
+    shard.retries.earn()
+    shard.is_touched = True
+    return ticket
+
+
+def retry(
+    attempt: Attempt,
+    shard: Shard,
+    number: str,
+    context: OwnerContext,
+    now_s: float,
+) -> Ticket | Refusal | None:
+    """Give a finished attempt a new ticket of the same turn.
+
+    A run that may have used its admission takes a new one, so that runs stay
+    within the rate.
+
+    :param attempt: finished attempt.
+    :param shard: its shard.
+    :param number: number for a new ticket.
+    :param context: configuration, view and placement.
+    :param now_s: current time in seconds.
+    :returns: ticket, refusal by the rate or the retry budget, or ``None`` if
+        the attempt must not be repeated.
+    :raises InvariantError: if a request could run twice.
+    """
+    if not _may_retry(attempt, shard, context):
+        return None
+    member = _place(_begin_of(attempt), shard, context, now_s)
+    if member is None:
+        return None
+    if attempt.outcome == outcomes.NOT_RUN:
+        return _reissue(attempt, shard, number, member, context, now_s)
+    # A retry does not wait, since the next call of the program would overtake
+    # it meanwhile.
+    if wait_for_rate(shard.bucket, context, now_s) is not None:
+        return refuse(ResultCode.RATE_EXCEEDED)
+    if not shard.retries.spend():
+        return refuse(ResultCode.RATE_EXCEEDED)
+    ticket = _reissue(attempt, shard, number, member, context, now_s)
+    if ticket is not None and not shard.bucket.take(now_s):
+        raise InvariantError('retry above the rate')
+    return ticket
+
+
+def _may_retry(attempt: Attempt, shard: Shard, context: OwnerContext) -> bool:
+    is_repeatable = attempt.ticket.is_repeatable
+    is_harmless = attempt.outcome == outcomes.NOT_RUN or (
+        is_repeatable and attempt.outcome == outcomes.UNKNOWN
+    )
+    return (
+        is_harmless
+        and may_act(context.mode, is_repeatable)
+        and len(attempt.numbers) < MAX_TICKETS_PER_TURN
+        and shard.ledger.is_newest(attempt)
+    )
+
+
+def _begin_of(attempt: Attempt) -> Begin:
+    """Describe an attempt for placement; a rebuilt one has no call."""
+    ticket = attempt.ticket
+    return replace(
+        attempt.begin,
+        service_name=ticket.service_name,
+        program_id=ticket.program_id,
+        workspace=ticket.workspace,
+    )
+
+
+def _reissue(
+    attempt: Attempt,
+    shard: Shard,
+    number: str,
+    member: Member,
+    context: OwnerContext,
+    now_s: float,
+) -> Ticket | None:
+    ticket = replace(
+        attempt.ticket,
+        number=number,
+        epoch=context.view.epoch,
+        owner=number.partition('/')[0],
+        endpoint=member.name,
+        endpoint_incarnation=member.incarnation,
+        host=member.host,
+        port=member.port,
+    )
+    budget = context.catalog.budget_of(ticket.workspace)
+    if not shard.ledger.retry_turn(attempt, ticket, budget, now_s):
+        return None
+    shard.is_touched = True
+    return ticket
+
+
+def _place(
+    begin: Begin,
+    shard: Shard,
+    context: OwnerContext,
+    now_s: float,
+) -> Member | None:
+    request = context.placement_request(
+        service_name=begin.service_name,
+        workspace=begin.workspace,
+        program_id=begin.program_id,
+        last_endpoint=shard.ledger.affinity(begin),
+        prompt_tokens=begin.prompt_tokens,
+    )
+    return context.place(request, now_s)
+
+
+def _ticket(
+    begin: Begin,
+    turn: Turn,
+    number: str,
+    member: Member,
+    context: OwnerContext,
+) -> Ticket:
+    digests = begin.history_digests
+    priority = context.catalog.priority_of(begin.workspace)
+    return Ticket(
+        number=number,
+        epoch=context.view.epoch,
+        owner=number.partition('/')[0],
+        request_id=begin.request_id,
+        workspace=begin.workspace,
+        shard=begin.shard,
+        program_id=begin.program_id,
+        turn=turn.number,
+        service_name=begin.service_name,
+        endpoint=member.name,
+        endpoint_incarnation=member.incarnation,
+        host=member.host,
+        port=member.port,
+        priority=max(begin.priority, int(priority)),
+        attained_tokens=turn.attained_tokens,
+        reserved_tokens=turn.reservation.tokens,
+        is_repeatable=begin.is_repeatable,
+        idempotency_key=begin.idempotency_key,
+        history_digest=digests[-1] if digests else 0,
+        timeout_ms=math.ceil(turn.reservation.seconds * 1000),
+        cache_hold_ms=0 if begin.is_program_end else CACHE_HOLD_MS,
+        is_program_end=begin.is_program_end,
+    )
--- /dev/null
+++ b/rattanvalve/idempotency.py
@@ -0,0 +1,199 @@
+"""Index of attempts by ticket number, request id and idempotency key."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from rattanvalve import outcomes
+from rattanvalve.budgets import Reservation
+from rattanvalve.errors import InvariantError
+from rattanvalve.messages import Begin, Outcome, Ticket
+
+__all__ = (
+    'RETENTION_S',
+    'Attempt',
+    'AttemptIndex',
+    'is_same_content',
+    'outcome_of',
+)
+
+#: Equal to the retention of the endpoint records.
+RETENTION_S = 600.0
+MAX_ATTEMPT_COUNT = 100_000
+
+#: Of several attempts under one name, the one that ran counts.
+_KNOWLEDGE = {
+    outcomes.NOT_RUN: 0,
+    outcomes.UNKNOWN: 1,
+    outcomes.RUNNING: 2,
+    outcomes.ANSWERED: 3,
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """One turn of a program and its newest ticket.
+
+    ``numbers`` are the numbers of all its tickets. ``begin`` is empty if the
+    attempt was rebuilt from a record.
+    """
+
+    ticket: Ticket
+    begin: Begin = field(default_factory=Begin)
+    reservation: Reservation = field(default_factory=Reservation)
+    outcome: str = outcomes.RUNNING
+    issued_s: float = 0
+    finished_s: float = 0
+    numbers: list[str] = field(default_factory=list)
+
+
+class AttemptIndex:
+    """Attempts of one workspace shard, kept for ``RETENTION_S``."""
+
+    def __init__(self) -> None:
+        self.by_number: dict[str, Attempt] = {}
+        self._by_request: dict[str, Attempt] = {}
+        self._by_key: dict[str, Attempt] = {}
+        # Finished attempts in order of their end. Repeatable ones may be
+        # dropped early; losing a non-repeatable one could run it twice.
+        self._finished: dict[bool, OrderedDict[str, Attempt]] = {
+            True: OrderedDict(),
+            False: OrderedDict(),
+        }
+
+    def find(self, request_id: str, idempotency_key: str) -> Attempt | None:
+        """Find an attempt of the same request.
+
+        :param request_id: request id, or an empty string.
+        :param idempotency_key: idempotency key, or an empty string.
+        :returns: the attempt, if it may have run.
+        """
+        for index, name in (
+            (self._by_key, idempotency_key),
+            (self._by_request, request_id),
+        ):
+            found = index.get(name)
+            if found is not None and found.outcome != outcomes.NOT_RUN:
+                return found
+        return None
+
+    def add(self, attempt: Attempt, is_rebuilt: bool = False) -> None:
+        """Enter an attempt under its newest ticket.
+
+        :param attempt: attempt with a ticket that is not yet entered.
+        :param is_rebuilt: whether the ticket is from an earlier owner, whose
+            retries of one repeatable request are separate attempts here.
+        :raises InvariantError: if the request has another ticket that may
+            have run.
+        """
+        ticket = attempt.ticket
+        other = self.find(ticket.request_id, ticket.idempotency_key)
+        is_second = other is not None and other is not attempt
+        if is_second and not is_rebuilt:
+            raise InvariantError('second ticket for one request')
+        self.by_number[ticket.number] = attempt
+        if ticket.number not in attempt.numbers:
+            attempt.numbers.append(ticket.number)
+        for index, name in self._names(ticket):
+            if name and _knowledge(attempt) >= _knowledge(index.get(name)):
+                index[name] = attempt
+
+    def replace_ticket(self, attempt: Attempt, ticket: Ticket) -> None:
+        """Give an attempt a new ticket for the same turn.
+
+        :param attempt: entered and finished attempt.
+        :param ticket: new ticket.
+        :raises InvariantError: if the earlier ticket of a request that is not
+            repeatable may have run.
+        """
+        earlier = attempt.ticket
+        if not earlier.is_repeatable and attempt.outcome != outcomes.NOT_RUN:
+            raise InvariantError('second ticket for a non-repeatable request')
+        self._finished[earlier.is_repeatable].pop(earlier.number, None)
+        attempt.ticket = ticket
+        attempt.outcome = outcomes.RUNNING
+        self.add(attempt)
+
+    def finish(self, attempt: Attempt, outcome: str, now_s: float) -> None:
+        """Note the end of an attempt; it is dropped after the retention.
+
+        :param attempt: entered attempt.
+        :param outcome: outcome name.
+        :param now_s: current time in seconds.
+        """
+        attempt.outcome = outcome
+        attempt.finished_s = now_s
+        ticket = attempt.ticket
+        self._finished[ticket.is_repeatable][ticket.number] = attempt
+
+    def has_room(self, now_s: float) -> bool:
+        """Drop old attempts and tell whether one more can be kept.
+
+        :param now_s: current time in seconds.
+        :returns: ``False`` if too many attempts must still be kept.
+        """
+        for finished in self._finished.values():
+            while finished:
+                oldest = next(iter(finished.values()))
+                if now_s - oldest.finished_s < RETENTION_S:
+                    break
+                self._drop(finished.popitem(last=False)[1])
+        repeatable = self._finished[True]
+        if len(self.by_number) >= MAX_ATTEMPT_COUNT and repeatable:
+            self._drop(repeatable.popitem(last=False)[1])
+        return len(self.by_number) < MAX_ATTEMPT_COUNT
+
+    def _names(
+        self,
+        ticket: Ticket,
+    ) -> tuple[tuple[dict[str, Attempt], str], ...]:
+        return (
+            (self._by_request, ticket.request_id),
+            (self._by_key, ticket.idempotency_key),
+        )
+
+    def _drop(self, attempt: Attempt) -> None:
+        for number in attempt.numbers:
+            self.by_number.pop(number, None)
+        for index, name in self._names(attempt.ticket):
+            if index.get(name) is attempt:
+                index.pop(name)
+
+
+def is_same_content(ticket: Ticket, begin: Begin) -> bool:
+    """Compare a request with the earlier one of its idempotency key.
+
+    :param ticket: ticket of the earlier request.
+    :param begin: later request.
+    :returns: whether program, service and history are the same.
+    """
+    digests = begin.history_digests
+    digest = digests[-1] if digests else 0
+    return (ticket.program_id, ticket.service_name, ticket.history_digest) == (
+        begin.program_id,
+        begin.service_name,
+        digest,
+    )
+
+
+def outcome_of(attempt: Attempt) -> Outcome:
+    """Name the place of the record of an attempt.
+
+    :param attempt: attempt.
+    :returns: message for the ingress.
+    """
+    ticket = attempt.ticket
+    return Outcome(
+        number=ticket.number,
+        outcome=attempt.outcome,
+        endpoint=ticket.endpoint,
+        endpoint_incarnation=ticket.endpoint_incarnation,
+        host=ticket.host,
+        port=ticket.port,
+        program_id=ticket.program_id,
+    )
+
+
+def _knowledge(attempt: Attempt | None) -> int:
+    if attempt is None:
+        return 0
+    return _KNOWLEDGE[attempt.outcome]
--- /dev/null
+++ b/rattanvalve/ownerports.py
@@ -0,0 +1,43 @@
+"""What the owner service needs from the rest of its process."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rattanvalve.actmode import ActMode
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.lines import Sleep
+from rattanvalve.messages import Member, View
+from rattanvalve.ownercontext import PlacementQuery
+from rattanvalve.peers import PeerPool
+
+__all__ = ('OwnerPorts', 'ViewLookups')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ViewLookups:
+    """Functions of the ``views`` module."""
+
+    owner_of: Callable[[View, str, int], str]
+    entries_of: Callable[[View], tuple[Member, ...]]
+    endpoints_of: Callable[[View], tuple[Member, ...]]
+    member_of: Callable[[View, str], Member | None]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerPorts:
+    """Collaborators of the owner service.
+
+    ``mode`` gives the state of the confirmation and ``place`` selects an
+    endpoint, both at a time in monotonic seconds.
+    """
+
+    blackboard: Blackboard
+    pool: PeerPool
+    lookups: ViewLookups
+    mode: Callable[[float], ActMode]
+    place: Callable[[PlacementQuery, float], Member | None]
+    placement_request: Callable[..., object] = PlacementQuery
+    clock: Callable[[], float] = time.monotonic
+    sleep: Sleep = asyncio.sleep
--- /dev/null
+++ b/rattanvalve/ownership.py
@@ -0,0 +1,296 @@
+"""Decisions of the owner of workspace shards."""
+
+import itertools
+
+import msgspec
+
+from rattanvalve import admission, outcomes
+from rattanvalve.counters import Counter, Metrics
+from rattanvalve.idempotency import (
+    RETENTION_S,
+    Attempt,
+    is_same_content,
+    outcome_of,
+)
+from rattanvalve.messages import (
+    Begin,
+    Finish,
+    Outcome,
+    Refusal,
+    Resolve,
+    Ticket,
+)
+from rattanvalve.ownercontext import OwnerContext, Wait, may_act, refuse
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.shardstate import SealState
+from rattanvalve.shardtable import ShardTable
+
+__all__ = ('Owner',)
+
+
+class Owner:
+    """Owner role of one entry process.
+
+    :param name: name of the entry process.
+    :param incarnation: incarnation of the entry process.
+    :param metrics: counters.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self.name = name
+        self.table = ShardTable()
+        self.metrics = metrics or Metrics()
+        self._incarnation = incarnation
+        self._sequence = itertools.count(1)
+
+    def known(
+        self,
+        begin: Begin,
+        now_s: float,
+    ) -> Outcome | Refusal | None:
+        """Find the earlier attempt of the same request.
+
+        :param begin: request.
+        :param now_s: current time in seconds.
+        :returns: place of the record, refusal of a reused idempotency key, or
+            ``None`` for a new request.
+        """
+        shard = self.table.find(begin.workspace, begin.shard)
+        if shard is None:
+            return _unknowable(begin, self.table.seal, now_s)
+        found = shard.ledger.attempts.find(
+            begin.request_id,
+            begin.idempotency_key,
+        )
+        if found is None:
+            return _unknowable(begin, shard.seal, now_s)
+        if _is_key_reused(found, begin):
+            return refuse(ResultCode.KEY_REUSED, retry_after_ms=0)
+        self.metrics.count(Counter.OUTCOME_REPLAYED)
+        return outcome_of(found)
+
+    def begin(
+        self,
+        begin: Begin,
+        context: OwnerContext,
+        now_s: float,
+    ) -> Ticket | Refusal | Outcome | Wait:
+        """Admit a request, find its earlier attempt, or let it wait.
+
+        :param begin: request.
+        :param context: configuration, view and placement.
+        :param now_s: current time in seconds.
+        :returns: ticket, place of an earlier record, refusal ("not run"), or
+            what to wait for.
+        """
+        if not self._is_owner(begin.workspace, begin.shard, context):
+            return refuse(ResultCode.NOT_OWNER, epoch=context.view.epoch)
+        found = self.known(begin, now_s)
+        if found is not None:
+            return found
+        if not may_act(context.mode, begin.is_repeatable):
+            return refuse(ResultCode.NOT_CONFIRMED, epoch=context.view.epoch)
+        shard = self.table.open(
+            (begin.workspace, begin.shard),
+            context,
+            now_s,
+        )
+        if not shard.ledger.has_room(begin.program_id, now_s):
+            return refuse(ResultCode.QUEUE_FULL)
+        if shard.ledger.is_busy(begin.program_id):
+            return Wait(is_for_rate=False)
+        is_fork = shard.ledger.is_fork(begin)
+        answer = admission.admit(
+            begin,
+            shard,
+            self._next_number(),
+            context,
+            now_s,
+        )
+        if is_fork and isinstance(answer, Ticket):
+            self.metrics.count(Counter.HISTORY_FORK)
+        return answer
+
+    def finish(self, finish: Finish, now_s: float) -> bool:
+        """Note the end of a ticket.
+
+        :param finish: report of the endpoint process.
+        :param now_s: current time in seconds.
+        :returns: whether the turn was running; ``False`` for a repeated or
+            foreign report.
+        """
+        shard = self.table.find(finish.workspace, finish.shard)
+        if shard is None:
+            return False
+        is_first = shard.ledger.finish_turn(
+            finish.number,
+            finish.usage,
+            finish.outcome,
+            now_s,
+        )
+        if is_first:
+            self.metrics.count(f'outcome.{finish.outcome}')
+        return is_first
+
+    def attempt_of(
+        self,
+        workspace: str,
+        shard: int,
+        number: str,
+    ) -> Attempt | None:
+        """Find the attempt of a ticket.
+
+        :param workspace: workspace name.
+        :param shard: shard index.
+        :param number: ticket number.
+        :returns: attempt, or ``None`` for an unknown number.
+        """
+        state = self.table.find(workspace, shard)
+        if state is None:
+            return None
+        return state.ledger.attempts.by_number.get(number)
+
+    def running_of(self, begin: Begin) -> Attempt | None:
+        """Find the running attempt that a call has to wait for.
+
+        :param begin: waiting call.
+        :returns: attempt, or ``None`` if the program is idle.
+        """
+        state = self.table.find(begin.workspace, begin.shard)
+        if state is None or not state.ledger.is_busy(begin.program_id):
+            return None
+        program = state.ledger.programs[begin.program_id]
+        return state.ledger.attempts.by_number[program.running]
+
+    def resolve(
+        self,
+        resolve: Resolve,
+        settled_outcome: str,
+        context: OwnerContext,
+        now_s: float,
+    ) -> Ticket | Outcome | Refusal:
+        """Decide what follows a broken run.
+
+        :param resolve: request of the ingress.
+        :param settled_outcome: outcome by the endpoint process.
+        :param context: configuration, view and placement.
+        :param now_s: current time in seconds.
+        :returns: new ticket of the same turn, the outcome, or a refusal.
+        """
+        if not self._is_owner(resolve.workspace, resolve.shard, context):
+            return refuse(ResultCode.NOT_OWNER, epoch=context.view.epoch)
+        attempt = self.attempt_of(
+            resolve.workspace,
+            resolve.shard,
+            resolve.number,
+        )
+        if attempt is None:
+            return Outcome(
+                number=resolve.number,
+                outcome=outcomes.UNKNOWN,
+                program_id=resolve.program_id,
+            )
+        if attempt.ticket.number != resolve.number:
+            # An earlier answer to the same question was lost.
+            return outcome_of(attempt)
+        self.finish(
+            Finish(
+                number=resolve.number,
+                workspace=resolve.workspace,
+                shard=resolve.shard,
+                outcome=settled_outcome,
+            ),
+            now_s,
+        )
+        return self._retry(attempt, context, now_s)
+
+    def explain(self, workspace: str, shard: int, program_id: str) -> dict:
+        """Describe a program for operators.
+
+        :param workspace: workspace name.
+        :param shard: shard index.
+        :param program_id: program id.
+        :returns: plain data for JSON; empty for an unknown program.
+        """
+        state = self.table.find(workspace, shard)
+        program = state and state.ledger.programs.get(program_id)
+        if not state or not program:
+            return {}
+        account = state.ledger.accounts.of_root(program.root)
+        return {
+            'program': msgspec.to_builtins(program),
+            'account': msgspec.to_builtins(account),
+            'bucket_level': state.bucket.level,
+            'missing_endpoints': sorted(state.seal.missing),
+        }
+
+    def _is_owner(
+        self,
+        workspace: str,
+        shard: int,
+        context: OwnerContext,
+    ) -> bool:
+        return context.owner_of(context.view, workspace, shard) == self.name
+
+    def _retry(
+        self,
+        attempt: Attempt,
+        context: OwnerContext,
+        now_s: float,
+    ) -> Ticket | Outcome:
+        ticket = attempt.ticket
+        shard = self.table.open(
+            (ticket.workspace, ticket.shard),
+            context,
+            now_s,
+        )
+        is_not_run = attempt.outcome == outcomes.NOT_RUN
+        answer = admission.retry(
+            attempt,
+            shard,
+            self._next_number(),
+            context,
+            now_s,
+        )
+        if isinstance(answer, Refusal):
+            self.metrics.count(Counter.RETRY_BUDGET_EMPTY)
+            return outcome_of(attempt)
+        if isinstance(answer, Ticket):
+            self.metrics.count(
+                Counter.RETRY_NOT_RUN
+                if is_not_run
+                else Counter.RETRY_REPEATABLE,
+            )
+        return answer or outcome_of(attempt)
+
+    def _next_number(self) -> str:
+        return f'{self.name}/{self._incarnation}/{next(self._sequence)}'
+
+
+def _is_key_reused(found: Attempt, begin: Begin) -> bool:
+    if not begin.idempotency_key:
+        return False
+    if found.ticket.idempotency_key != begin.idempotency_key:
+        return False
+    return not is_same_content(found.ticket, begin)
+
+
+def _unknowable(
+    begin: Begin,
+    seal: SealState,
+    now_s: float,
+) -> Refusal | None:
+    """Refuse what an endpoint that was not sealed may have run already."""
+    if begin.is_repeatable or not begin.idempotency_key:
+        return None
+    is_at_risk = any(
+        missing.service_name == begin.service_name
+        and now_s - missing.since_s < RETENTION_S
+        for missing in seal.missing.values()
+    )
+    return refuse(ResultCode.OUTCOME_UNKNOWN) if is_at_risk else None
--- /dev/null
+++ b/rattanvalve/programs.py
@@ -0,0 +1,297 @@
+"""Ledger of the programs of one workspace shard: order, budget, history."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from rattanvalve import budgets, outcomes
+from rattanvalve.accounts import RootAccounts
+from rattanvalve.errors import InvariantError
+from rattanvalve.history import is_continuation
+from rattanvalve.idempotency import Attempt, AttemptIndex
+from rattanvalve.inventory import Budget
+from rattanvalve.messages import Begin, Ticket, Usage
+
+__all__ = ('PROGRAM_IDLE_S', 'Program', 'ProgramLedger', 'Turn')
+
+#: A program without a running call expires after this time.
+PROGRAM_IDLE_S = 3600.0
+MAX_PROGRAM_COUNT = 50_000
+# A full ledger forgets programs that have been idle for this long. Younger
+# ones are kept, since a forgotten program starts with a new budget.
+_EVICTABLE_IDLE_S = 60.0
+# Bounds the work of one call; each call adds at most one program.
+_SWEEP_COUNT = 4
+
+
+@dataclass(slots=True, kw_only=True)
+class Program:
+    """State of one program."""
+
+    program_id: str
+    root: str
+    turn: int = 0
+    running: str = ''
+    digest: int = 0
+    last_endpoint: str = ''
+    active_s: float = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Turn:
+    """An admitted turn that has no ticket yet."""
+
+    program: Program
+    number: int
+    reservation: budgets.Reservation
+    attained_tokens: int
+
+
+class ProgramLedger:
+    """Programs, accounts and attempts of one workspace shard."""
+
+    def __init__(self) -> None:
+        self.attempts = AttemptIndex()
+        #: In order of the last activity, oldest first.
+        self.programs: OrderedDict[str, Program] = OrderedDict()
+        self.accounts = RootAccounts()
+
+    def is_busy(self, program_id: str) -> bool:
+        """Tell whether a call of a program is running.
+
+        :param program_id: program id.
+        :returns: whether a later call must wait.
+        """
+        program = self.programs.get(program_id)
+        return program is not None and bool(program.running)
+
+    def is_fork(self, begin: Begin) -> bool:
+        """Tell whether a call does not extend the recorded history.
+
+        :param begin: call.
+        :returns: whether it is a fork.
+        """
+        program = self.programs.get(begin.program_id)
+        if program is None:
+            return False
+        return not is_continuation(program.digest, begin.history_digests)
+
+    def affinity(self, begin: Begin) -> str:
+        """Name the endpoint that holds the cache of a program.
+
+        :param begin: call.
+        :returns: endpoint name; empty for a new program or a fork.
+        """
+        program = self.programs.get(begin.program_id)
+        if program is None or self.is_fork(begin):
+            return ''
+        return program.last_endpoint
+
+    def has_room(self, program_id: str, now_s: float) -> bool:
+        """Expire idle programs and tell whether a call can be recorded.
+
+        :param program_id: program of the call.
+        :param now_s: current time in seconds.
+        :returns: ``False`` if the bounded state is full.
+        """
+        for _ in range(_SWEEP_COUNT):
+            if not self._expire_oldest(now_s):
+                break
+        is_known = program_id in self.programs
+        has_place = is_known or len(self.programs) < MAX_PROGRAM_COUNT
+        return self.attempts.has_room(now_s) and has_place
+
+    def begin_turn(
+        self,
+        begin: Begin,
+        budget: Budget,
+        timeout_s: float,
+        now_s: float,
+    ) -> Turn | None:
+        """Reserve the budget of the next turn of a program.
+
+        :param begin: call, which is not known and whose program is idle.
+        :param budget: budget of the root program.
+        :param timeout_s: deadline of the call in seconds.
+        :param now_s: current time in seconds.
+        :returns: the turn, or ``None`` if the budget is exhausted.
+        :raises InvariantError: if another turn of the program is running.
+        """
+        if self.is_busy(begin.program_id):
+            raise InvariantError('two running turns of one program')
+        program = self.join(begin.program_id, begin.parent_program_id, now_s)
+        account = self.accounts.of_root(program.root)
+        reservation = budgets.reserve(
+            account,
+            budget,
+            begin.prompt_tokens + begin.max_tokens,
+            timeout_s,
+        )
+        if reservation is None:
+            return None
+        return Turn(
+            program=program,
+            number=program.turn + 1,
+            reservation=reservation,
+            attained_tokens=account.tokens,
+        )
+
+    def issue(
+        self,
+        turn: Turn,
+        ticket: Ticket,
+        begin: Begin,
+        now_s: float,
+    ) -> None:
+        """Record the ticket of a new turn.
+
+        :param turn: result of :meth:`begin_turn`.
+        :param ticket: its ticket.
+        :param begin: its call.
+        :param now_s: current time in seconds.
+        :raises InvariantError: if the turn is out of order.
+        """
+        program = turn.program
+        if ticket.turn != program.turn + 1:
+            raise InvariantError('turn out of order')
+        attempt = Attempt(
+            ticket=ticket,
+            begin=begin,
+            reservation=turn.reservation,
+            issued_s=now_s,
+        )
+        self.attempts.add(attempt)
+        program.turn = ticket.turn
+        program.digest = ticket.history_digest or program.digest
+        self._start(program, ticket, now_s)
+
+    def retry_turn(
+        self,
+        attempt: Attempt,
+        ticket: Ticket,
+        budget: Budget,
+        now_s: float,
+    ) -> bool:
+        """Record a new ticket for the same turn.
+
+        :param attempt: finished attempt of the newest turn.
+        :param ticket: new ticket.
+        :param budget: budget of the root program.
+        :param now_s: current time in seconds.
+        :returns: ``False`` if the budget is exhausted.
+        """
+        program = self.programs[ticket.program_id]
+        reservation = budgets.reserve(
+            self.accounts.of_root(program.root),
+            budget,
+            attempt.reservation.tokens,
+            ticket.timeout_ms / 1000,
+        )
+        if reservation is None:
+            return False
+        self.attempts.replace_ticket(attempt, ticket)
+        attempt.reservation = reservation
+        attempt.issued_s = now_s
+        self._start(program, ticket, now_s)
+        return True
+
+    def is_newest(self, attempt: Attempt) -> bool:
+        """Tell whether an attempt could be tried again without reordering.
+
+        :param attempt: finished attempt.
+        :returns: whether no later call of its program has begun.
+        """
+        program = self.programs.get(attempt.ticket.program_id)
+        if program is None or program.running:
+            return False
+        return program.turn == attempt.ticket.turn
+
+    def finish_turn(
+        self,
+        number: str,
+        usage: Usage,
+        outcome: str,
+        now_s: float,
+    ) -> bool:
+        """Charge what a ticket used and let the next call begin.
+
+        :param number: ticket number.
+        :param usage: tokens used.
+        :param outcome: outcome name.
+        :param now_s: current time in seconds.
+        :returns: whether the turn was running.
+        :raises InvariantError: if the program runs another ticket.
+        """
+        attempt = self.attempts.by_number.get(number)
+        if attempt is None or attempt.ticket.number != number:
+            return False
+        if attempt.outcome != outcomes.RUNNING:
+            # A late report may state what was unknown; it is not charged
+            # again, since unknown outcomes were charged in full.
+            if (attempt.outcome, outcome) == _LATE_ANSWER:
+                attempt.outcome = outcome
+            return False
+        if outcome == outcomes.RUNNING:
+            return False
+        program = self.programs[attempt.ticket.program_id]
+        if program.running != number:
+            raise InvariantError('finished ticket is not the running one')
+        program.running = ''
+        self._touch(program, now_s)
+        budgets.charge(
+            self.accounts.of_root(program.root),
+            attempt.reservation,
+            outcome,
+            usage,
+            now_s - attempt.issued_s,
+        )
+        self.attempts.finish(attempt, outcome, now_s)
+        return True
+
+    def join(self, program_id: str, parent_id: str, now_s: float) -> Program:
+        """Find or enter a program and link it to its root.
+
+        :param program_id: program id.
+        :param parent_id: parent program id, or an empty string.
+        :param now_s: current time in seconds.
+        :returns: the program.
+        """
+        program = self.programs.get(program_id)
+        if program is None:
+            program = Program(program_id=program_id, root=program_id)
+            self.programs[program_id] = program
+            self.accounts.of_root(program_id).program_count += 1
+        if parent_id:
+            parent = self.programs.get(parent_id)
+            self.accounts.link(
+                program.root,
+                parent.root if parent else parent_id,
+            )
+        self._touch(program, now_s)
+        return program
+
+    def _start(self, program: Program, ticket: Ticket, now_s: float) -> None:
+        program.running = ticket.number
+        program.last_endpoint = ticket.endpoint
+        self._touch(program, now_s)
+
+    def _touch(self, program: Program, now_s: float) -> None:
+        program.active_s = now_s
+        self.programs.move_to_end(program.program_id)
+
+    def _expire_oldest(self, now_s: float) -> bool:
+        if not self.programs:
+            return False
+        program = next(iter(self.programs.values()))
+        is_full = len(self.programs) >= MAX_PROGRAM_COUNT
+        limit_s = _EVICTABLE_IDLE_S if is_full else PROGRAM_IDLE_S
+        if now_s - program.active_s < limit_s:
+            return False
+        if program.running:
+            self._touch(program, now_s)
+            return True
+        self.programs.pop(program.program_id)
+        self.accounts.leave(program.root)
+        return True
+
+
+_LATE_ANSWER = (outcomes.UNKNOWN, outcomes.ANSWERED)
--- /dev/null
+++ b/rattanvalve/shardstate.py
@@ -0,0 +1,255 @@
+"""State of one workspace shard, its rebuilding and its transfer."""
+
+import itertools
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from rattanvalve import budgets, outcomes
+from rattanvalve.idempotency import Attempt
+from rattanvalve.messages import RecordSummary
+from rattanvalve.programs import Program, ProgramLedger
+from rattanvalve.ratelimit import Bucket
+from rattanvalve.retries import RetryBudget
+
+__all__ = (
+    'MissingEndpoint',
+    'SealState',
+    'Shard',
+    'ShardPart',
+    'add_records',
+    'export_parts',
+    'import_parts',
+)
+
+#: Keeps a part of a large shard well below the frame limit.
+ATTEMPTS_PER_PART_COUNT = 4000
+# An imported bucket is not refilled before it gets its configured rate.
+_NO_RATE_PER_S = 1e-9
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MissingEndpoint:
+    """An endpoint that a takeover could not seal.
+
+    ``since_s`` is when this process began to serve without its records.
+    """
+
+    name: str
+    service_name: str
+    incarnation: str
+    host: str
+    port: int
+    since_s: float
+
+
+@dataclass(slots=True, kw_only=True)
+class SealState:
+    """What a takeover could not learn.
+
+    ``is_level_known`` states that all admissions of the earlier owner were
+    reported.
+    """
+
+    missing: dict[str, MissingEndpoint] = field(default_factory=dict)
+    is_level_known: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class Shard:
+    """Everything an owner holds for one workspace shard."""
+
+    bucket: Bucket
+    seal: SealState
+    ledger: ProgramLedger = field(default_factory=ProgramLedger)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    is_touched: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class ShardPart:
+    """Part of a shard on its way to the next owner.
+
+    Times are of the exporting process; the importing one shifts them by the
+    difference of ``now_s``.
+    """
+
+    workspace: str
+    shard: int
+    index: int
+    part_count: int
+    now_s: float
+    level: float
+    retry_balance: float
+    seal: SealState
+    programs: list[Program] = field(default_factory=list)
+    accounts: list[budgets.Account] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+def add_records(
+    ledger: ProgramLedger,
+    records: Iterable[RecordSummary],
+    now_s: float,
+) -> int:
+    """Rebuild programs, accounts and attempts from endpoint records.
+
+    :param ledger: ledger of the shard; what it knows already stays.
+    :param records: records of the shard from all endpoints.
+    :param now_s: current time in seconds.
+    :returns: how many records were new.
+    """
+    added_count = 0
+    for record in sorted(records, key=_rebuild_order):
+        if record.ticket.number not in ledger.attempts.by_number:
+            _add_record(ledger, record, now_s)
+            added_count += 1
+    return added_count
+
+
+def _rebuild_order(record: RecordSummary) -> tuple[bool, int, int]:
+    """Sort finished turns first, then running ones from the newest."""
+    turn = record.ticket.turn
+    if record.outcome == outcomes.RUNNING:
+        return True, -turn, record.age_ms
+    return False, turn, -record.age_ms
+
+
+def _add_record(
+    ledger: ProgramLedger,
+    record: RecordSummary,
+    now_s: float,
+) -> None:
+    ticket = record.ticket
+    program = ledger.join(ticket.program_id, '', now_s)
+    attempt = Attempt(
+        ticket=ticket,
+        reservation=budgets.Reservation(
+            tokens=ticket.reserved_tokens,
+            seconds=ticket.timeout_ms / 1000,
+        ),
+        outcome=record.outcome,
+        issued_s=now_s - record.age_ms / 1000,
+    )
+    if ticket.turn >= program.turn and record.outcome != outcomes.NOT_RUN:
+        program.digest = ticket.history_digest or program.digest
+        program.last_endpoint = ticket.endpoint
+    program.turn = max(program.turn, ticket.turn)
+    account = ledger.accounts.of_root(program.root)
+    account.tokens = max(account.tokens, ticket.attained_tokens)
+    account.calls = max(account.calls, ticket.turn - 1)
+    budgets.hold(account, attempt.reservation)
+    if record.outcome == outcomes.RUNNING:
+        if not program.running:
+            program.running = ticket.number
+            ledger.attempts.add(attempt, is_rebuilt=True)
+            return
+        # An older run of a program that has a newer one: it is charged in
+        # full, and a late report may still state its outcome.
+        attempt.outcome = outcomes.UNKNOWN
+    ledger.attempts.add(attempt, is_rebuilt=True)
+    ledger.attempts.finish(attempt, attempt.outcome, now_s)
+    budgets.charge(
+        account,
+        attempt.reservation,
+        attempt.outcome,
+        record.usage,
+        elapsed_s=0,
+    )
+
+
+def export_parts(
+    name: tuple[str, int],
+    shard: Shard,
+    now_s: float,
+) -> list[bytes]:
+    """Encode a shard for its next owner.
+
+    :param name: workspace and shard index.
+    :param shard: state to encode.
+    :param now_s: current time in seconds.
+    :returns: parts that each fit into a frame.
+    """
+    ledger = shard.ledger
+    by_number = ledger.attempts.by_number
+    attempts = [
+        attempt
+        for number, attempt in by_number.items()
+        if number == attempt.ticket.number
+    ]
+    attempts.sort(key=lambda attempt: attempt.finished_s)
+    shard.bucket.refill(now_s)
+    groups = _grouped(attempts)
+    parts = [
+        ShardPart(
+            workspace=name[0],
+            shard=name[1],
+            index=index,
+            part_count=len(groups),
+            now_s=now_s,
+            level=shard.bucket.level,
+            retry_balance=shard.retries.balance,
+            seal=shard.seal,
+            attempts=group,
+        )
+        for index, group in enumerate(groups)
+    ]
+    parts[0].programs = list(ledger.programs.values())
+    accounts = {id(each): each for each in ledger.accounts.by_root.values()}
+    parts[0].accounts = list(accounts.values())
+    return [msgspec.msgpack.encode(part) for part in parts]
+
+
+def _grouped(attempts: list[Attempt]) -> list[list[Attempt]]:
+    size = ATTEMPTS_PER_PART_COUNT
+    return [
+        attempts[start : start + size]
+        for start in range(0, max(1, len(attempts)), size)
+    ]
+
+
+def import_parts(parts: list[ShardPart], now_s: float) -> Shard:
+    """Rebuild a shard from all of its parts.
+
+    :param parts: all parts of one export, in order.
+    :param now_s: current time in seconds.
+    :returns: the shard; its bucket gets its rate from the next call.
+    """
+    first = parts[0]
+    shift_s = now_s - first.now_s
+    first.seal.missing = {
+        name: replace(missing, since_s=missing.since_s + shift_s)
+        for name, missing in first.seal.missing.items()
+    }
+    # The level is capped by the burst of the configuration at the next call.
+    bucket = Bucket(_NO_RATE_PER_S, first.level, now_s)
+    bucket.assume(first.level, now_s)
+    shard = Shard(bucket=bucket, seal=first.seal)
+    shard.retries.balance = first.retry_balance
+    ledger = shard.ledger
+    for account in first.accounts:
+        ledger.accounts.by_root.update(dict.fromkeys(account.names, account))
+    for program in first.programs:
+        program.active_s += shift_s
+        ledger.programs[program.program_id] = program
+    for attempt in itertools.chain(*(part.attempts for part in parts)):
+        _import_attempt(ledger, attempt, shift_s)
+    return shard
+
+
+def _import_attempt(
+    ledger: ProgramLedger,
+    attempt: Attempt,
+    shift_s: float,
+) -> None:
+    attempt.issued_s += shift_s
+    ledger.attempts.add(attempt, is_rebuilt=True)
+    for number in attempt.numbers:
+        ledger.attempts.by_number[number] = attempt
+    if attempt.outcome != outcomes.RUNNING:
+        ledger.attempts.finish(
+            attempt,
+            attempt.outcome,
+            attempt.finished_s + shift_s,
+        )
--- /dev/null
+++ b/rattanvalve/takeover.py
@@ -0,0 +1,185 @@
+"""Taking over shards: which may be served, and rebuilding them."""
+
+import asyncio
+from collections.abc import Iterable
+
+from rattanvalve.counters import Counter
+from rattanvalve.errors import InvariantError
+from rattanvalve.lines import wait_event
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import Member, RecordSummary, Refusal, Sealed, View
+from rattanvalve.ownercontext import OwnerContext, refuse
+from rattanvalve.ownerports import OwnerPorts
+from rattanvalve.ownership import Owner
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.sealing import Sealer, Sealing
+from rattanvalve.shardtable import ShardName
+from rattanvalve.viewchain import ViewChain
+
+__all__ = ('Takeover',)
+
+_log = part_logger(LogPart.OWNER)
+
+
+class Takeover:
+    """Which shards this process may serve.
+
+    :param owner: owner role of this process.
+    :param ports: collaborators.
+    """
+
+    def __init__(self, owner: Owner, ports: OwnerPorts) -> None:
+        self.chain = ViewChain(owner.name, ports.lookups)
+        self._owner = owner
+        self._ports = ports
+        self._sealer = Sealer(owner.name, ports, owner.metrics)
+        self._lock = asyncio.Lock()
+        self._changed = asyncio.Event()
+
+    def view(self) -> View:
+        """Give the newest view that is known here.
+
+        :returns: view of the blackboard, or a newer one being taken over.
+        """
+        known = (self._ports.blackboard.view, self.chain.newest())
+        return max(known, key=lambda view: view.epoch)
+
+    def is_serving(self, name: ShardName) -> bool:
+        """Tell whether a shard may be acted for.
+
+        :param name: workspace and shard index.
+        :returns: whether the newest view was taken over for this shard.
+        """
+        newest = self.chain.newest()
+        if newest.epoch < max(1, self._ports.blackboard.view.epoch):
+            return False
+        return not self.chain.is_moved(name)
+
+    async def wait_serving(
+        self,
+        name: ShardName,
+        timeout_s: float,
+    ) -> Refusal | None:
+        """Wait until a shard may be acted for.
+
+        :param name: workspace and shard index.
+        :param timeout_s: longest wait in seconds.
+        :returns: refusal if this process is not the owner or the takeover
+            lasts too long.
+        """
+        deadline_s = self._ports.clock() + timeout_s
+        while self.chain.is_mine(self.view(), name):
+            if self.is_serving(name):
+                return None
+            left_s = deadline_s - self._ports.clock()
+            if left_s <= 0:
+                return refuse(ResultCode.OWNER_UNAVAILABLE)
+            await wait_event(self._changed, left_s, self._ports.sleep)
+        return refuse(ResultCode.NOT_OWNER, epoch=self.view().epoch)
+
+    async def take_over(self, old_view: View, new_view: View) -> None:
+        """Seal endpoints, rebuild the shards that moved here and serve them.
+
+        :param old_view: view before the change; epoch 0 at the start.
+        :param new_view: view after the change.
+        """
+        if self.chain.see(old_view, new_view, self._ports.clock()):
+            self._release_moved(new_view)
+        async with self._lock:
+            if not self.chain.is_settled():
+                await self._settle_chain()
+        self.publish()
+
+    async def reseal(self) -> None:
+        """Try again to seal the endpoints that the last takeover missed."""
+        view = self.view()
+        for missing in tuple(self._owner.table.seal.missing.values()):
+            member = self._ports.lookups.member_of(view, missing.name)
+            if member and member.incarnation != missing.incarnation:
+                self._owner.table.sealed_late(missing.name)
+                continue
+            answer = await self._sealer.seal_one(
+                Member(
+                    name=missing.name,
+                    host=missing.host,
+                    port=missing.port,
+                ),
+                view,
+            )
+            if isinstance(answer, Sealed) and view.epoch == self.view().epoch:
+                self._adopt_records(
+                    record
+                    for record in answer.records
+                    if self._is_affected(record, missing.name)
+                )
+                self._owner.table.sealed_late(missing.name)
+
+    def publish(self) -> None:
+        """Wake the requests that wait for a shard."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _release_moved(self, new_view: View) -> None:
+        """Forget the shards that a view gives to others."""
+        for name in tuple(self._owner.table.shards):
+            if not self.chain.is_mine(new_view, name):
+                self._owner.table.release(*name)
+                self.chain.imported.pop(name, None)
+        self._owner.table.drop_parts()
+        self.publish()
+
+    async def _settle_chain(self) -> None:
+        if self.chain.needs_seal():
+            sealing = await self._sealer.seal_all(self.chain)
+            if sealing.step is not self.chain.steps[-1]:
+                raise InvariantError('takeover of a view that is not newest')
+            self._adopt(sealing)
+        self.chain.settle()
+
+    def _adopt(self, sealing: Sealing) -> None:
+        now_s = self._ports.clock()
+        missing = sealing.missing(now_s)
+        moved = [
+            name
+            for name in self._owner.table.shards
+            if self.chain.is_moved(name)
+        ]
+        self._owner.table.start_takeover(
+            missing,
+            moved,
+            sealing.is_level_known(),
+            now_s,
+        )
+        self._adopt_records(
+            record
+            for record in sealing.records()
+            if self.chain.is_moved(_shard_name(record))
+        )
+        if missing:
+            _log.warning('took over with %d endpoints unsealed', len(missing))
+
+    def _adopt_records(self, records: Iterable[RecordSummary]) -> None:
+        view = self.view()
+        now_s = self._ports.clock()
+        context = OwnerContext(
+            catalog=self._ports.blackboard.catalog,
+            view=view,
+            mode=self._ports.mode(now_s),
+            place=self._ports.place,
+            owner_of=self._ports.lookups.owner_of,
+        )
+        mine = [
+            record
+            for record in records
+            if self.chain.is_mine(view, _shard_name(record))
+        ]
+        count = self._owner.table.adopt(mine, context, now_s)
+        self._owner.metrics.count(Counter.REBUILT_RECORDS, count)
+
+    def _is_affected(self, record: RecordSummary, endpoint: str) -> bool:
+        shard = self._owner.table.find(*_shard_name(record))
+        return shard is None or endpoint in shard.seal.missing
+
+
+def _shard_name(record: RecordSummary) -> ShardName:
+    return record.ticket.workspace, record.ticket.shard
--- /dev/null
+++ b/tests/owner_service.feature
@@ -0,0 +1,38 @@
+Feature: requests to the owner
+
+  Scenario: calls of a busy program wait in order of arrival
+    When five calls of one program begin at once
+    Then they are admitted one after another in their order
+
+  Scenario: a call waits for its program no longer than its timeout
+    Then a call of a busy program is refused at its timeout
+
+  Scenario: an overdue ticket does not block its program for ever
+    Then a call gets its turn after the lost report of the earlier one
+
+  Scenario: requests within the rate wait and others are refused at once
+    When 40 requests arrive at a rate of 10 in one second
+    Then those that fit into a second wait and the others are refused at once
+
+  Scenario: a process that is not the owner refuses
+    Then requests at another process get NOT_OWNER with its epoch
+
+  Scenario: requests wait for a takeover that lasts too long only so long
+    Then requests of unsealed shards are refused with OWNER_UNAVAILABLE
+
+  Scenario: a successor without every seal is careful
+    Given an owner that died while an endpoint is unreachable
+    Then the successor serves after the lease at half the rate
+    And an unknown key of that service ends with OUTCOME_UNKNOWN
+    And the late seal restores the whole rate and the records
+
+  Scenario: a leaving owner hands its ledger over
+    Given a program with a running and a finished call
+    When its owner leaves with a handover
+    Then the next owner continues without records
+
+  Scenario: an outdated handover is refused
+    Then a handover of an older epoch is refused
+
+  Scenario: a restarted endpoint gives unknown
+    Then a run of an earlier incarnation ends with unknown
--- /dev/null
+++ b/tests/ownership.feature
@@ -0,0 +1,39 @@
+Feature: ownership of workspace shards
+
+  @randomised
+  Scenario Outline: random crashes, joins and breaks keep the invariants
+    When a cell lives through random events with <fault>
+    Then the invariants are <verdict>
+
+    Examples:
+      | fault            | verdict  |
+      | no fault         | kept     |
+      | records ignored  | violated |
+      | full bucket      | violated |
+      | no settle        | violated |
+
+  Scenario Outline: a broken run is settled
+    Given a running <kind> request
+    When its run broke off and the endpoint says <settled>
+    Then the owner answers with <answer>
+
+    Examples:
+      | kind           | settled  | answer       |
+      | non-repeatable | not_run  | a new ticket |
+      | non-repeatable | answered | answered     |
+      | non-repeatable | running  | running      |
+      | non-repeatable | unknown  | unknown      |
+      | repeatable     | unknown  | a new ticket |
+
+  Scenario: retries end when their budget is empty
+    Then repeated breaks end with unknown
+
+  Scenario Outline: the act mode limits what is admitted
+    Then in mode <mode> a <kind> request gets <answer>
+
+    Examples:
+      | mode | kind           | answer        |
+      | FULL | non-repeatable | Ticket        |
+      | HALF | non-repeatable | NOT_CONFIRMED |
+      | HALF | repeatable     | Ticket        |
+      | NONE | repeatable     | NOT_CONFIRMED |
--- /dev/null
+++ b/tests/programs.feature
@@ -0,0 +1,36 @@
+Feature: order, budget and identity of calls
+
+  @randomised
+  Scenario Outline: random calls keep order, budget and one ticket each
+    When random calls of several programs run with <fault>
+    Then the ledger is <verdict>
+
+    Examples:
+      | fault               | verdict |
+      | no fault            | correct |
+      | no order            | wrong   |
+      | no budget           | wrong   |
+      | no parent           | wrong   |
+      | unknown not charged | wrong   |
+      | no index            | wrong   |
+
+  Scenario Outline: an idempotency key names one request
+    Given a finished call with an idempotency key
+    When the key comes again with another <field>
+    Then the answer is <answer>
+
+    Examples:
+      | field           | answer     |
+      | request_id      | answered   |
+      | program_id      | KEY_REUSED |
+      | service_name    | KEY_REUSED |
+      | history_digests | KEY_REUSED |
+
+  Scenario: the same request id never gets a second ticket
+    Then a repeated request gets the place of the first record
+
+  Scenario: state is bounded and idle programs expire
+    Then idle programs, their accounts and old attempts are dropped
+
+  Scenario: a call does not cost more with many programs
+    Then a call does as many steps with 20000 programs as with 20
--- /dev/null
+++ b/tests/steps/owner_service_steps.py
@@ -0,0 +1,272 @@
+"""Steps of owner_service.feature."""
+
+import asyncio
+
+from behave import given, then, when
+
+from rattanvalve import outcomes
+from rattanvalve.messages import Handover, Outcome, Refusal, Ticket, Usage
+from rattanvalve.resultcodes import ResultCode
+from tests.owner_world import (
+    World,
+    finish_of,
+    new_begin,
+    resolve_of,
+)
+from tests.steps.programs_steps import single_owner
+
+SOUTH = {'workspace': 'south', 'shard': 0}
+
+
+def code_of(answer):
+    """Name the code of a refusal."""
+    assert isinstance(answer, Refusal), answer
+    return ResultCode(answer.code).name
+
+
+def start_all(context, entry, begins):
+    """Begin calls at once, in their order."""
+
+    async def start():
+        calls = [entry.service.begin(begin) for begin in begins]
+        tasks = [asyncio.ensure_future(call) for call in calls]
+        await context.world.time.settle()
+        return tasks
+
+    return context.run(start())
+
+
+def drive(context, awaitable):
+    """Run to the end in virtual time."""
+    return context.run(context.world.time.drive(awaitable))
+
+
+def start_world(context, **sizes):
+    """Start a cell whose entries serve."""
+    context.world = World(**sizes)
+    drive(context, context.world.change_view())
+    return context.world
+
+
+@when('five calls of one program begin at once')
+def step_five(context):
+    world = start_world(context)
+    entry = world.owner()
+    begins = [new_begin(request_id=f'r{number}') for number in range(5)]
+    tasks = start_all(context, entry, begins)
+    context.admitted = []
+    for number in range(5):
+        done = [task for task in tasks if task.done()]
+        assert len(done) == number + 1
+        ticket = done[-1].result()
+        context.admitted.append((ticket.request_id, ticket.turn))
+        drive(context, entry.service.finish(finish_of(ticket)))
+        context.run(world.time.settle())
+
+
+@then('they are admitted one after another in their order')
+def step_in_order(context):
+    expected = [(f'r{number}', number + 1) for number in range(5)]
+    assert context.admitted == expected
+
+
+@then('a call of a busy program is refused at its timeout')
+def step_timeout(context):
+    world = start_world(context)
+    entry = world.owner()
+    drive(context, entry.service.begin(new_begin()))
+    started_s = world.time.now_s
+    waiting = new_begin(timeout_ms=700)
+    answer = drive(context, entry.service.begin(waiting))
+    assert code_of(answer) == 'TIMEOUT_QUEUED'
+    assert abs(world.time.now_s - started_s - 0.7) < 1e-6
+
+
+@then('a call gets its turn after the lost report of the earlier one')
+def step_overdue(context):
+    world = start_world(context)
+    entry = world.owner()
+    first = drive(context, entry.service.begin(new_begin(timeout_ms=1000)))
+    world.endpoint(first).run(first)
+    world.endpoint(first).complete(first.number, Usage(output_tokens=2))
+    second = drive(context, entry.service.begin(new_begin()))
+    assert isinstance(second, Ticket)
+    assert second.turn == 2
+    assert second.attained_tokens == 2
+
+
+@when('40 requests arrive at a rate of 10 in one second')
+def step_crowd(context):
+    world = start_world(context)
+    context.entry = world.owner('south')
+    begins = [new_begin(f'p{number}', **SOUTH) for number in range(40)]
+    # One shard has half of the workspace: 5 per second and a burst of 2.
+    context.tasks = start_all(context, context.entry, begins)
+
+
+@then('those that fit into a second wait and the others are refused at once')
+def step_crowd_answers(context):
+    early = [task.result() for task in context.tasks if task.done()]
+    refused = [each for each in early if isinstance(each, Refusal)]
+    assert {code_of(each) for each in refused} == {'RATE_EXCEEDED'}
+    assert len(early) - len(refused) == 2
+    assert len(refused) == 40 - 2 - 5
+    assert all(each.retry_after_ms >= 1000 for each in refused)
+    answers = drive(context, asyncio.gather(*context.tasks))
+    programs = [a.program_id for a in answers if isinstance(a, Ticket)]
+    assert programs == [f'p{number}' for number in range(7)]
+
+
+@then('requests at another process get NOT_OWNER with its epoch')
+def step_not_owner(context):
+    world = start_world(context)
+    for entry in world.entries.values():
+        answer = drive(context, entry.service.begin(new_begin()))
+        if entry is world.owner():
+            assert isinstance(answer, Ticket)
+        else:
+            assert code_of(answer) == 'NOT_OWNER'
+            assert answer.epoch == world.view.epoch
+
+
+@then('requests of unsealed shards are refused with OWNER_UNAVAILABLE')
+def step_gate(context):
+    context.world = World(entry_count=1)
+    world = context.world
+    world.endpoints[0].epoch = 99
+    entry = world.entries['e0']
+    # The refusal of the seal shows that a newer view exists.
+    seen = context.loop.create_task(entry.see(world.next_view()))
+    started_s = world.time.now_s
+    answer = drive(context, entry.service.begin(new_begin()))
+    assert code_of(answer) == 'OWNER_UNAVAILABLE'
+    assert abs(world.time.now_s - started_s - 15) < 1e-6
+    assert not seen.done()
+    assert not entry.owner.table.shards
+
+
+@given('an owner that died while an endpoint is unreachable')
+def step_died(context):
+    world = start_world(context)
+    first = world.owner('south')
+    begin = new_begin(idempotency_key='ran', **SOUTH)
+    world.endpoints[0].is_up = True
+    ticket = drive(context, first.service.begin(begin))
+    context.lost = world.endpoint(ticket)
+    context.lost.run(ticket)
+    context.lost.is_up = False
+    context.ticket = ticket
+    world.entries.pop(first.name)
+    context.started_s = world.time.now_s
+    drive(context, world.change_view())
+    context.entry = world.owner('south')
+
+
+@then('the successor serves after the lease at half the rate')
+def step_half(context):
+    world = context.world
+    assert 10 <= world.time.now_s - context.started_s < 11
+    shard_bucket = None
+    answer = drive(context, context.entry.service.begin(new_begin(**SOUTH)))
+    assert isinstance(answer, Ticket)
+    shard_bucket = context.entry.owner.table.find('south', 0).bucket
+    assert (shard_bucket._rate_per_s, shard_bucket._burst) == (2.5, 1)
+
+
+@then('an unknown key of that service ends with OUTCOME_UNKNOWN')
+def step_unknown_key(context):
+    for fields, expected in (
+        ({'idempotency_key': 'ran'}, 'OUTCOME_UNKNOWN'),
+        ({'idempotency_key': 'x', 'is_repeatable': True}, None),
+    ):
+        begin = new_begin('q', **fields, **SOUTH)
+        answer = drive(context, context.entry.service.begin(begin))
+        if expected:
+            assert code_of(answer) == expected
+        else:
+            assert isinstance(answer, Ticket)
+
+
+@then('the late seal restores the whole rate and the records')
+def step_late(context):
+    context.lost.is_up = True
+    drive(context, context.entry.service.reseal())
+    begin = new_begin(idempotency_key='ran', **SOUTH)
+    answer = drive(context, context.entry.service.begin(begin))
+    assert isinstance(answer, Outcome)
+    assert answer.number == context.ticket.number
+    drive(context, context.entry.service.begin(new_begin('z', **SOUTH)))
+    bucket = context.entry.owner.table.find('south', 0).bucket
+    assert (bucket._rate_per_s, bucket._burst) == (5, 2)
+
+
+@given('a program with a running and a finished call')
+def step_two_calls(context):
+    world = start_world(context)
+    service = world.owner().service
+    first = drive(context, service.begin(new_begin(idempotency_key='k')))
+    drive(context, service.finish(finish_of(first)))
+    context.first = first
+    context.second = drive(context, service.begin(new_begin()))
+
+
+@when('its owner leaves with a handover')
+def step_leaves(context):
+    world = context.world
+    leaving = world.owner()
+    world.entries.pop(leaving.name)
+    view = world.next_view()
+
+    async def see_all():
+        entries = (leaving, *world.entries.values())
+        await asyncio.gather(*(entry.see(view) for entry in entries))
+
+    drive(context, see_all())
+    assert not leaving.owner.table.shards
+
+
+@then('the next owner continues without records')
+def step_continues(context):
+    entry = context.world.owner()
+    service = entry.service
+    known = drive(
+        context,
+        service.begin(new_begin(idempotency_key='k')),
+    )
+    assert (known.number, known.outcome) == (
+        context.first.number,
+        outcomes.ANSWERED,
+    )
+    waiting = new_begin(timeout_ms=100)
+    answer = drive(context, service.begin(waiting))
+    assert code_of(answer) == 'TIMEOUT_QUEUED'
+    drive(context, service.finish(finish_of(context.second)))
+    third = drive(context, service.begin(new_begin()))
+    assert (third.turn, third.attained_tokens) == (3, 20)
+    assert third.endpoint == context.second.endpoint
+
+
+@then('a handover of an older epoch is refused')
+def step_old_handover(context):
+    world = start_world(context)
+    drive(context, world.change_view())
+    entry = world.owner()
+    drive(context, entry.service.begin(new_begin()))
+    state = entry.owner.table.export_state('north', 0, world.time.now_s)
+    for epoch, is_taken in ((1, False), (2, True)):
+        message = Handover(epoch=epoch, state=state[0])
+        answer = drive(context, entry.service.receive_handover(message))
+        assert isinstance(answer, Refusal) is not is_taken
+        assert bool(entry.owner.table.shards) is is_taken
+
+
+@then('a run of an earlier incarnation ends with unknown')
+def step_restarted(context):
+    world, entry = single_owner(context)
+    context.world = world
+    ticket = drive(context, entry.service.begin(new_begin()))
+    world.endpoint(ticket).incarnation = 'i2'
+    drive(context, world.change_view())
+    answer = drive(context, entry.service.resolve(resolve_of(ticket)))
+    assert isinstance(answer, Outcome)
+    assert answer.outcome == outcomes.UNKNOWN
--- /dev/null
+++ b/tests/steps/ownership_steps.py
@@ -0,0 +1,281 @@
+"""Steps of ownership.feature."""
+
+import asyncio
+import random
+from collections import Counter
+
+from behave import given, then, when
+
+from rattanvalve import outcomes, shardtable
+from rattanvalve.actmode import ActMode
+from rattanvalve.errors import InvariantError
+from rattanvalve.messages import Outcome, Refusal, Ticket, Usage
+from rattanvalve.ratelimit import Bucket
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.settling import Settler
+from tests.owner_world import (
+    FakeEntry,
+    World,
+    finish_of,
+    new_begin,
+    rate_violations,
+    resolve_of,
+)
+from tests.soak import soak_seeds
+from tests.steps.programs_steps import decide, patched, single_owner
+
+
+def restore_full(bucket, ages_s, now_s):
+    """Start full whatever was admitted before."""
+    bucket.assume(1e9, now_s)
+
+
+async def always_not_run(settler, attempt):
+    """Claim that nothing ran without asking."""
+    return outcomes.NOT_RUN
+
+
+FAULTS = {
+    'records ignored': (shardtable, 'add_records', lambda *given: 0),
+    'full bucket': (Bucket, 'restore', restore_full),
+    'no settle': (Settler, 'settle', always_not_run),
+}
+
+
+class Life:
+    """Random events in one cell."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.world = World()
+        self.running = []
+        self.issued = []
+        self.admitted_s = {}
+        # A restarted endpoint loses its records, so that the strict checks
+        # need rounds without restarts.
+        self.has_restarts = bool(seed % 2)
+
+    async def run(self):
+        """Run events and return what was wrong."""
+        await self.world.time.drive(self.world.change_view())
+        events = (
+            (self.begin, 60),
+            (self.complete, 30),
+            (self.break_off, 12),
+            (self.crash_entry, 2),
+            (self.leave_entry, 2),
+            (self.restart_endpoint, int(self.has_restarts)),
+        )
+        actions = [event for event, weight in events for _ in range(weight)]
+        for _ in range(250):
+            await self.rng.choice(actions)()
+            await self.world.time.advance(self.rng.expovariate(40))
+        return self.violations()
+
+    async def begin(self):
+        """Send one of a few requests, so that many are repeated."""
+        workspace = self.rng.choice(('north', 'south'))
+        program = f'p{self.rng.randint(0, 12)}'
+        shard = self.world.catalog.shard_of(workspace, program)
+        begin = new_begin(
+            program,
+            workspace=workspace,
+            shard=shard,
+            is_repeatable=self.rng.random() < 0.3,
+            idempotency_key=f'{program}-{self.rng.randint(0, 7)}',
+            timeout_ms=500,
+        )
+        entry = self.world.owner(workspace, shard)
+        answer = await self.drive(entry.service.begin(begin))
+        if isinstance(answer, Ticket):
+            self.admitted_s[answer.number] = self.world.time.now_s
+            self.run_ticket(answer)
+
+    def run_ticket(self, ticket):
+        """Hand a ticket over, unless that message is lost."""
+        self.issued.append(ticket)
+        is_lost = self.rng.random() < 0.1
+        if not is_lost and self.world.endpoint(ticket).run(ticket):
+            self.running.append(ticket)
+
+    async def complete(self):
+        """End a running request."""
+        if self.running:
+            ticket = self.running.pop(self.rng.randrange(len(self.running)))
+            endpoint = self.world.endpoint(ticket)
+            if ticket.number in endpoint.records:
+                usage = Usage(output_tokens=3)
+                endpoint.complete(ticket.number, usage)
+                await self.report(ticket, usage)
+
+    async def report(self, ticket, usage):
+        """Report the end to the owner, unless that message is lost."""
+        if self.rng.random() < 0.8:
+            entry = self.world.owner(ticket.workspace, ticket.shard)
+            report = finish_of(ticket, usage=usage)
+            await self.drive(entry.service.finish(report))
+
+    async def break_off(self):
+        """Ask what to do for a ticket, run or not."""
+        if self.issued:
+            ticket = self.rng.choice(self.issued[-6:])
+            entry = self.world.owner(ticket.workspace, ticket.shard)
+            resolve = resolve_of(ticket)
+            answer = await self.drive(entry.service.resolve(resolve))
+            if isinstance(answer, Ticket):
+                self.retry(ticket, answer)
+
+    def retry(self, earlier, ticket):
+        """Run a new ticket; it needs no admission if nothing ran."""
+        record = self.world.endpoint(earlier).records.get(earlier.number)
+        is_not_run = record is not None and record[1] == outcomes.NOT_RUN
+        self.admitted_s[ticket.number] = (
+            self.admitted_s[earlier.number]
+            if is_not_run
+            else self.world.time.now_s
+        )
+        self.run_ticket(ticket)
+
+    async def crash_entry(self):
+        """Replace an entry that loses everything."""
+        name = self.rng.choice(sorted(self.world.entries))
+        entry = self.world.entries.pop(name)
+        await self.drive(self.world.change_view())
+        await self.join(name, f'{entry.incarnation}1')
+
+    async def leave_entry(self):
+        """Replace an entry that hands its shards over."""
+        name = self.rng.choice(sorted(self.world.entries))
+        entry = self.world.entries.pop(name)
+        view = self.world.next_view()
+        others = tuple(self.world.entries.values())
+        sees = [each.see(view) for each in (entry, *others)]
+        await self.drive(asyncio.gather(*sees))
+        await self.join(name, f'{entry.incarnation}1')
+
+    async def join(self, name, incarnation):
+        """Add an empty entry."""
+        entry = FakeEntry(self.world, name, incarnation)
+        self.world.entries[name] = entry
+        await self.drive(self.world.change_view())
+
+    async def restart_endpoint(self):
+        """Lose the records of an endpoint; its work is cancelled."""
+        endpoint = self.rng.choice(self.world.endpoints)
+        endpoint.incarnation += '1'
+        endpoint.records.clear()
+        await self.drive(self.world.change_view())
+
+    def drive(self, awaitable):
+        """Run to the end in virtual time."""
+        return self.world.time.drive(awaitable)
+
+    def violations(self):
+        """Compare what ran with the invariants."""
+        if self.has_restarts:
+            return []
+        ran = Counter(
+            (ticket.workspace, ticket.idempotency_key)
+            for _, ticket in self.world.journal
+            if not ticket.is_repeatable
+        )
+        wrong = [('twice', name) for name in ran if ran[name] > 1]
+        turns = {}
+        for _, ticket in self.world.journal:
+            program = (ticket.workspace, ticket.program_id)
+            if ticket.turn < turns.get(program, 0):
+                wrong.append(('order', ticket.number))
+            turns[program] = ticket.turn
+        rate = self.world.catalog.rate_of_shard('south')
+        for shard in range(2):
+            times = self.admissions(shard)
+            found = rate_violations(times, rate.rate_per_s, rate.burst)
+            wrong += [('rate', pair) for pair in found]
+        return wrong
+
+    def admissions(self, shard):
+        """List when the runs of a shard of `south` were admitted."""
+        return sorted(
+            self.admitted_s[ticket.number]
+            for _, ticket in self.world.journal
+            if (ticket.workspace, ticket.shard) == ('south', shard)
+        )
+
+
+@when('a cell lives through random events with {fault}')
+def step_life(context, fault):
+    context.wrong = []
+    with patched(fault, FAULTS):
+        for seed in soak_seeds(12):
+            try:
+                context.wrong.extend(context.run(Life(seed).run()))
+            except InvariantError as error:
+                context.wrong.append(str(error))
+
+
+@then('the invariants are {verdict}')
+def step_invariants(context, verdict):
+    assert bool(context.wrong) == (verdict == 'violated'), context.wrong
+
+
+@given('a running {kind} request')
+def step_running(context, kind):
+    world, entry = single_owner(context)
+    context.world = world
+    context.entry = entry
+    begin = new_begin(is_repeatable=kind == 'repeatable', idempotency_key='k')
+    context.ticket = decide(context.entry, begin, 1001)
+
+
+@when('its run broke off and the endpoint says {settled}')
+def step_broken(context, settled):
+    endpoint = context.world.endpoint(context.ticket)
+    record = [context.ticket, settled, Usage(), 1001]
+    endpoint.records[context.ticket.number] = record
+    context.answer = context.run(
+        context.entry.service.resolve(resolve_of(context.ticket)),
+    )
+
+
+@then('the owner answers with {answer}')
+def step_resolved(context, answer):
+    if answer == 'a new ticket':
+        assert isinstance(context.answer, Ticket)
+        assert context.answer.number != context.ticket.number
+        assert context.answer.turn == context.ticket.turn
+    else:
+        assert isinstance(context.answer, Outcome)
+        assert context.answer.outcome == answer
+        assert context.answer.endpoint == context.ticket.endpoint
+
+
+@then('repeated breaks end with unknown')
+def step_retry_end(context):
+    _, entry = single_owner(context)
+    ticket_count = 0
+    for number in range(30):
+        begin = new_begin(f'p{number}', is_repeatable=True)
+        answer = decide(entry, begin, 1001)
+        while isinstance(answer, Ticket):
+            ticket_count += 1
+            limits = entry.service._queue.context(('north', 0), 0)
+            answer = entry.owner.resolve(
+                resolve_of(answer),
+                outcomes.UNKNOWN,
+                limits,
+                1001,
+            )
+        assert answer.outcome == outcomes.UNKNOWN
+    assert 30 < ticket_count <= 30 + 3 + 3
+
+
+@then('in mode {mode} a {kind} request gets {answer}')
+def step_mode(context, mode, kind, answer):
+    _, entry = single_owner(context)
+    entry.mode = ActMode[mode]
+    begin = new_begin(is_repeatable=kind == 'repeatable')
+    given_answer = decide(entry, begin, 1001)
+    if isinstance(given_answer, Refusal):
+        assert ResultCode(given_answer.code).name == answer
+    else:
+        assert type(given_answer).__name__ == answer
