--- a/rattanvalve/handover.py
+++ b/rattanvalve/handover.py
@@ -79,6 +79,12 @@
         except msgspec.DecodeError as error:
             raise FrameError('malformed Handover state') from error
         if name is not None:
+            # The bucket refills at the configured rate from now on.
+            self._owner.table.open(
+                name,
+                self._takeover.context(),
+                self._ports.clock(),
+            )
             self._takeover.chain.imported[name] = handover.epoch
             self._takeover.publish()
         return Ack(epoch=epoch)
--- a/rattanvalve/idempotency.py
+++ b/rattanvalve/idempotency.py
@@ -1,5 +1,6 @@
 """Index of attempts by ticket number, request id and idempotency key."""
 
+import itertools
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -19,6 +20,8 @@
 #: Equal to the retention of the endpoint records.
 RETENTION_S = 600.0
 MAX_ATTEMPT_COUNT = 100_000
+# Bounds the work of one call; each call adds at most one attempt.
+_SWEEP_COUNT = 8
 
 #: Of several attempts under one name, the one that ran counts.
 _KNOWLEDGE = {
@@ -131,15 +134,17 @@
         :param now_s: current time in seconds.
         :returns: ``False`` if too many attempts must still be kept.
         """
+        expired: list[Attempt] = []
         for finished in self._finished.values():
-            while finished:
-                oldest = next(iter(finished.values()))
+            for oldest in itertools.islice(finished.values(), _SWEEP_COUNT):
                 if now_s - oldest.finished_s < RETENTION_S:
                     break
-                self._drop(finished.popitem(last=False)[1])
+                expired.append(oldest)
+        for attempt in expired:
+            self._drop(attempt)
         repeatable = self._finished[True]
         if len(self.by_number) >= MAX_ATTEMPT_COUNT and repeatable:
-            self._drop(repeatable.popitem(last=False)[1])
+            self._drop(next(iter(repeatable.values())))
         return len(self.by_number) < MAX_ATTEMPT_COUNT
 
     def _names(
@@ -152,9 +157,11 @@
         )
 
     def _drop(self, attempt: Attempt) -> None:
+        ticket = attempt.ticket
+        self._finished[ticket.is_repeatable].pop(ticket.number, None)
         for number in attempt.numbers:
             self.by_number.pop(number, None)
-        for index, name in self._names(attempt.ticket):
+        for index, name in self._names(ticket):
             if index.get(name) is attempt:
                 index.pop(name)
 
--- a/rattanvalve/programs.py
+++ b/rattanvalve/programs.py
@@ -1,7 +1,7 @@
 """Ledger of the programs of one workspace shard: order, budget, history."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from rattanvalve import budgets, outcomes
 from rattanvalve.accounts import RootAccounts
@@ -155,7 +155,7 @@
             raise InvariantError('turn out of order')
         attempt = Attempt(
             ticket=ticket,
-            begin=begin,
+            begin=replace(begin, history_digests=()),
             reservation=turn.reservation,
             issued_s=now_s,
         )
--- a/rattanvalve/ratelimit.py
+++ b/rattanvalve/ratelimit.py
@@ -64,12 +64,16 @@
     def configure(self, rate_per_s: float, burst: float, now_s: float) -> None:
         """Change rate and burst.
 
+        The change may have taken effect at any time since the last call, so
+        that time is counted at the lower rate.
+
         :param rate_per_s: tokens added per second from now on.
         :param burst: largest level in tokens from now on.
         :param now_s: current time in seconds.
         """
         if (rate_per_s, burst) == (self._rate_per_s, self._burst):
             return
+        self._rate_per_s = min(self._rate_per_s, rate_per_s)
         self.refill(now_s)
         self._rate_per_s = rate_per_s
         self._burst = burst
--- a/rattanvalve/takeover.py
+++ b/rattanvalve/takeover.py
@@ -114,6 +114,19 @@
                 )
                 self._owner.table.sealed_late(missing.name)
 
+    def context(self) -> OwnerContext:
+        """Collect what the rebuilding of a shard depends on.
+
+        :returns: context at the current time.
+        """
+        return OwnerContext(
+            catalog=self._ports.blackboard.catalog,
+            view=self.view(),
+            mode=self._ports.mode(self._ports.clock()),
+            place=self._ports.place,
+            owner_of=self._ports.lookups.owner_of,
+        )
+
     def publish(self) -> None:
         """Wake the requests that wait for a shard."""
         self._changed.set()
@@ -160,20 +173,16 @@
 
     def _adopt_records(self, records: Iterable[RecordSummary]) -> None:
         view = self.view()
-        now_s = self._ports.clock()
-        context = OwnerContext(
-            catalog=self._ports.blackboard.catalog,
-            view=view,
-            mode=self._ports.mode(now_s),
-            place=self._ports.place,
-            owner_of=self._ports.lookups.owner_of,
-        )
         mine = [
             record
             for record in records
             if self.chain.is_mine(view, _shard_name(record))
         ]
-        count = self._owner.table.adopt(mine, context, now_s)
+        count = self._owner.table.adopt(
+            mine,
+            self.context(),
+            self._ports.clock(),
+        )
         self._owner.metrics.count(Counter.REBUILT_RECORDS, count)
 
     def _is_affected(self, record: RecordSummary, endpoint: str) -> bool:
--- a/tests/owner_service.feature
+++ b/tests/owner_service.feature
@@ -34,5 +34,17 @@
   Scenario: an outdated handover is refused
     Then a handover of an older epoch is refused
 
+  Scenario Outline: the checks notice a broken mechanism
+    Then the check of <subject> fails with <fault>
+
+    Examples:
+      | subject      | fault                  |
+      | order        | waiting without order  |
+      | gate         | serving without seal   |
+      | careful heir | no careful refusal     |
+      | careful heir | late records ignored   |
+      | handover     | handover dropped       |
+      | epoch        | epoch ignored          |
+
   Scenario: a restarted endpoint gives unknown
     Then a run of an earlier incarnation ends with unknown
--- a/tests/ownership.feature
+++ b/tests/ownership.feature
@@ -12,6 +12,16 @@
       | full bucket      | violated |
       | no settle        | violated |
 
+  @randomised
+  Scenario Outline: an isolated owner and its successor share the rate
+    When an isolated owner and its successor admit with <fault>
+    Then the invariants are <verdict>
+
+    Examples:
+      | fault        | verdict  |
+      | no fault     | kept     |
+      | no half rate | violated |
+
   Scenario Outline: a broken run is settled
     Given a running <kind> request
     When its run broke off and the endpoint says <settled>
--- a/tests/programs.feature
+++ b/tests/programs.feature
@@ -33,4 +33,4 @@
     Then idle programs, their accounts and old attempts are dropped
 
   Scenario: a call does not cost more with many programs
-    Then a call does as many steps with 20000 programs as with 20
+    Then a call does as many steps with 20000 programs and shards as with 20
--- a/tests/steps/owner_service_steps.py
+++ b/tests/steps/owner_service_steps.py
@@ -1,23 +1,45 @@
 """Steps of owner_service.feature."""
 
 import asyncio
+from collections import deque
+from contextlib import asynccontextmanager
 
 from behave import given, then, when
 
-from rattanvalve import outcomes
-from rattanvalve.messages import Handover, Outcome, Refusal, Ticket, Usage
+from rattanvalve import outcomes, ownership
+from rattanvalve.handover import Handovers
+from rattanvalve.lines import Lines
+from rattanvalve.messages import (
+    Handover,
+    Outcome,
+    Refusal,
+    Ticket,
+    Usage,
+)
 from rattanvalve.resultcodes import ResultCode
+from rattanvalve.shardtable import ShardTable
+from rattanvalve.takeover import Takeover
 from tests.owner_world import (
     World,
     finish_of,
     new_begin,
     resolve_of,
 )
-from tests.steps.programs_steps import single_owner
+from tests.steps.programs_steps import patched, single_owner
 
 SOUTH = {'workspace': 'south', 'shard': 0}
 
 
+@asynccontextmanager
+async def stand_reversed(lines, key, timeout_s):
+    """Let the latest arrival go first."""
+    waiting = lines._lines.setdefault(key, deque())
+    waiting.append(key)
+    for _ in range(8 - len(waiting)):
+        await asyncio.sleep(0)
+    yield True
+
+
 def code_of(answer):
     """Name the code of a refusal."""
     assert isinstance(answer, Refusal), answer
@@ -233,6 +255,7 @@
         context,
         service.begin(new_begin(idempotency_key='k')),
     )
+    assert isinstance(known, Outcome)
     assert (known.number, known.outcome) == (
         context.first.number,
         outcomes.ANSWERED,
@@ -270,3 +293,63 @@
     answer = drive(context, entry.service.resolve(resolve_of(ticket)))
     assert isinstance(answer, Outcome)
     assert answer.outcome == outcomes.UNKNOWN
+
+
+def check_leaving(context):
+    """Run the scenario of a leaving owner."""
+    step_two_calls(context)
+    step_leaves(context)
+    step_continues(context)
+
+
+def check_heir(context):
+    """Run the scenario of a successor without every seal."""
+    step_died(context)
+    step_half(context)
+    step_unknown_key(context)
+    step_late(context)
+
+
+def check_order(context):
+    """Run the scenario of a busy program."""
+    step_five(context)
+    step_in_order(context)
+
+
+CHECKS = {
+    'order': check_order,
+    'gate': step_gate,
+    'careful heir': check_heir,
+    'handover': check_leaving,
+    'epoch': step_old_handover,
+}
+
+
+async def drop_parts(handovers, *export):
+    """Lose the state of a shard."""
+
+
+def import_any(handovers, handover):
+    """Import a shard of any epoch."""
+    handovers._owner.table.import_state(handover.state, 1000)
+
+
+FAULTS = {
+    'waiting without order': (Lines, 'stand', stand_reversed),
+    'serving without seal': (Takeover, 'is_serving', lambda *given: True),
+    'no careful refusal': (ownership, '_unknowable', lambda *given: None),
+    'late records ignored': (ShardTable, 'adopt', lambda *given: 0),
+    'handover dropped': (Handovers, '_send_parts', drop_parts),
+    'epoch ignored': (Handovers, 'receive', import_any),
+}
+
+
+@then('the check of {subject} fails with {fault}')
+def step_check_fails(context, subject, fault):
+    is_noticed = False
+    with patched(fault, FAULTS):
+        try:
+            CHECKS[subject](context)
+        except AssertionError:
+            is_noticed = True
+    assert is_noticed
--- a/tests/steps/ownership_steps.py
+++ b/tests/steps/ownership_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -13,6 +14,7 @@
 from rattanvalve.ratelimit import Bucket
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.settling import Settler
+from rattanvalve.shardstate import MissingEndpoint
 from tests.owner_world import (
     FakeEntry,
     World,
@@ -74,8 +76,8 @@
 
     async def begin(self):
         """Send one of a few requests, so that many are repeated."""
-        workspace = self.rng.choice(('north', 'south'))
-        program = f'p{self.rng.randint(0, 12)}'
+        workspace = self.rng.choice(('north', 'south', 'south', 'south'))
+        program = f'p{self.rng.randint(0, 30)}'
         shard = self.world.catalog.shard_of(workspace, program)
         begin = new_begin(
             program,
@@ -218,6 +220,55 @@
     assert bool(context.wrong) == (verdict == 'violated'), context.wrong
 
 
+def run_isolated(context, seed):
+    """Let an isolated owner and its successor admit at once."""
+    rng = random.Random(seed)
+    world, old = single_owner(context)
+    heir = FakeEntry(world, 'e9', '1')
+    missing = [
+        MissingEndpoint(
+            name='p0',
+            service_name='orders-app',
+            incarnation='i1',
+            host='h',
+            port=100,
+            since_s=1010,
+        ),
+    ]
+    heir.owner.table.start_takeover(missing, (), False, 1010)
+    limits = old.service._queue.context(('south', 0), 0)
+    now_s, times = 1005.0, []
+    for number in range(300):
+        now_s += rng.expovariate(15)
+        mode = ActMode.HALF if now_s >= 1010 else ActMode.FULL
+        is_heir = now_s >= 1010 and rng.random() < 0.5
+        entry = heir if is_heir else old
+        answer = entry.owner.begin(
+            new_begin(f'p{number}', workspace='south', is_repeatable=True),
+            replace(
+                limits,
+                mode=ActMode.FULL if is_heir else mode,
+                owner_of=lambda *given, name=entry.name: name,
+            ),
+            now_s,
+        )
+        if isinstance(answer, Ticket):
+            times.append(now_s)
+    rate = world.catalog.rate_of_shard('south')
+    return rate_violations(times, rate.rate_per_s, rate.burst)
+
+
+@when('an isolated owner and its successor admit with {fault}')
+def step_isolated(context, fault):
+    faults = {'no half rate': (shardtable, '_HALF', 1)}
+    with patched(fault, faults):
+        context.wrong = [
+            found
+            for seed in soak_seeds()
+            for found in run_isolated(context, seed)
+        ]
+
+
 @given('a running {kind} request')
 def step_running(context, kind):
     world, entry = single_owner(context)
--- a/tests/steps/programs_steps.py
+++ b/tests/steps/programs_steps.py
@@ -217,7 +217,7 @@
     return len(events)
 
 
-@then('a call does as many steps with 20000 programs as with 20')
+@then('a call does as many steps with 20000 programs and shards as with 20')
 def step_cost(context):
     counts = []
     for size in (20, 20_000):
@@ -225,6 +225,7 @@
         ledger = LEDGER()
         for number in range(size):
             ledger.join(f'other{number}', '', 1000)
+            entry.owner.table.shards['other', number] = None
         decide(entry, new_begin('first'), 1000)
         entry.owner.table.find('north', 0).ledger = ledger
         counts.append(count_steps(entry, 'measured', 1001))
