--- a/rattanvalve/budgets.py
+++ b/rattanvalve/budgets.py
@@ -144,13 +144,15 @@
     :param target: account that stays.
     :param other: account that is given up.
     """
-    small, large = sorted(
-        (target, other),
-        key=lambda account: account.tokens,
+    # The tokens of a rebuilt account include what the other one had spent when
+    # its newest ticket was issued, so each sum alone is an upper bound.
+    tokens = min(
+        target.tokens + other.own_tokens,
+        other.tokens + target.own_tokens,
     )
     target.names.extend(other.names)
     target.program_count += other.program_count
-    target.tokens = large.tokens + small.own_tokens
+    target.tokens = tokens
     target.own_tokens += other.own_tokens
     target.calls += other.calls
     target.seconds += other.seconds
--- a/rattanvalve/shardstate.py
+++ b/rattanvalve/shardstate.py
@@ -1,6 +1,5 @@
 """State of one workspace shard, its rebuilding and its transfer."""
 
-import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
@@ -23,8 +22,9 @@
     'import_parts',
 )
 
-#: Keeps a part of a large shard well below the frame limit.
-ATTEMPTS_PER_PART_COUNT = 4000
+#: Attempts, programs and accounts of a part each; an attempt is about 1 KB, so
+#: that a part of a large shard stays below the frame limit of 16 MiB.
+ITEMS_PER_PART_COUNT = 4000
 # An imported bucket is not refilled before it gets its configured rate.
 _NO_RATE_PER_S = 1e-9
 
@@ -171,42 +171,47 @@
     :param now_s: current time in seconds.
     :returns: parts that each fit into a frame.
     """
-    ledger = shard.ledger
+    shard.bucket.refill(now_s)
+    attempts = _attempts_of(shard.ledger)
+    programs = list(shard.ledger.programs.values())
+    accounts = _accounts_of(shard.ledger)
+    largest_count = max(len(attempts), len(programs), len(accounts), 1)
+    starts = range(0, largest_count, ITEMS_PER_PART_COUNT)
+    return [
+        msgspec.msgpack.encode(
+            ShardPart(
+                workspace=name[0],
+                shard=name[1],
+                index=index,
+                part_count=len(starts),
+                now_s=now_s,
+                level=shard.bucket.level,
+                retry_balance=shard.retries.balance,
+                seal=shard.seal,
+                programs=programs[start : start + ITEMS_PER_PART_COUNT],
+                accounts=accounts[start : start + ITEMS_PER_PART_COUNT],
+                attempts=attempts[start : start + ITEMS_PER_PART_COUNT],
+            ),
+        )
+        for index, start in enumerate(starts)
+    ]
+
+
+def _attempts_of(ledger: ProgramLedger) -> list[Attempt]:
+    """List each attempt once, in order of the end."""
     by_number = ledger.attempts.by_number
     attempts = [
         attempt
         for number, attempt in by_number.items()
         if number == attempt.ticket.number
     ]
-    attempts.sort(key=lambda attempt: attempt.finished_s)
-    shard.bucket.refill(now_s)
-    groups = _grouped(attempts)
-    parts = [
-        ShardPart(
-            workspace=name[0],
-            shard=name[1],
-            index=index,
-            part_count=len(groups),
-            now_s=now_s,
-            level=shard.bucket.level,
-            retry_balance=shard.retries.balance,
-            seal=shard.seal,
-            attempts=group,
-        )
-        for index, group in enumerate(groups)
-    ]
-    parts[0].programs = list(ledger.programs.values())
-    accounts = {id(each): each for each in ledger.accounts.by_root.values()}
-    parts[0].accounts = list(accounts.values())
-    return [msgspec.msgpack.encode(part) for part in parts]
+    return sorted(attempts, key=lambda attempt: attempt.finished_s)
 
 
-def _grouped(attempts: list[Attempt]) -> list[list[Attempt]]:
-    size = ATTEMPTS_PER_PART_COUNT
-    return [
-        attempts[start : start + size]
-        for start in range(0, max(1, len(attempts)), size)
-    ]
+def _accounts_of(ledger: ProgramLedger) -> list[budgets.Account]:
+    """List each account once; linked roots share one."""
+    shared = {id(each): each for each in ledger.accounts.by_root.values()}
+    return list(shared.values())
 
 
 def import_parts(parts: list[ShardPart], now_s: float) -> Shard:
@@ -228,14 +233,23 @@
     shard = Shard(bucket=bucket, seal=first.seal)
     shard.retries.balance = first.retry_balance
     ledger = shard.ledger
-    for account in first.accounts:
+    for part in parts:
+        _import_programs(ledger, part, shift_s)
+        for attempt in part.attempts:
+            _import_attempt(ledger, attempt, shift_s)
+    return shard
+
+
+def _import_programs(
+    ledger: ProgramLedger,
+    part: ShardPart,
+    shift_s: float,
+) -> None:
+    for account in part.accounts:
         ledger.accounts.by_root.update(dict.fromkeys(account.names, account))
-    for program in first.programs:
+    for program in part.programs:
         program.active_s += shift_s
         ledger.programs[program.program_id] = program
-    for attempt in itertools.chain(*(part.attempts for part in parts)):
-        _import_attempt(ledger, attempt, shift_s)
-    return shard
 
 
 def _import_attempt(
--- a/rattanvalve/takeover.py
+++ b/rattanvalve/takeover.py
@@ -176,7 +176,10 @@
         mine = [
             record
             for record in records
-            if self.chain.is_mine(view, _shard_name(record))
+            # A number that was settled before its ticket arrived has a record
+            # without a ticket.
+            if record.ticket.workspace
+            and self.chain.is_mine(view, _shard_name(record))
         ]
         count = self._owner.table.adopt(
             mine,
--- a/tests/owner_service.feature
+++ b/tests/owner_service.feature
@@ -34,6 +34,12 @@
   Scenario: an outdated handover is refused
     Then a handover of an older epoch is refused
 
+  Scenario: a successor rebuilds budgets and roots from records
+    Then the successor of a dead owner knows what programs spent
+
+  Scenario: a large shard travels in several parts
+    Then a shard of 9000 attempts is imported from frames below the limit
+
   Scenario Outline: the checks notice a broken mechanism
     Then the check of <subject> fails with <fault>
 
@@ -44,6 +50,8 @@
       | careful heir | no careful refusal     |
       | careful heir | late records ignored   |
       | handover     | handover dropped       |
+      | rebuild      | records ignored        |
+      | large        | parts mixed up         |
       | epoch        | epoch ignored          |
 
   Scenario: a restarted endpoint gives unknown
--- a/tests/steps/owner_service_steps.py
+++ b/tests/steps/owner_service_steps.py
@@ -3,22 +3,26 @@
 import asyncio
 from collections import deque
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 from behave import given, then, when
 
-from rattanvalve import outcomes, ownership
+from rattanvalve import outcomes, ownership, shardtable
 from rattanvalve.handover import Handovers
 from rattanvalve.lines import Lines
 from rattanvalve.messages import (
     Handover,
     Outcome,
+    RecordSummary,
     Refusal,
     Ticket,
     Usage,
 )
 from rattanvalve.resultcodes import ResultCode
+from rattanvalve.shardstate import add_records
 from rattanvalve.shardtable import ShardTable
 from rattanvalve.takeover import Takeover
+from rattanvalve.wire import MAX_FRAME_BYTES
 from tests.owner_world import (
     World,
     finish_of,
@@ -316,7 +320,72 @@
     step_in_order(context)
 
 
+def call_once(context, program, **fields):
+    """Run one call to its end at its owner and endpoint."""
+    world = context.world
+    service = world.owner().service
+    ticket = drive(context, service.begin(new_begin(program, **fields)))
+    endpoint = world.endpoint(ticket)
+    assert endpoint.run(ticket)
+    report = finish_of(ticket)
+    endpoint.complete(ticket.number, report.usage)
+    drive(context, service.finish(report))
+    return ticket
+
+
+@then('the successor of a dead owner knows what programs spent')
+def step_rebuilt(context):
+    world = start_world(context)
+    for _ in range(3):
+        call_once(context, 'root')
+    call_once(context, 'child', parent_program_id='root')
+    world.entries.pop(world.owner().name)
+    drive(context, world.change_view())
+    fourth = call_once(context, 'root')
+    assert (fourth.turn, fourth.attained_tokens) == (4, 30)
+    child = call_once(context, 'child', parent_program_id='root')
+    # Its earlier call was issued when the root had spent 30 tokens.
+    assert (child.turn, child.attained_tokens) == (2, 50)
+    accounts = world.owner().owner.table.find('north', 0).ledger.accounts
+    assert accounts.of_root('root').calls == 6
+
+
+@then('a shard of 9000 attempts is imported from frames below the limit')
+def step_large(context):
+    world = start_world(context)
+    entry = world.owner()
+    table = entry.owner.table
+    drive(context, entry.service.begin(new_begin('first')))
+    ledger = table.find('north', 0).ledger
+    record = RecordSummary(outcome=outcomes.ANSWERED, age_ms=9)
+    records = [
+        replace(record, ticket=Ticket(number=f'n{n}', program_id=f'p{n}'))
+        for n in range(9000)
+    ]
+    add_records(ledger, records, world.time.now_s)
+    parts = table.export_state('north', 0, world.time.now_s)
+    assert len(parts) == 3
+    size_bytes = max(len(part) for part in parts)
+    assert size_bytes < MAX_FRAME_BYTES // 2, size_bytes
+    # Parts may arrive in any order, and one may arrive twice.
+    for part in (parts[2], parts[0], parts[0], parts[1]):
+        assert not table.shards
+        message = Handover(epoch=world.view.epoch, state=part)
+        drive(context, entry.service.receive_handover(message))
+    copy = table.find('north', 0).ledger
+    assert copy.attempts.by_number.keys() == ledger.attempts.by_number.keys()
+    assert copy.programs.keys() == ledger.programs.keys()
+
+
+def import_first(parts, now_s):
+    """Import the first part alone."""
+    return IMPORT_PARTS(parts[:1], now_s)
+
+
+IMPORT_PARTS = shardtable.import_parts
 CHECKS = {
+    'rebuild': step_rebuilt,
+    'large': step_large,
     'order': check_order,
     'gate': step_gate,
     'careful heir': check_heir,
@@ -335,6 +404,8 @@
 
 
 FAULTS = {
+    'records ignored': (shardtable, 'add_records', lambda *given: 0),
+    'parts mixed up': (shardtable, 'import_parts', import_first),
     'waiting without order': (Lines, 'stand', stand_reversed),
     'serving without seal': (Takeover, 'is_serving', lambda *given: True),
     'no careful refusal': (ownership, '_unknowable', lambda *given: None),
