--- a/tests/owner_service.feature
+++ b/tests/owner_service.feature
@@ -37,6 +37,9 @@
   Scenario: a successor rebuilds budgets and roots from records
     Then the successor of a dead owner knows what programs spent
 
+  Scenario: the handlers answer over connections
+    Then begin, finish, resolve, explain and handover are answered by a server
+
   Scenario: a large shard travels in several parts
     Then a shard of 9000 attempts is imported from frames below the limit
 
--- a/tests/steps/owner_service_steps.py
+++ b/tests/steps/owner_service_steps.py
@@ -1,6 +1,7 @@
 """Steps of owner_service.feature."""
 
 import asyncio
+import json
 from collections import deque
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -8,9 +9,12 @@
 from behave import given, then, when
 
 from rattanvalve import outcomes, ownership, shardtable
+from rattanvalve.counters import Metrics
 from rattanvalve.handover import Handovers
 from rattanvalve.lines import Lines
 from rattanvalve.messages import (
+    Ack,
+    Explain,
     Handover,
     Outcome,
     RecordSummary,
@@ -18,6 +22,7 @@
     Ticket,
     Usage,
 )
+from rattanvalve.peers import Address, PeerPool, PeerServer
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.shardstate import add_records
 from rattanvalve.shardtable import ShardTable
@@ -377,6 +382,32 @@
     assert copy.programs.keys() == ledger.programs.keys()
 
 
+@then(
+    'begin, finish, resolve, explain and handover are answered by a server',
+)
+def step_server(context):
+    world = start_world(context)
+    handlers = world.owner().service.handlers()
+    server = PeerServer(b's' * 32, handlers, Metrics())
+    address = context.run(server.start(Address('127.0.0.1', 0)))
+    pool = PeerPool(b's' * 32)
+    context.closers.extend((server.stop, pool.close))
+
+    def ask(message):
+        return context.run(pool.call(address, message, timeout_s=30))
+
+    ticket = ask(new_begin())
+    assert isinstance(ticket, Ticket)
+    asked = Explain(workspace='north', program_id='p')
+    explained = json.loads(ask(asked).body)
+    assert explained['program']['running'] == ticket.number
+    world.endpoint(ticket).run(ticket)
+    assert ask(resolve_of(ticket)).outcome == outcomes.RUNNING
+    assert isinstance(ask(finish_of(ticket)), Ack)
+    assert ask(resolve_of(ticket)).outcome == outcomes.ANSWERED
+    assert code_of(ask(Handover(epoch=0))) == 'STALE_EPOCH'
+
+
 def import_first(parts, now_s):
     """Import the first part alone."""
     return IMPORT_PARTS(parts[:1], now_s)
