--- a/rattanvalve/outcome_lookup.py
+++ b/rattanvalve/outcome_lookup.py
@@ -11,7 +11,7 @@
 from rattanvalve.owner_client import OwnerClient
 from rattanvalve.peers import PeerPool
 from rattanvalve.resultcodes import ResultCode
-from rattanvalve.settling import fetch_settled
+from rattanvalve.response_fetch import fetch_settled
 
 __all__ = ('LOOKUP_REASON', 'OutcomeLookup')
 
--- a/rattanvalve/relay.py
+++ b/rattanvalve/relay.py
@@ -28,7 +28,7 @@
 from rattanvalve.responses import honest_outcome
 from rattanvalve.resultcodes import ResultCode, info_of
 from rattanvalve.runs import open_run
-from rattanvalve.settling import fetch_settled
+from rattanvalve.response_fetch import fetch_settled
 from rattanvalve.streams import OpenRequest, OpenRequests
 
 __all__ = ('Relay',)
--- a/rattanvalve/settling.py
+++ b/rattanvalve/settling.py
@@ -1,64 +1,87 @@
-"""Fetches the recorded response of a run from its endpoint process."""
-
-import time
+"""Settling of running tickets with their endpoint processes."""
 
 from rattanvalve import outcomes
-from rattanvalve.errors import InvariantError, PeerError
-from rattanvalve.messages import Outcome, Settle, Settled
-from rattanvalve.peers import Address, PeerPool
+from rattanvalve.errors import PeerError
+from rattanvalve.idempotency import Attempt
+from rattanvalve.messages import Finish, Settle, Settled
+from rattanvalve.ownerports import OwnerPorts
+from rattanvalve.ownership import Owner
+from rattanvalve.peers import Address
+from rattanvalve.takeover import Takeover
 
-__all__ = ('fetch_settled',)
+__all__ = ('Settler',)
 
-#: Longest wait in one message, so that a lost VM is noticed.
-_WAIT_MS = 10_000
-_REPLY_GRACE_S = 3.0
+SETTLE_TIMEOUT_S = 3.0
+SETTLE_TRIES = 2
 
 
-async def fetch_settled(
-    pool: PeerPool,
-    outcome: Outcome,
-    epoch: int,
-    deadline_s: float,
-) -> Settled:
-    """Wait for the end of a run and fetch its record.
+class Settler:
+    """Asks endpoint processes for the outcome of tickets.
 
-    :param pool: connections to endpoint processes.
-    :param outcome: where the record is.
-    :param epoch: epoch of the view of this process.
-    :param deadline_s: time of ``time.monotonic()`` to give up at.
-    :returns: the record; it is never ``running``.
-    :raises PeerError: if there is no answer, or not before the deadline.
-    :raises InvariantError: if the answer is for another ticket.
+    :param owner: owner role of this process.
+    :param ports: collaborators.
+    :param takeover: knows the newest view.
     """
-    while True:
-        left_ms = int((deadline_s - time.monotonic()) * 1000)
-        if left_ms <= 0:
-            raise PeerError('the run did not end in time')
-        message = Settle(
-            number=outcome.number,
-            epoch=epoch,
-            wait_ms=min(_WAIT_MS, left_ms),
-            endpoint_incarnation=outcome.endpoint_incarnation,
+
+    def __init__(
+        self,
+        owner: Owner,
+        ports: OwnerPorts,
+        takeover: Takeover,
+    ) -> None:
+        self._owner = owner
+        self._ports = ports
+        self._takeover = takeover
+
+    async def settle(self, attempt: Attempt) -> str:
+        """Find the outcome of an attempt; an answered one is charged.
+
+        :param attempt: attempt whose newest ticket is in question.
+        :returns: outcome name; unknown if the endpoint process was replaced
+            or does not answer.
+        """
+        if attempt.outcome != outcomes.RUNNING:
+            return attempt.outcome
+        ticket = attempt.ticket
+        view = self._takeover.view()
+        member = self._ports.lookups.member_of(view, ticket.endpoint)
+        if member and member.incarnation != ticket.endpoint_incarnation:
+            return outcomes.UNKNOWN
+        settle = Settle(
+            number=ticket.number,
+            epoch=view.epoch,
+            endpoint_incarnation=ticket.endpoint_incarnation,
         )
-        settled = await _settle_once(pool, outcome, message)
-        if settled.outcome != outcomes.RUNNING:
-            return settled
+        for _ in range(SETTLE_TRIES):
+            try:
+                answer = await self._ports.pool.call(
+                    Address(ticket.host, ticket.port),
+                    settle,
+                    SETTLE_TIMEOUT_S,
+                )
+            except PeerError:
+                continue
+            if not isinstance(answer, Settled):
+                return outcomes.UNKNOWN
+            if answer.outcome == outcomes.ANSWERED:
+                self.finish(attempt, answer)
+            return answer.outcome
+        return outcomes.UNKNOWN
 
+    def finish(self, attempt: Attempt, settled: Settled) -> None:
+        """Note the outcome that an endpoint process stated.
 
-async def _settle_once(
-    pool: PeerPool,
-    outcome: Outcome,
-    message: Settle,
-) -> Settled:
-    settled = await pool.call(
-        Address(outcome.host, outcome.port),
-        message,
-        message.wait_ms / 1000 + _REPLY_GRACE_S,
-    )
-    if not isinstance(settled, Settled):
-        raise PeerError('the endpoint process refused to settle')
-    if settled.number != outcome.number:
-        raise InvariantError(
-            f'record of {settled.number} instead of {outcome.number}',
+        :param attempt: attempt.
+        :param settled: answer of the endpoint process.
+        """
+        ticket = attempt.ticket
+        self._owner.finish(
+            Finish(
+                number=ticket.number,
+                workspace=ticket.workspace,
+                shard=ticket.shard,
+                outcome=settled.outcome,
+                usage=settled.usage,
+            ),
+            self._ports.clock(),
         )
-    return settled
