--- /dev/null
+++ b/rattanvalve/views.py
@@ -0,0 +1,141 @@
+"""Functions over the view of a cell: members, ownership, changes, JSON."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import replace
+from functools import lru_cache
+
+import msgspec
+
+from rattanvalve.errors import FrameError
+from rattanvalve.messages import Member, View
+from rattanvalve.rendezvous import rank
+
+__all__ = (
+    'ROLE_ENDPOINT',
+    'ROLE_ENTRY',
+    'decode_view',
+    'encode_view',
+    'endpoints_of',
+    'entries_of',
+    'member_of',
+    'owner_of',
+    'with_member',
+    'without_members',
+)
+
+ROLE_ENTRY = 'entry'
+ROLE_ENDPOINT = 'endpoint'
+#: Shards times views that are kept; a cell has about 45 home workspaces.
+_OWNER_CACHE_COUNT = 16_384
+
+
+def entries_of(view: View) -> tuple[Member, ...]:
+    """List the entry processes of a view.
+
+    :param view: view of a cell.
+    :returns: entries in name order.
+    """
+    return tuple(member for member in view.members if member.role == ROLE_ENTRY)
+
+
+def endpoints_of(view: View, service_name: str = '') -> tuple[Member, ...]:
+    """List the endpoint processes of a view.
+
+    :param view: view of a cell.
+    :param service_name: service to select; empty for all services.
+    :returns: endpoints in name order.
+    """
+    return tuple(
+        member
+        for member in view.members
+        if member.role == ROLE_ENDPOINT
+        and service_name in {'', member.service_name}
+    )
+
+
+def member_of(view: View, name: str) -> Member | None:
+    """Find a member by name.
+
+    :param view: view of a cell.
+    :param name: process name.
+    :returns: the member, or ``None`` if the view does not list it.
+    """
+    return next(
+        (member for member in view.members if member.name == name), None
+    )
+
+
+def owner_of(view: View, workspace: str, shard: int) -> str:
+    """Name the owner of a workspace shard.
+
+    :param view: view of a cell.
+    :param workspace: workspace name.
+    :param shard: shard index from 0.
+    :returns: entry name, or an empty string if the view has no entry.
+    """
+    names = tuple(member.name for member in entries_of(view))
+    return _best_entry(names, workspace, shard)
+
+
+def with_member(view: View, member: Member, change_id: str) -> View:
+    """Add a member, in place of a member of the same name.
+
+    :param view: view to change.
+    :param member: member to add.
+    :param change_id: identifies this change in the store.
+    :returns: view of the next epoch.
+    """
+    others = (known for known in view.members if known.name != member.name)
+    return _change(view, (*others, member), change_id)
+
+
+def without_members(
+    view: View,
+    names: Collection[str],
+    change_id: str,
+) -> View:
+    """Remove members.
+
+    :param view: view to change.
+    :param names: names of the members to remove.
+    :param change_id: identifies this change in the store.
+    :returns: view of the next epoch.
+    """
+    kept = (member for member in view.members if member.name not in names)
+    return _change(view, kept, change_id)
+
+
+def encode_view(view: View) -> bytes:
+    """Write a view as JSON.
+
+    :param view: view of a cell.
+    :returns: JSON text with the change id at the top level.
+    """
+    return msgspec.json.encode(view)
+
+
+def decode_view(raw: bytes) -> View:
+    """Read a view that :func:`encode_view` wrote.
+
+    :param raw: JSON text from the store or a peer.
+    :returns: the view.
+    :raises FrameError: if the text is not a view.
+    """
+    try:
+        return msgspec.json.decode(raw, type=View)
+    except msgspec.DecodeError as error:
+        raise FrameError(f'malformed view: {error}') from error
+
+
+def _change(view: View, members: Iterable[Member], change_id: str) -> View:
+    return replace(
+        view,
+        epoch=view.epoch + 1,
+        members=tuple(sorted(members, key=lambda member: member.name)),
+        change_id=change_id,
+    )
+
+
+@lru_cache(maxsize=_OWNER_CACHE_COUNT)
+def _best_entry(names: tuple[str, ...], workspace: str, shard: int) -> str:
+    return next(iter(rank(f'{workspace}/{shard}', names)), '')
