--- /dev/null
+++ b/rattanvalve/control.py
@@ -0,0 +1,103 @@
+"""What the controllers of one process share: state, clock, store and peers."""
+
+import asyncio
+import random
+import time
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.counters import Metrics
+from rattanvalve.errors import InvariantError
+from rattanvalve.peers import Address, Handler, Send
+from rattanvalve.store import StoredObject
+
+__all__ = ('Call', 'ControlContext', 'Store', 'merge_handlers')
+
+#: Sends a message to a peer: address, message, timeout in seconds.
+Call = Callable[[Address, Any, float], Awaitable[Any]]
+
+
+class Store(Protocol):
+    """Interface of :class:`rattanvalve.store.StoreClient`."""
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Read an object."""
+
+    async def put(
+        self,
+        key: str,
+        body: bytes,
+        expected_version: int,
+        change_id: str,
+    ) -> int:
+        """Write an object if its version is the expected one."""
+
+    async def watch(
+        self,
+        key: str,
+        version: int,
+        timeout_s: float,
+    ) -> StoredObject | None:
+        """Wait for a newer version."""
+
+
+@dataclass(slots=True, kw_only=True)
+class ControlContext:
+    """Dependencies of the controllers of one entry process.
+
+    ``clock`` gives monotonic seconds; ``sleep`` takes seconds. Tests replace
+    both, so that no test waits.
+    """
+
+    cell: str
+    blackboard: Blackboard
+    store: Store
+    call: Call
+    metrics: Metrics
+    seed_peers: tuple[Address, ...] = ()
+    clock: Callable[[], float] = time.monotonic
+    sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
+    random_source: random.Random = field(default_factory=random.Random)
+
+    def check(self, is_valid: bool, text: str) -> None:
+        """Assert an invariant of the product.
+
+        :param is_valid: whether the invariant holds.
+        :param text: what is wrong otherwise.
+        :raises InvariantError: if the invariant does not hold.
+        """
+        if not is_valid:
+            raise InvariantError(text)
+
+
+def merge_handlers(*tables: dict[type, Handler]) -> dict[type, Handler]:
+    """Combine the handler tables of several controllers.
+
+    Several controllers may handle one message class (``Pull``); each answers
+    only the kinds that it knows.
+
+    :param tables: handler tables.
+    :returns: one table for :class:`rattanvalve.peers.PeerServer`.
+    """
+    by_kind: dict[type, list[Handler]] = defaultdict(list)
+    for table in tables:
+        for kind, handler in table.items():
+            by_kind[kind].append(handler)
+    return {
+        message_class: _in_turn(handlers)
+        for message_class, handlers in by_kind.items()
+    }
+
+
+def _in_turn(handlers: list[Handler]) -> Handler:
+    if len(handlers) == 1:
+        return handlers[0]
+
+    async def handle_in_turn(message: Any, send: Send) -> None:
+        for handler in handlers:
+            await handler(message, send)
+
+    return handle_in_turn
--- /dev/null
+++ b/rattanvalve/presence.py
@@ -0,0 +1,92 @@
+"""Which entries were heard lately, and who maintains the view."""
+
+from rattanvalve.messages import Member
+
+__all__ = ('MINORITY_SILENT_S', 'SILENT_S', 'Presence')
+
+#: An entry that was not heard for this long is removed from the view.
+SILENT_S = 3.0
+#: The same for a process that hears less than half of the entries. It is
+#: probably cut off itself, so the others get the time to remove it first.
+MINORITY_SILENT_S = 6.0
+#: A longer time between two rounds means that this process was paused.
+PAUSE_S = 2.0
+
+
+class Presence:
+    """Moments at which the other entries of the view were heard.
+
+    :param own_name: name of this process, which always counts as heard.
+    """
+
+    def __init__(self, own_name: str) -> None:
+        self._own_name = own_name
+        self._heard_at_s: dict[str, float] = {}
+        self._round_at_s: float = 0
+
+    def begin_round(self, entries: tuple[Member, ...], now_s: float) -> None:
+        """Start counting for new entries, and anew after a pause.
+
+        After a pause of this process the peers only seem silent: their
+        heartbeats wait in its socket buffers.
+
+        :param entries: entries of the current view.
+        :param now_s: current time.
+        """
+        was_paused = now_s - self._round_at_s > PAUSE_S
+        known = {} if was_paused else self._heard_at_s
+        self._heard_at_s = {
+            member.name: known.get(member.name, now_s) for member in entries
+        }
+        self._round_at_s = now_s
+
+    def hear(self, name: str, now_s: float) -> None:
+        """Note a sign of life of an entry.
+
+        :param name: name of the entry.
+        :param now_s: current time.
+        """
+        if name in self._heard_at_s:
+            self._heard_at_s[name] = now_s
+
+    def mark_leaving(self, name: str) -> None:
+        """Treat an entry as silent at once.
+
+        :param name: name of the entry.
+        """
+        self._heard_at_s[name] = float('-inf')
+
+    def heard_names(self, now_s: float) -> set[str]:
+        """List the entries that were heard lately.
+
+        :param now_s: current time.
+        :returns: names, with the own one.
+        """
+        return {self._own_name} | {
+            name
+            for name, heard_at_s in self._heard_at_s.items()
+            if now_s - heard_at_s <= SILENT_S
+        }
+
+    def silent_names(self, now_s: float) -> set[str]:
+        """List the entries to remove from the view.
+
+        :param now_s: current time.
+        :returns: names, without the own one.
+        """
+        heard = self.heard_names(now_s)
+        is_minority = 2 * len(heard) < len(self._heard_at_s)
+        limit_s = MINORITY_SILENT_S if is_minority else SILENT_S
+        return {
+            name
+            for name, heard_at_s in self._heard_at_s.items()
+            if now_s - heard_at_s > limit_s and name != self._own_name
+        }
+
+    def is_maintainer(self, now_s: float) -> bool:
+        """Tell whether this process maintains the view.
+
+        :param now_s: current time.
+        :returns: whether it is the first in name order of those heard.
+        """
+        return min(self.heard_names(now_s)) == self._own_name
--- a/rattanvalve/views.py
+++ b/rattanvalve/views.py
@@ -13,6 +13,7 @@
 __all__ = (
     'ROLE_ENDPOINT',
     'ROLE_ENTRY',
+    'change_members',
     'decode_view',
     'encode_view',
     'endpoints_of',
@@ -77,6 +78,32 @@
     return _best_entry(names, workspace, shard)
 
 
+def change_members(
+    view: View,
+    added: Iterable[Member],
+    removed_names: Collection[str],
+    change_id: str,
+) -> View:
+    """Remove and add any number of members in one change.
+
+    :param view: view to change.
+    :param added: members to add; each replaces a member of the same name.
+    :param removed_names: names of the members to remove.
+    :param change_id: identifies this change in the store.
+    :returns: view of the next epoch.
+    """
+    members = {member.name: member for member in view.members}
+    for removed in removed_names:
+        members.pop(removed, None)
+    members.update((member.name, member) for member in added)
+    return replace(
+        view,
+        epoch=view.epoch + 1,
+        members=tuple(members[name] for name in sorted(members)),
+        change_id=change_id,
+    )
+
+
 def with_member(view: View, member: Member, change_id: str) -> View:
     """Add a member, in place of a member of the same name.
 
@@ -85,8 +112,7 @@
     :param change_id: identifies this change in the store.
     :returns: view of the next epoch.
     """
-    others = (known for known in view.members if known.name != member.name)
-    return _change(view, (*others, member), change_id)
+    return change_members(view, (member,), (), change_id)
 
 
 def without_members(
@@ -101,8 +127,7 @@
     :param change_id: identifies this change in the store.
     :returns: view of the next epoch.
     """
-    kept = (member for member in view.members if member.name not in names)
-    return _change(view, kept, change_id)
+    return change_members(view, (), names, change_id)
 
 
 def encode_view(view: View) -> bytes:
@@ -127,15 +152,6 @@
         raise FrameError(f'malformed view: {error}') from error
 
 
-def _change(view: View, members: Iterable[Member], change_id: str) -> View:
-    return replace(
-        view,
-        epoch=view.epoch + 1,
-        members=tuple(sorted(members, key=lambda member: member.name)),
-        change_id=change_id,
-    )
-
-
 @lru_cache(maxsize=_OWNER_CACHE_COUNT)
 def _best_entry(names: tuple[str, ...], workspace: str, shard: int) -> str:
     return next(iter(rank(f'{workspace}/{shard}', names)), '')
