--- a/rattanvalve/confirmations.py
+++ b/rattanvalve/confirmations.py
@@ -124,8 +124,8 @@
         """
         self._held_epoch = previous.epoch
         self._unsealed = {member.name for member in endpoints_of(previous)}
-        has_owners = bool(entries_of(previous)) and bool(self._unsealed)
-        self._joined_at_s = now_s if has_owners else _NEVER
+        # Without endpoints the previous owners have nowhere to send work.
+        self._joined_at_s = now_s if self._unsealed else _NEVER
 
     def end_hold(self) -> None:
         """Note that the previous owners cannot act any more."""
--- a/rattanvalve/presence.py
+++ b/rattanvalve/presence.py
@@ -13,6 +13,10 @@
 PAUSE_S = 2.0
 
 
+#: Name and incarnation.
+_Key = tuple[str, str]
+
+
 class Presence:
     """Moments at which the other entries of the view were heard.
 
@@ -21,7 +25,8 @@
 
     def __init__(self, own_name: str) -> None:
         self._own_name = own_name
-        self._heard_at_s: dict[str, float] = {}
+        # By name and incarnation: a restarted entry is another one.
+        self._heard_at_s: dict[_Key, float] = {}
         self._round_at_s: float = 0
 
     def begin_round(self, entries: tuple[Member, ...], now_s: float) -> None:
@@ -36,25 +41,19 @@
         was_paused = now_s - self._round_at_s > PAUSE_S
         known = {} if was_paused else self._heard_at_s
         self._heard_at_s = {
-            member.name: known.get(member.name, now_s) for member in entries
+            _key_of(member): known.get(_key_of(member), now_s)
+            for member in entries
         }
         self._round_at_s = now_s
 
-    def hear(self, name: str, now_s: float) -> None:
-        """Note a sign of life of an entry.
-
-        :param name: name of the entry.
-        :param now_s: current time.
-        """
-        if name in self._heard_at_s:
-            self._heard_at_s[name] = now_s
-
-    def mark_leaving(self, name: str) -> None:
-        """Treat an entry as silent at once.
+    def hear(self, member: Member, now_s: float) -> None:
+        """Note a sign of life; processes outside the view are ignored.
 
-        :param name: name of the entry.
+        :param member: the process that was heard.
+        :param now_s: current time, or minus infinity if it is leaving.
         """
-        self._heard_at_s[name] = float('-inf')
+        if _key_of(member) in self._heard_at_s:
+            self._heard_at_s.update({_key_of(member): now_s})
 
     def heard_names(self, now_s: float) -> set[str]:
         """List the entries that were heard lately.
@@ -64,7 +63,7 @@
         """
         return {self._own_name} | {
             name
-            for name, heard_at_s in self._heard_at_s.items()
+            for (name, _), heard_at_s in self._heard_at_s.items()
             if now_s - heard_at_s <= SILENT_S
         }
 
@@ -79,7 +78,7 @@
         limit_s = MINORITY_SILENT_S if is_minority else SILENT_S
         return {
             name
-            for name, heard_at_s in self._heard_at_s.items()
+            for (name, _), heard_at_s in self._heard_at_s.items()
             if now_s - heard_at_s > limit_s and name != self._own_name
         }
 
@@ -90,3 +89,7 @@
         :returns: whether it is the first in name order of those heard.
         """
         return min(self.heard_names(now_s)) == self._own_name
+
+
+def _key_of(member: Member) -> _Key:
+    return member.name, member.incarnation
--- /dev/null
+++ b/rattanvalve/viewstate.py
@@ -0,0 +1,240 @@
+"""Rules of adopting views and of what is stated to peers about them.
+
+A statement tells a peer, while the store cannot be reached, that this process
+knows no newer epoch. It includes the promise to adopt none for ``LEASE_S``;
+this module enforces the promise.
+"""
+
+import math
+import secrets
+from collections.abc import Callable
+from dataclasses import replace
+
+from rattanvalve.confirmations import (
+    LEASE_S,
+    UNCONFIRMED_AGE_MS,
+    Confirmation,
+    age_to_ms,
+)
+from rattanvalve.control import ControlContext
+from rattanvalve.counters import Counter
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import Ack, Member, View
+from rattanvalve.views import member_of
+from rattanvalve.viewstore import StoredView
+
+__all__ = ('ViewChanged', 'ViewState')
+
+#: Entries state their epoch once no store read younger than this is known.
+#: The rest of the lease is left for collecting the statements.
+STATE_AFTER_S = LEASE_S / 2
+
+#: Called with the old and the new view.
+ViewChanged = Callable[[View, View], None]
+
+_log = part_logger(LogPart.VIEW)
+
+
+class ViewState:
+    """The adopted view of an entry process and its promises.
+
+    :param member: this process.
+    :param context: blackboard, clock and counters.
+    :param confirmation: told about each adopted view and store read.
+    :param on_view_changed: called after a view was adopted.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        context: ControlContext,
+        confirmation: Confirmation,
+        on_view_changed: ViewChanged,
+    ) -> None:
+        self.member = member
+        self.confirmation = confirmation
+        #: Set while a change of the view is being written: what will be
+        #: adopted then must not be excluded by a statement made meanwhile.
+        self.is_changing = False
+        self.was_listed = False
+        self._context = context
+        self._on_view_changed = on_view_changed
+        self._heard_epoch = 0
+        self._promised_until_s = -math.inf
+        confirmation.incarnation = member.incarnation
+
+    @property
+    def view(self) -> View:
+        """The adopted view."""
+        return self._context.blackboard.view
+
+    def is_listed(self, view: View) -> bool:
+        """Tell whether a view lists this incarnation of this process.
+
+        :param view: view of the cell.
+        :returns: whether it does.
+        """
+        own = member_of(view, self.member.name)
+        return own is not None and own.incarnation == self.member.incarnation
+
+    def may_adopt(self) -> bool:
+        """Tell whether no promise forbids to adopt a newer view now.
+
+        :returns: whether the last promise has expired.
+        """
+        return self._context.clock() >= self._promised_until_s
+
+    def hear_epoch(self, epoch: int) -> bool:
+        """Note the epoch of a message.
+
+        :param epoch: epoch that another process knows.
+        :returns: whether it is newer than the adopted view.
+        """
+        self._heard_epoch = max(self._heard_epoch, epoch)
+        return epoch > self.view.epoch
+
+    def take_stored(self, stored: StoredView) -> None:
+        """Adopt and confirm what was read from or written to the store.
+
+        :param stored: view that was the newest one when it was read.
+        """
+        if stored.view.epoch < self.view.epoch:
+            _log.error('store holds older epoch %s', stored.view.epoch)
+            return
+        self.adopt(stored.view)
+        if stored.view.epoch == self.view.epoch:
+            self.confirmation.confirm(stored.read_at_s)
+
+    def take_ack(self, member: Member, ack: Ack, began_s: float) -> None:
+        """Use the answer to a heartbeat for the confirmation.
+
+        :param member: entry that answered.
+        :param ack: its answer.
+        :param began_s: moment before the heartbeat was sent.
+        """
+        # A peer with another epoch confirms nothing about ours.
+        if self.hear_epoch(ack.epoch) or ack.epoch != self.view.epoch:
+            return
+        age_s = ack.confirmation_age_ms / 1000
+        if ack.is_store_reachable:
+            self.confirmation.confirm(began_s - age_s)
+        else:
+            self.confirmation.state_of_peer(member.name, ack.epoch, began_s)
+        if age_s < LEASE_S:
+            self.confirmation.end_hold()
+
+    def adopt(self, view: View) -> bool:
+        """Adopt a newer view; older ones and promised times are refused.
+
+        :param view: view from the store or a peer.
+        :returns: whether it was adopted.
+        :raises InvariantError: if two different views have one epoch.
+        """
+        old = self.view
+        self._heard_epoch = max(self._heard_epoch, view.epoch)
+        self._context.check(
+            view.epoch != old.epoch or view.change_id == old.change_id,
+            f'two different views of epoch {view.epoch}',
+        )
+        if view.epoch <= old.epoch or not self.may_adopt():
+            return False
+        self._context.blackboard.view = view
+        self._update_listing(view)
+        self._context.metrics.count(Counter.VIEW_CHANGED)
+        _log.info('adopted epoch %s', view.epoch)
+        self._on_view_changed(old, view)
+        self._context.blackboard.publish()
+        return True
+
+    def make_statement(self) -> bool:
+        """State the epoch to this process itself, if that is true now.
+
+        :returns: whether a statement may be made.
+        """
+        now_s = self._context.clock()
+        if not self._can_state(now_s):
+            return False
+        self.confirmation.state_of_peer(
+            self.member.name,
+            self.view.epoch,
+            now_s,
+        )
+        return True
+
+    def answer_entry(self, sender: Member) -> Ack:
+        """Make the answer to a heartbeat; a statement includes a promise.
+
+        :param sender: entry that sent the heartbeat.
+        :returns: the answer. ``is_store_reachable`` is true unless this is a
+            statement; the age is then the one of a store read.
+        """
+        now_s = self._context.clock()
+        is_statement = self._can_state(now_s)
+        if is_statement and member_of(self.view, sender.name):
+            self._promised_until_s = now_s + LEASE_S
+        return self._make_ack(
+            now_s,
+            self.confirmation.age_s(now_s)
+            if is_statement
+            else self.confirmation.read_age_s(now_s),
+            is_store_reachable=not is_statement,
+        )
+
+    def answer_endpoint(self) -> Ack:
+        """Make the answer to an announce.
+
+        :returns: the answer, with the age of any kind of confirmation.
+        """
+        now_s = self._context.clock()
+        return self._make_ack(
+            now_s,
+            self.confirmation.age_s(now_s),
+            is_store_reachable=self._context.blackboard.is_store_reachable,
+        )
+
+    def _can_state(self, now_s: float) -> bool:
+        return (
+            self.was_listed
+            and not self.is_changing
+            and self._heard_epoch <= self.view.epoch
+            and self.confirmation.read_age_s(now_s) >= STATE_AFTER_S
+        )
+
+    def _make_ack(
+        self,
+        now_s: float,
+        age_s: float,
+        *,
+        is_store_reachable: bool,
+    ) -> Ack:
+        is_current = (
+            self.was_listed
+            and self._heard_epoch <= self.view.epoch
+            and not self.confirmation.is_held(now_s)
+        )
+        return Ack(
+            epoch=max(self._heard_epoch, self.view.epoch),
+            generation=self._context.blackboard.catalog.generation,
+            confirmation_age_ms=(
+                age_to_ms(age_s) if is_current else UNCONFIRMED_AGE_MS
+            ),
+            is_store_reachable=is_store_reachable,
+        )
+
+    def _update_listing(self, view: View) -> None:
+        now_s = self._context.clock()
+        is_listed = self.is_listed(view)
+        is_removed = member_of(view, self.member.name) is None
+        if self.was_listed and is_removed:
+            # The removed incarnation must not come back: its tickets are void.
+            self.member = replace(self.member, incarnation=secrets.token_hex(8))
+            self.confirmation.incarnation = self.member.incarnation
+            _log.warning('removed from the view')
+        if is_listed and not self.was_listed:
+            self.confirmation.begin_hold(
+                replace(view, epoch=view.epoch - 1),
+                now_s,
+            )
+        if is_listed or is_removed:
+            self.was_listed = is_listed
+        self.confirmation.set_view(view, self.member.name, now_s)
--- a/rattanvalve/viewstore.py
+++ b/rattanvalve/viewstore.py
@@ -22,12 +22,10 @@
 class StoredView:
     """A view that was the newest one at a moment.
 
-    ``previous`` is the view before our change, or the same view if there was
-    none. ``read_at_s`` is a moment before the store was called.
+    ``read_at_s`` is a moment before the store was called.
     """
 
     view: View
-    previous: View
     read_at_s: float
 
 
@@ -81,11 +79,7 @@
             version,
             target.change_id,
         )
-        return StoredView(
-            view=target,
-            previous=stored.view,
-            read_at_s=began_s,
-        )
+        return StoredView(view=target, read_at_s=began_s)
 
     async def _read(self) -> tuple[StoredView, int]:
         began_s = self._context.clock()
@@ -96,5 +90,5 @@
                 view = decode_view(stored.body)
             except FrameError as error:
                 raise StoreError(f'{self._key}: {error}') from error
-        found = StoredView(view=view, previous=view, read_at_s=began_s)
+        found = StoredView(view=view, read_at_s=began_s)
         return found, stored.version if stored else 0
