--- a/rattanvalve/control.py
+++ b/rattanvalve/control.py
@@ -14,7 +14,13 @@
 from rattanvalve.peers import Address, Handler, Send
 from rattanvalve.store import StoredObject
 
-__all__ = ('Call', 'ControlContext', 'Store', 'merge_handlers')
+__all__ = (
+    'Call',
+    'ControlContext',
+    'Store',
+    'merge_handlers',
+    'sleep_or_wake',
+)
 
 #: Sends a message to a peer: address, message, timeout in seconds.
 Call = Callable[[Address, Any, float], Awaitable[Any]]
@@ -44,12 +50,18 @@
         """Wait for a newer version."""
 
 
+#: Called with a generation and the address of the peer that knows it.
+HearGeneration = Callable[[int, Address], None]
+
+
 @dataclass(slots=True, kw_only=True)
 class ControlContext:
     """Dependencies of the controllers of one entry process.
 
     ``clock`` gives monotonic seconds; ``sleep`` takes seconds. Tests replace
-    both, so that no test waits.
+    both, so that no test waits. ``hear_generation`` is set by the
+    configuration controller and ``request_beat`` by the view controller; each
+    is called by the other one.
     """
 
     cell: str
@@ -61,6 +73,8 @@
     clock: Callable[[], float] = time.monotonic
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
     random_source: random.Random = field(default_factory=random.Random)
+    hear_generation: HearGeneration = lambda _generation, _address: None
+    request_beat: Callable[[], None] = lambda: None
 
     def check(self, is_valid: bool, text: str) -> None:
         """Assert an invariant of the product.
@@ -73,6 +87,26 @@
             raise InvariantError(text)
 
 
+async def sleep_or_wake(
+    sleep: Callable[[float], Awaitable[None]],
+    delay_s: float,
+    wake: asyncio.Event,
+) -> None:
+    """Wait for a time or an event, whichever comes first.
+
+    :param sleep: waits for a number of seconds.
+    :param delay_s: longest wait in seconds.
+    :param wake: ends the wait early.
+    """
+    pause = asyncio.ensure_future(sleep(max(0, delay_s)))
+    woken = asyncio.ensure_future(wake.wait())
+    try:
+        await asyncio.wait((pause, woken), return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        pause.cancel()
+        woken.cancel()
+
+
 def merge_handlers(*tables: dict[type, Handler]) -> dict[type, Handler]:
     """Combine the handler tables of several controllers.
 
--- /dev/null
+++ b/rattanvalve/load_controller.py
@@ -0,0 +1,93 @@
+"""Controller of endpoint loads: takes announces, reports silent endpoints."""
+
+from typing import Protocol
+
+from rattanvalve.control import ControlContext
+from rattanvalve.loads import ENDPOINT_SILENT_S, EndpointLoads
+from rattanvalve.messages import Ack, Announce, Member
+from rattanvalve.peers import Handler, Send
+from rattanvalve.views import endpoints_of
+
+__all__ = ('EndpointMembership', 'LoadController')
+
+CHECK_INTERVAL_S = 1.0
+#: A longer time between two checks means that this process was paused.
+PAUSE_S = 3.0
+
+
+class EndpointMembership(Protocol):
+    """The part of the view controller that this module uses."""
+
+    def add_endpoint(self, member: Member) -> None:
+        """Have an endpoint listed."""
+
+    def forget_endpoint(self, name: str) -> None:
+        """Have an endpoint removed."""
+
+    def hear_endpoint(self, announce: Announce) -> Ack:
+        """Use the epoch of an announce, and make its answer."""
+
+
+class LoadController:
+    """Fills the endpoint loads from announces.
+
+    :param loads: loads to fill.
+    :param membership: view controller of this process.
+    :param context: blackboard and clock.
+    """
+
+    def __init__(
+        self,
+        loads: EndpointLoads,
+        membership: EndpointMembership,
+        context: ControlContext,
+    ) -> None:
+        self._loads = loads
+        self._membership = membership
+        self._context = context
+        self._awaited_since_s: dict[str, float] = {}
+        self._checked_at_s: float = 0
+
+    def handlers(self) -> dict[type, Handler]:
+        """List the handlers of messages from endpoint processes.
+
+        :returns: handler of ``Announce``.
+        """
+        return {Announce: self._answer_announce}
+
+    async def run(self) -> None:
+        """Look for silent endpoints until cancelled."""
+        while True:
+            self.check_silent()
+            await self._context.sleep(CHECK_INTERVAL_S)
+
+    def check_silent(self) -> None:
+        """Ask for the removal of listed endpoints that are silent.
+
+        After a pause of this process, and for endpoints that never announced
+        themselves here, the time counts from now.
+        """
+        now_s = self._context.clock()
+        was_paused = now_s - self._checked_at_s > PAUSE_S
+        self._checked_at_s = now_s
+        self._loads.set_view(self._context.blackboard.view)
+        silent = self._loads.silent_names(now_s)
+        known = {} if was_paused else self._awaited_since_s
+        self._awaited_since_s = {
+            member.name: known.get(member.name, now_s)
+            for member in endpoints_of(self._context.blackboard.view)
+            if member.name in silent or not self._loads.is_known(member.name)
+        }
+        for name, since_s in self._awaited_since_s.items():
+            # A known endpoint has been silent for its time already.
+            limit_s = 0 if name in silent else ENDPOINT_SILENT_S
+            if now_s - since_s > limit_s:
+                self._membership.forget_endpoint(name)
+
+    async def _answer_announce(self, message: Announce, send: Send) -> None:
+        now_s = self._context.clock()
+        self._loads.report(message, now_s)
+        self._loads.set_view(self._context.blackboard.view)
+        if not message.is_leaving:
+            self._membership.add_endpoint(message.member)
+        await send(self._membership.hear_endpoint(message))
--- /dev/null
+++ b/rattanvalve/viewchanges.py
@@ -0,0 +1,104 @@
+"""Changes that a process makes to the view of its cell."""
+
+import secrets
+
+from rattanvalve.control import ControlContext
+from rattanvalve.messages import Member, View
+from rattanvalve.presence import Presence
+from rattanvalve.views import change_members, member_of
+from rattanvalve.viewstate import ViewState
+
+__all__ = ('ViewChanges',)
+
+
+class ViewChanges:
+    """Computes the next view from the stored one, or ``None`` for no change.
+
+    :param context: clock.
+    :param state: adopted view and own member.
+    :param presence: which entries are silent.
+    """
+
+    def __init__(
+        self,
+        context: ControlContext,
+        state: ViewState,
+        presence: Presence,
+    ) -> None:
+        self._context = context
+        self._state = state
+        self._presence = presence
+        self._wanted: dict[str, Member] = {}
+        self._silent: set[str] = set()
+
+    def add_endpoint(self, member: Member) -> None:
+        """Have an endpoint listed in the view.
+
+        :param member: endpoint that announced itself.
+        """
+        self._silent.discard(member.name)
+        self._wanted[member.name] = member
+
+    def forget_endpoint(self, name: str) -> None:
+        """Have an endpoint removed from the view.
+
+        :param name: endpoint that is silent.
+        """
+        self._wanted.pop(name, None)
+        self._silent.add(name)
+
+    def join(self, view: View) -> View | None:
+        """Add this process.
+
+        :param view: stored view.
+        :returns: the next view, or ``None`` if there is nothing to change.
+        """
+        own = member_of(view, self._state.member.name)
+        if self._state.is_listed(view) or (own and self._state.was_listed):
+            # A newer incarnation under our name has replaced this process.
+            return None
+        return change_members(view, (self._state.member,), (), _new_change_id())
+
+    def leave(self, view: View) -> View | None:
+        """Remove this process.
+
+        :param view: stored view.
+        :returns: the next view, or ``None`` if there is nothing to change.
+        """
+        if not self._state.is_listed(view):
+            return None
+        name = self._state.member.name
+        return change_members(view, (), (name,), _new_change_id())
+
+    def maintain(self, view: View) -> View | None:
+        """Add and remove all members that come and go, in one change.
+
+        :param view: stored view.
+        :returns: the next view, or ``None`` if there is nothing to change.
+        """
+        if not self._state.is_listed(view):
+            return None
+        added, removed = self._pending(view)
+        now_s = self._context.clock()
+        if self._state.confirmation.is_held(now_s):
+            # Previous owners that we cannot reach must stay listed until they
+            # cannot act, so that later members know them as well.
+            removed = set()
+        else:
+            removed |= self._presence.silent_names(now_s)
+        if not added and not removed:
+            return None
+        return change_members(view, added, removed, _new_change_id())
+
+    def _pending(self, view: View) -> tuple[list[Member], set[str]]:
+        listed = {member.name: member for member in view.members}
+        added = [
+            member
+            for member in self._wanted.values()
+            if listed.get(member.name) != member
+        ]
+        return added, self._silent & listed.keys()
+
+
+def _new_change_id() -> str:
+    return secrets.token_hex(8)
