--- a/rattanvalve/view_controller.py
+++ b/rattanvalve/view_controller.py
@@ -7,10 +7,10 @@
 from rattanvalve.errors import StoreConflictError, StoreError
 from rattanvalve.heartbeats import HeartbeatExchange
 from rattanvalve.logs import LogPart, part_logger
-from rattanvalve.messages import Ack, Announce, Member, View
+from rattanvalve.messages import Ack, Announce, Member
 from rattanvalve.peers import Handler
 from rattanvalve.presence import Presence
-from rattanvalve.viewchanges import ViewChanges
+from rattanvalve.viewchanges import ViewChanges, only_if_allowed
 from rattanvalve.views import entries_of
 from rattanvalve.viewstate import ViewChanged, ViewState
 from rattanvalve.viewstore import ChangeView, ViewStore
@@ -48,7 +48,7 @@
         self._presence = Presence(member.name)
         self._exchange = HeartbeatExchange(context, self.state, self._presence)
         self._changes = ViewChanges(context, self.state, self._presence)
-        context.request_beat = self.beat_now
+        context.request_beat = self._exchange.wake.set
 
     def handlers(self) -> dict[type, Handler]:
         """List the handlers of messages from peers.
@@ -61,10 +61,6 @@
         """Send heartbeats and maintain the view until cancelled."""
         await asyncio.gather(self._run_beats(), self._run_store())
 
-    def beat_now(self) -> None:
-        """Send the next heartbeats without waiting for the interval."""
-        self._exchange.wake.set()
-
     def add_endpoint(self, member: Member) -> None:
         """Have an endpoint listed in the view.
 
@@ -86,7 +82,7 @@
         :returns: the answer.
         """
         if self.state.hear_epoch(announce.epoch):
-            self.beat_now()
+            self._context.request_beat()
         self.state.confirmation.note_sealed(
             announce.member.name,
             announce.epoch,
@@ -155,16 +151,9 @@
             self.state.take_stored(await self._store.read())
 
     async def _change(self, change: ChangeView) -> None:
-        def change_if_allowed(view: View) -> View | None:
-            # An older stored view is a fault of the store; a promise forbids
-            # to write what we may not adopt.
-            is_old = view.epoch < self.state.view.epoch
-            return (
-                change(view) if self.state.may_adopt() and not is_old else None
-            )
-
         self.state.is_changing = True
         try:
-            self.state.take_stored(await self._store.change(change_if_allowed))
+            allowed = only_if_allowed(self.state, change)
+            self.state.take_stored(await self._store.change(allowed))
         finally:
             self.state.is_changing = False
--- a/rattanvalve/viewchanges.py
+++ b/rattanvalve/viewchanges.py
@@ -7,8 +7,9 @@
 from rattanvalve.presence import Presence
 from rattanvalve.views import change_members, member_of
 from rattanvalve.viewstate import ViewState
+from rattanvalve.viewstore import ChangeView
 
-__all__ = ('ViewChanges',)
+__all__ = ('ViewChanges', 'only_if_allowed')
 
 
 class ViewChanges:
@@ -102,3 +103,21 @@
 
 def _new_change_id() -> str:
     return secrets.token_hex(8)
+
+
+def only_if_allowed(state: ViewState, change: ChangeView) -> ChangeView:
+    """Restrict a change to what this process may write.
+
+    A promise forbids to write a view that may not be adopted yet. A stored
+    view older than the adopted one is a fault of the store.
+
+    :param state: adopted view and promises.
+    :param change: change to restrict.
+    :returns: the same change, or none while it is not allowed.
+    """
+
+    def change_if_allowed(view: View) -> View | None:
+        is_allowed = state.may_adopt() and view.epoch >= state.view.epoch
+        return change(view) if is_allowed else None
+
+    return change_if_allowed
