--- a/rattanvalve/config_controller.py
+++ b/rattanvalve/config_controller.py
@@ -6,27 +6,26 @@
 import msgspec
 
 from rattanvalve.configdocs import (
+    PULL_CONFIG,
     ConfigHolder,
     StoredConfig,
     decode_stored_config,
 )
 from rattanvalve.control import ControlContext, sleep_or_wake
-from rattanvalve.errors import PeerError, StoreConflictError, StoreError
+from rattanvalve.errors import StoreConflictError, StoreError
 from rattanvalve.inventory import Config, encode_config
-from rattanvalve.messages import Document, Member, Pull
+from rattanvalve.messages import Member, Pull
 from rattanvalve.peers import Address, Handler, Send
 from rattanvalve.rendezvous import rank
 from rattanvalve.store import StoredObject
 from rattanvalve.views import entries_of
 
-__all__ = ('PULL_CONFIG', 'ConfigController', 'GenerationConflictError')
+__all__ = ('ConfigController', 'GenerationConflictError')
 
-PULL_CONFIG = 'config'
 CONFIG_KEY = 'config'
 #: Watching entries of each zone of a cell.
 WATCHER_COUNT = 2
 WATCH_TIMEOUT_S = 20.0
-PULL_TIMEOUT_S = 2.0
 ROUND_INTERVAL_S = 1.0
 
 
@@ -101,13 +100,14 @@
         with suppress(StoreError):
             self._adopt_stored(await self._context.store.get(CONFIG_KEY))
             return
-        await self._pull_from(self._context.seed_peers)
+        self._newer_at.update(self._context.seed_peers)
+        await self.pull_newer()
 
     async def pull_newer(self) -> None:
         """Pull from the peers that are known to have a newer generation."""
         addresses = tuple(self._newer_at)
         self._newer_at.clear()
-        await self._pull_from(addresses)
+        await asyncio.gather(*map(self._holder.pull, addresses))
 
     async def watch_once(self) -> None:
         """Wait in the store for a newer configuration.
@@ -144,7 +144,7 @@
         """
         stored = await self._context.store.get(CONFIG_KEY)
         current = decode_stored_config(stored.body) if stored else None
-        generation = current.generation if current else 0
+        generation = _generation_of(stored)
         if current and current.change_id == change_id:
             return generation
         if generation != expected_generation:
@@ -173,9 +173,7 @@
             )
         except StoreConflictError as error:
             stored = await self._context.store.get(CONFIG_KEY)
-            current = (
-                decode_stored_config(stored.body).generation if stored else 0
-            )
+            current = _generation_of(stored)
             raise GenerationConflictError(generation, current) from error
         self._adopt_stored(StoredObject(new_version, body))
 
@@ -187,27 +185,10 @@
         if self._holder.adopt(stored.body):
             self._context.request_beat()
 
-    async def _pull_from(self, addresses: tuple[Address, ...]) -> None:
-        await asyncio.gather(*(self._pull(address) for address in addresses))
-
-    async def _pull(self, address: Address) -> None:
-        pull = Pull(kind=PULL_CONFIG, newer_than=self._holder.generation)
-        with suppress(PeerError):
-            document = await self._context.call(address, pull, PULL_TIMEOUT_S)
-            if isinstance(document, Document) and document.body:
-                self._holder.adopt(document.body)
-
     async def _answer_pull(self, message: Pull, send: Send) -> None:
         if message.kind != PULL_CONFIG:
             return
-        is_newer = self._holder.generation > message.newer_than
-        await send(
-            Document(
-                kind=PULL_CONFIG,
-                version=self._holder.generation,
-                body=self._holder.body if is_newer else b'',
-            ),
-        )
+        await send(self._holder.answer(message))
 
     async def _run_pulls(self) -> None:
         while True:
@@ -229,3 +210,7 @@
             # Also bounds the call rate while the store answers with errors.
             jitter = self._context.random_source.uniform(0.1, 1)
             await self._context.sleep(ROUND_INTERVAL_S * jitter)
+
+
+def _generation_of(stored: StoredObject | None) -> int:
+    return decode_stored_config(stored.body).generation if stored else 0
--- a/rattanvalve/configdocs.py
+++ b/rattanvalve/configdocs.py
@@ -1,16 +1,28 @@
 """The configuration document: envelope, validation, monotonic adoption."""
 
+from contextlib import suppress
+
 import msgspec
 
 from rattanvalve.catalog import build_catalog
 from rattanvalve.control import ControlContext
 from rattanvalve.counters import Counter
-from rattanvalve.errors import StoreError
+from rattanvalve.errors import PeerError, StoreError
 from rattanvalve.inventory import Config, parse_config
 from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import Document, Pull
+from rattanvalve.peers import Address
 from rattanvalve.resultcodes import ResultCode
 
-__all__ = ('ConfigHolder', 'StoredConfig', 'decode_stored_config')
+__all__ = (
+    'PULL_CONFIG',
+    'ConfigHolder',
+    'StoredConfig',
+    'decode_stored_config',
+)
+
+PULL_CONFIG = 'config'
+PULL_TIMEOUT_S = 2.0
 
 _log = part_logger(LogPart.CONFIG)
 
@@ -72,6 +84,30 @@
         self._publish(body, document.generation, parsed.unwrap())
         return True
 
+    async def pull(self, address: Address) -> None:
+        """Ask a peer for a newer document and adopt it.
+
+        :param address: peer to ask; without an answer nothing changes.
+        """
+        pull = Pull(kind=PULL_CONFIG, newer_than=self.generation)
+        with suppress(PeerError):
+            document = await self._context.call(address, pull, PULL_TIMEOUT_S)
+            if isinstance(document, Document) and document.body:
+                self.adopt(document.body)
+
+    def answer(self, pull: Pull) -> Document:
+        """Make the answer to a pull.
+
+        :param pull: request of a peer.
+        :returns: the document; without a body if the peer's one is as new.
+        """
+        is_newer = self.generation > pull.newer_than
+        return Document(
+            kind=PULL_CONFIG,
+            version=self.generation,
+            body=self.body if is_newer else b'',
+        )
+
     def _publish(self, body: bytes, generation: int, config: Config) -> None:
         self._context.check(
             generation > self.generation,
--- a/rattanvalve/load_controller.py
+++ b/rattanvalve/load_controller.py
@@ -6,7 +6,7 @@
 from rattanvalve.loads import ENDPOINT_SILENT_S, EndpointLoads
 from rattanvalve.messages import Ack, Announce, Member
 from rattanvalve.peers import Handler, Send
-from rattanvalve.views import endpoints_of
+from rattanvalve.views import endpoints_of, member_of
 
 __all__ = ('EndpointMembership', 'LoadController')
 
@@ -72,18 +72,28 @@
         self._checked_at_s = now_s
         self._loads.set_view(self._context.blackboard.view)
         silent = self._loads.silent_names(now_s)
+        self._drop_unlisted(silent)
         known = {} if was_paused else self._awaited_since_s
         self._awaited_since_s = {
-            member.name: known.get(member.name, now_s)
+            member.name: known.get(
+                member.name,
+                # A known endpoint has been silent for its time already.
+                now_s - ENDPOINT_SILENT_S
+                if member.name in silent and not was_paused
+                else now_s,
+            )
             for member in endpoints_of(self._context.blackboard.view)
             if member.name in silent or not self._loads.is_known(member.name)
         }
         for name, since_s in self._awaited_since_s.items():
-            # A known endpoint has been silent for its time already.
-            limit_s = 0 if name in silent else ENDPOINT_SILENT_S
-            if now_s - since_s > limit_s:
+            if now_s - since_s >= ENDPOINT_SILENT_S:
                 self._membership.forget_endpoint(name)
 
+    def _drop_unlisted(self, names: set[str]) -> None:
+        for name in names:
+            if member_of(self._context.blackboard.view, name) is None:
+                self._loads.forget(name)
+
     async def _answer_announce(self, message: Announce, send: Send) -> None:
         now_s = self._context.clock()
         self._loads.report(message, now_s)
