--- /dev/null
+++ b/tests/steps/view_controller_steps.py
@@ -0,0 +1,125 @@
+"""Steps of view_controller.feature."""
+
+from behave import given, then, when
+
+from rattanvalve.actmode import ActMode
+from rattanvalve.counters import Counter
+from tests import cellsim
+
+
+def view_of(sim, name):
+    """Give the view that an entry has adopted."""
+    return sim.entries[name].context.blackboard.view
+
+
+@given('a settled cell')
+def step_settled(context):
+    context.sim = context.run(cellsim.start_cell())
+    context.epoch = view_of(context.sim, 'a').epoch
+    assert set(context.sim.modes().values()) == {ActMode.FULL}
+
+
+@when('the store is down for {count:d} s')
+def step_outage(context, count):
+    context.sim.store.is_down = True
+    context.run(context.sim.rounds(count))
+
+
+@then('all entries are FULL and the epoch is unchanged')
+def step_unchanged(context):
+    assert set(context.sim.modes().values()) == {ActMode.FULL}
+    assert view_of(context.sim, 'a').epoch == context.epoch
+
+
+@when('the store is down and entry c dies for {count:d} s')
+def step_dies(context, count):
+    context.sim.store.is_down = True
+    context.sim.do_kill('c', 0)
+    context.run(context.sim.rounds(count))
+
+
+@then('the others are HALF')
+def step_half(context):
+    assert set(context.sim.modes().values()) == {ActMode.HALF}
+
+
+@when('entry c and endpoint e1 fall silent together')
+def step_silent(context):
+    context.sim.do_kill('c', 0)
+    # The load controller of each entry reports the endpoint.
+    context.sim.groups['e1'] = 1
+    for entry in context.sim.entries.values():
+        entry.view.forget_endpoint('e1')
+    context.sim.store.is_down = True
+    context.run(context.sim.rounds(4))
+    context.sim.store.is_down = False
+    context.run(context.sim.rounds(2))
+
+
+@then('one change of the view removed both')
+def step_one_change(context):
+    assert context.sim.listed('a') == {'a', 'b', 'e2'}
+    assert view_of(context.sim, 'b').epoch == context.epoch + 1
+
+
+@when('entry b is paused for {count:d} s and runs again')
+def step_paused(context, count):
+    context.incarnation = context.sim.entries['b'].member.incarnation
+    context.sim.do_pause('b', 0)
+    context.run(context.sim.rounds(count))
+    assert context.sim.modes('b') == {'b': ActMode.HALF}
+    context.sim.do_pause('b', 0)
+    context.run(context.sim.entries['b'].view.beat())
+    assert context.sim.modes('b') == {'b': ActMode.NONE}
+
+
+@then('b does not act before it is listed with a new incarnation')
+def step_new_incarnation(context):
+    context.run(context.sim.rounds(3))
+    state = context.sim.entries['b'].view.state
+    assert state.member.incarnation != context.incarnation
+    assert state.is_listed(view_of(context.sim, 'a'))
+    assert context.sim.modes('b') == {'b': ActMode.FULL}
+
+
+@when('all entries stand still for {count:d} s')
+def step_stand_still(context, count):
+    context.sim.now_s += count
+    context.run(context.sim.rounds(5))
+
+
+@then('no further change of the view is made')
+def step_no_change(context):
+    assert view_of(context.sim, 'a').epoch == context.epoch
+
+
+@when('entry b leaves')
+def step_leaves(context):
+    context.run(context.sim.entries['b'].view.leave())
+
+
+@then('the others adopt a view without b in one round')
+def step_left(context):
+    context.run(context.sim.rounds(1))
+    for name in 'abc':
+        assert 'b' not in context.sim.listed(name)
+    assert context.sim.modes('b') == {'b': ActMode.NONE}
+
+
+@when('d joins while the maintainer changes the view')
+def step_race(context):
+    sim = context.sim
+    sim.do_start('d', 0)
+    sim.do_kill('c', 0)
+    sim.store.is_down = True
+    context.run(sim.rounds(4))
+    sim.store.is_down = False
+    sim.before_put = sim.entries['d'].view.store_round()
+    context.run(sim.entries['a'].view.store_round())
+
+
+@then('d is listed and the conflict was counted')
+def step_both(context):
+    metrics = context.sim.entries['a'].context.metrics
+    assert metrics.counts[Counter.VIEW_CONFLICT] == 1
+    assert context.sim.listed('a') == {'a', 'b', 'd', 'e1', 'e2'}
