--- a/rattanvalve/view_controller.py
+++ b/rattanvalve/view_controller.py
@@ -109,14 +109,16 @@
 
     async def store_round(self) -> None:
         """Join, maintain or read the view in the store, whichever is due."""
-        is_reachable = True
+        blackboard = self._context.blackboard
         try:
-            await self._use_store()
+            is_called = await self._use_store()
         except StoreConflictError:
             _log.info('another process changes the view too')
+            is_called = True
         except StoreError:
-            is_reachable = False
-        self._context.blackboard.is_store_reachable = is_reachable
+            blackboard.is_store_reachable = False
+            return
+        blackboard.is_store_reachable |= is_called
 
     async def _run_beats(self) -> None:
         while True:
@@ -137,9 +139,10 @@
             jitter = self._context.random_source.uniform(0.5, 1)
             await self._context.sleep(HEARTBEAT_INTERVAL_S * jitter)
 
-    async def _use_store(self) -> None:
+    async def _use_store(self) -> bool:
+        """Make the call that is due; tell whether one was."""
         if self._exchange.is_leaving:
-            return
+            return False
         now_s = self._context.clock()
         is_maintainer = self._presence.is_maintainer(now_s)
         limit_s = READ_AFTER_S if is_maintainer else READ_AFTER_OTHERS_S
@@ -149,6 +152,9 @@
             await self._change(self._changes.maintain)
         elif self.state.confirmation.read_age_s(now_s) >= limit_s:
             self.state.take_stored(await self._store.read())
+        else:
+            return False
+        return True
 
     async def _change(self, change: ChangeView) -> None:
         self.state.is_changing = True
@@ -157,3 +163,5 @@
             self.state.take_stored(await self._store.change(allowed))
         finally:
             self.state.is_changing = False
+        # The other entries learn the new epoch at once.
+        self._context.request_beat()
--- a/rattanvalve/viewstate.py
+++ b/rattanvalve/viewstate.py
@@ -88,10 +88,12 @@
         """Note the epoch of a message.
 
         :param epoch: epoch that another process knows.
-        :returns: whether it is newer than the adopted view.
+        :returns: whether it is the first sign of a newer view. Later signs
+            must not cause more calls, as a promise may delay the adoption.
         """
+        is_news = epoch > max(self._heard_epoch, self.view.epoch)
         self._heard_epoch = max(self._heard_epoch, epoch)
-        return epoch > self.view.epoch
+        return is_news
 
     def take_stored(self, stored: StoredView) -> None:
         """Adopt and confirm what was read from or written to the store.
@@ -112,8 +114,9 @@
         :param ack: its answer.
         :param began_s: moment before the heartbeat was sent.
         """
+        self.hear_epoch(ack.epoch)
         # A peer with another epoch confirms nothing about ours.
-        if self.hear_epoch(ack.epoch) or ack.epoch != self.view.epoch:
+        if ack.epoch != self.view.epoch:
             return
         age_s = ack.confirmation_age_ms / 1000
         if ack.is_store_reachable:
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -4,6 +4,9 @@
 advance the common clock. Nothing waits in real time.
 """
 
+import asyncio
+import heapq
+import itertools
 import os
 from collections import defaultdict
 from contextlib import suppress
@@ -110,6 +113,7 @@
             call=self.call,
             metrics=Metrics(),
             clock=lambda: sim.now_s,
+            sleep=sim.sleep,
             seed_peers=tuple(Address(peer, 1) for peer in sim.names),
         )
         self.view = ViewController(
@@ -197,6 +201,8 @@
         self.generations = {}
         self.accepted = {}
         self.before_put = None
+        self._sleepers = []
+        self._sleep_order = itertools.count()
 
     def is_linked(self, one, other):
         """Tell whether two places can reach each other."""
@@ -226,6 +232,33 @@
             raise PeerError('late answer')
         return answers[0]
 
+    async def sleep(self, delay_s):
+        """Wait in simulated time, for the loops of the controllers."""
+        woken = asyncio.get_running_loop().create_future()
+        at_s = self.now_s + delay_s
+        heapq.heappush(self._sleepers, (at_s, next(self._sleep_order), woken))
+        await woken
+
+    async def run_loops(self, seconds):
+        """Run the loops of all processes for some simulated time."""
+        tasks = [
+            asyncio.ensure_future(run())
+            for entry in self.entries.values()
+            for run in (entry.view.run, entry.config.run)
+        ]
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            for _ in range(50):
+                await asyncio.sleep(0)
+            sleeper = heapq.heappop(self._sleepers)
+            self.now_s = sleeper[0]
+            if not sleeper[-1].done():
+                sleeper[-1].set_result(None)
+        failures = [task for task in tasks if task.done()]
+        for task in tasks:
+            task.cancel()
+        assert not failures, failures
+
     async def announce(self):
         """Let the endpoints announce themselves and learn newer views."""
         for name in ENDPOINT_NAMES:
--- a/tests/steps/view_controller_steps.py
+++ b/tests/steps/view_controller_steps.py
@@ -4,6 +4,7 @@
 
 from rattanvalve.actmode import ActMode
 from rattanvalve.counters import Counter
+from rattanvalve.inventory import Config
 from tests import cellsim
 
 
@@ -123,3 +124,24 @@
     metrics = context.sim.entries['a'].context.metrics
     assert metrics.counts[Counter.VIEW_CONFLICT] == 1
     assert context.sim.listed('a') == {'a', 'b', 'd', 'e1', 'e2'}
+
+
+@given('three entries whose loops run')
+def step_loops(context):
+    context.sim = cellsim.CellSim()
+    for name in context.sim.names:
+        context.sim.do_start(name, 0)
+    context.run(context.sim.run_loops(10))
+
+
+@then('they share one view and are FULL, and a change spreads at once')
+def step_loops_settled(context):
+    sim = context.sim
+    assert len({view_of(sim, name).epoch for name in sim.names}) == 1
+    assert sim.listed('a') == set(sim.names)
+    assert set(sim.modes().values()) == {ActMode.FULL}
+    entry = sim.entries['a']
+    context.run(entry.config.apply(Config(), 0, 'eva', 'change-1'))
+    context.run(sim.run_loops(1))
+    for entry in sim.entries.values():
+        assert entry.context.blackboard.catalog.generation == 1
--- /dev/null
+++ b/tests/steps/views_steps.py
@@ -0,0 +1,70 @@
+"""Steps of views.feature, for views and rendezvous."""
+
+from behave import then
+
+from rattanvalve import views
+from rattanvalve.errors import FrameError
+from rattanvalve.messages import Member, View
+from rattanvalve.rendezvous import rank
+
+NAMES = ('a', 'b', 'c')
+
+
+def sample_view():
+    """Build a view of three entries and two endpoints."""
+    view = View(cell='cell')
+    for name in NAMES:
+        entry = Member(name=name, role=views.ROLE_ENTRY, incarnation='1')
+        view = views.with_member(view, entry, name)
+    for name in ('s-1', 't-1'):
+        endpoint = Member(
+            name=name,
+            role=views.ROLE_ENDPOINT,
+            service_name=name[0],
+        )
+        view = views.with_member(view, endpoint, name)
+    return view
+
+
+@then('rendezvous ranks keep their order without a name')
+def step_rank(context):
+    for index in range(100):
+        order = rank(f'key-{index}', NAMES)
+        assert sorted(order) == list(NAMES)
+        without = [name for name in order if name != 'b']
+        assert rank(f'key-{index}', ('c', 'a')) == without
+
+
+@then('members are replaced and removed, each in one epoch')
+def step_changes(context):
+    view = sample_view()
+    assert view.epoch == 5
+    newer = Member(name='a', role=views.ROLE_ENTRY, incarnation='2')
+    replaced = views.with_member(view, newer, 'change')
+    assert (replaced.epoch, replaced.change_id) == (6, 'change')
+    assert len(replaced.members) == 5
+    assert views.member_of(replaced, 'a') == newer
+    removed = views.without_members(replaced, ('a', 't-1'), 'change')
+    assert removed.epoch == 7
+    assert views.member_of(removed, 'a') is None
+    assert [found.name for found in views.endpoints_of(removed)] == ['s-1']
+    assert not views.endpoints_of(removed, 't')
+    assert views.decode_view(views.encode_view(removed)) == removed
+
+
+@then('malformed views raise a frame error')
+def step_malformed(context):
+    for raw in (b'', b'{', b'[]', b'{"epoch": "x"}', b'{"members": [1]}'):
+        try:
+            views.decode_view(raw)
+        except FrameError:
+            continue
+        raise AssertionError(raw)
+
+
+@then('every entry owns some shards and no endpoint owns any')
+def step_owners(context):
+    view = sample_view()
+    owners = {views.owner_of(view, 'north', shard) for shard in range(50)}
+    assert owners == set(NAMES)
+    assert not views.owner_of(View(), 'north', 0)
--- a/tests/view_controller.feature
+++ b/tests/view_controller.feature
@@ -34,3 +34,7 @@
     Given a settled cell
     When d joins while the maintainer changes the view
     Then d is listed and the conflict was counted
+
+  Scenario: the loops of the controllers build a cell and spread a change
+    Given three entries whose loops run
+    Then they share one view and are FULL, and a change spreads at once
