--- a/rattanvalve/confirmations.py
+++ b/rattanvalve/confirmations.py
@@ -7,10 +7,11 @@
 """
 
 import math
+from collections.abc import Iterable
 
 from rattanvalve.actmode import ActMode
 from rattanvalve.errors import InvariantError
-from rattanvalve.messages import View
+from rattanvalve.messages import Member, View
 from rattanvalve.views import endpoints_of, entries_of, member_of
 
 __all__ = (
@@ -60,6 +61,7 @@
         self._joined_at_s = _NEVER
         self._held_epoch = 0
         self._unsealed: set[str] = set()
+        self._predecessors: dict[str, Member] = {}
 
     def confirm(self, read_at_s: float) -> None:
         """Note that no newer epoch existed at a moment.
@@ -105,27 +107,37 @@
             self._statements.clear()
         self._epoch = view.epoch
         self._required = frozenset(member.name for member in entries_of(view))
+        self._drop_replaced(view)
         own = member_of(view, own_name)
         self._is_listed = own is not None and (
             self.incarnation in {'', own.incarnation}
         )
 
-    def begin_hold(self, previous: View, now_s: float) -> None:
+    def begin_hold(
+        self,
+        previous: View,
+        predecessors: Iterable[Member],
+        now_s: float,
+    ) -> None:
         """Hold back a new member until the previous owners cannot act.
 
         The entries of the previous view may confirm each other without the
         store, and then do not know about this member. The hold ends when a
         confirmed entry knows our epoch (:meth:`end_hold`), when all endpoints
-        of the previous view refuse older epochs (:meth:`note_sealed`), or
-        after the longest time that such owners may act.
+        of the previous view refuse older epochs (:meth:`note_sealed`), when
+        another process runs at the address of each previous entry
+        (:meth:`set_view`), or after the longest time that they may act.
 
         :param previous: view before this process joined.
+        :param predecessors: entries of it that may still run.
         :param now_s: current time.
         """
         self._held_epoch = previous.epoch
         self._unsealed = {member.name for member in endpoints_of(previous)}
+        self._predecessors = {member.name: member for member in predecessors}
         # Without endpoints the previous owners have nowhere to send work.
-        self._joined_at_s = now_s if self._unsealed else _NEVER
+        has_owners = bool(self._unsealed) and bool(self._predecessors)
+        self._joined_at_s = now_s if has_owners else _NEVER
 
     def end_hold(self) -> None:
         """Note that the previous owners cannot act any more."""
@@ -185,6 +197,16 @@
         """
         return now_s - self._read_at_s
 
+    def _drop_replaced(self, view: View) -> None:
+        """Drop predecessors whose address another process has taken."""
+        for name, old in tuple(self._predecessors.items()):
+            new = member_of(view, name) or old
+            is_same_place = (new.host, new.port) == (old.host, old.port)
+            if is_same_place and new.incarnation != old.incarnation:
+                self._predecessors.pop(name)
+        if not self._predecessors:
+            self.end_hold()
+
     def _stated_at_s(self) -> float:
         if not self._required:
             return _NEVER
--- a/rattanvalve/viewchanges.py
+++ b/rattanvalve/viewchanges.py
@@ -58,6 +58,7 @@
         if self._state.is_listed(view) or (own and self._state.was_listed):
             # A newer incarnation under our name has replaced this process.
             return None
+        self._note_replaced(own)
         return change_members(view, (self._state.member,), (), _new_change_id())
 
     def leave(self, view: View) -> View | None:
@@ -91,6 +92,15 @@
             return None
         return change_members(view, added, removed, _new_change_id())
 
+    def _note_replaced(self, old: Member | None) -> None:
+        """Note an earlier process of our name that may still run.
+
+        At our own address it cannot run any more, as we listen there.
+        """
+        own = self._state.member
+        if old and (old.host, old.port) != (own.host, own.port):
+            self._state.replaced = old
+
     def _pending(self, view: View) -> tuple[list[Member], set[str]]:
         listed = {member.name: member for member in view.members}
         added = [
--- a/rattanvalve/viewstate.py
+++ b/rattanvalve/viewstate.py
@@ -20,7 +20,7 @@
 from rattanvalve.counters import Counter
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Ack, Member, View
-from rattanvalve.views import member_of
+from rattanvalve.views import entries_of, member_of
 from rattanvalve.viewstore import StoredView
 
 __all__ = ('ViewChanged', 'ViewState')
@@ -57,6 +57,8 @@
         #: adopted then must not be excluded by a statement made meanwhile.
         self.is_changing = False
         self.was_listed = False
+        #: Earlier process of our name that may still run at another address.
+        self.replaced: Member | None = None
         self._context = context
         self._on_view_changed = on_view_changed
         self._heard_epoch = 0
@@ -236,8 +238,18 @@
         if is_listed and not self.was_listed:
             self.confirmation.begin_hold(
                 replace(view, epoch=view.epoch - 1),
+                _predecessors(self, view),
                 now_s,
             )
         if is_listed or is_removed:
             self.was_listed = is_listed
         self.confirmation.set_view(view, self.member.name, now_s)
+
+
+def _predecessors(state: ViewState, view: View) -> list[Member]:
+    others = [
+        member
+        for member in entries_of(view)
+        if member.name != state.member.name
+    ]
+    return [state.replaced, *others] if state.replaced else others
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -40,7 +40,7 @@
     'new members are not held': (
         Confirmation,
         'begin_hold',
-        lambda confirmation, previous, now_s: None,
+        lambda confirmation, previous, predecessors, now_s: None,
     ),
     'promises are not kept': (ViewState, 'may_adopt', lambda state: True),
     'ages are not added': (ViewState, 'take_ack', take_ack_as_new),
--- a/tests/confirmations.feature
+++ b/tests/confirmations.feature
@@ -18,7 +18,7 @@
 
   Scenario: a new member is held until its predecessors cannot act
     Given a confirmed entry
-    Then a hold ends by sealed endpoints, a confirmed entry, or time
+    Then a hold ends by seals, a confirmed entry, restarts, or time
 
   Scenario: an epoch never decreases
     Given a confirmed entry
--- a/tests/steps/confirmations_steps.py
+++ b/tests/steps/confirmations_steps.py
@@ -11,6 +11,7 @@
 )
 from rattanvalve.errors import InvariantError
 from rattanvalve.messages import Member, View
+from rattanvalve.views import with_member
 
 VIEW = View(
     epoch=4,
@@ -22,6 +23,12 @@
 )
 
 
+def restart_b(confirmation, host):
+    """Let the view list a new incarnation of b at an address."""
+    entry = Member(name='b', role='entry', incarnation='2', host=host)
+    confirmation.set_view(with_member(VIEW, entry, 'change'), 'a', 2)
+
+
 @given('a confirmed entry')
 def step_confirmed(context):
     context.confirmation = Confirmation()
@@ -53,20 +60,22 @@
         assert confirmation.mode(now_s) is mode, (name, epoch, now_s)
 
 
-@then('a hold ends by sealed endpoints, a confirmed entry, or time')
+@then('a hold ends by seals, a confirmed entry, restarts, or time')
 def step_hold(context):
     confirmation = context.confirmation
     endings = (
         (lambda: confirmation.note_sealed('e1', 5), ActMode.FULL),
         (lambda: confirmation.note_sealed('e1', 4), ActMode.NONE),
         (confirmation.end_hold, ActMode.FULL),
+        (lambda: restart_b(confirmation, host='other'), ActMode.NONE),
+        (lambda: restart_b(confirmation, host=''), ActMode.FULL),
     )
     for end, mode in endings:
-        confirmation.begin_hold(VIEW, 1)
+        confirmation.begin_hold(VIEW, VIEW.members[1:2], 1)
         assert confirmation.mode(2) is ActMode.NONE
         end()
         assert confirmation.mode(2) is mode
-    confirmation.begin_hold(VIEW, 0)
+    confirmation.begin_hold(VIEW, VIEW.members[1:2], 0)
     for now_s, mode in ((3909, 'NONE'), (3910, 'HALF'), (7810, 'FULL')):
         confirmation.confirm(now_s)
         assert confirmation.mode(now_s) is ActMode[mode], now_s
--- a/tests/steps/view_controller_steps.py
+++ b/tests/steps/view_controller_steps.py
@@ -145,3 +145,22 @@
     context.run(sim.run_loops(1))
     for entry in sim.entries.values():
         assert entry.context.blackboard.catalog.generation == 1
+
+
+@when('all entries restart while no endpoint announces itself')
+def step_all_restart(context):
+    for name in cellsim.ENDPOINT_NAMES:
+        context.sim.groups[name] = 1
+    for name in 'abc':
+        context.sim.do_kill(name, 0)
+    for name in 'abc':
+        context.sim.do_start(name, 0)
+        assert context.sim.modes('a')['a'] is ActMode.NONE
+        context.run(context.sim.rounds(1))
+    context.run(context.sim.rounds(3))
+
+
+@then('all entries are FULL and endpoints of the view were kept')
+def step_all_act(context):
+    assert set(context.sim.modes().values()) == {ActMode.FULL}
+    assert context.sim.listed('a') == {'a', 'b', 'c', 'e1', 'e2'}
--- a/tests/view_controller.feature
+++ b/tests/view_controller.feature
@@ -38,3 +38,8 @@
   Scenario: the loops of the controllers build a cell and spread a change
     Given three entries whose loops run
     Then they share one view and are FULL, and a change spreads at once
+
+  Scenario: a cell whose entries all restart acts again without its endpoints
+    Given a settled cell
+    When all entries restart while no endpoint announces itself
+    Then all entries are FULL and endpoints of the view were kept
