--- a/rattanvalve/actmode.py
+++ b/rattanvalve/actmode.py
@@ -1,4 +1,4 @@
-"""How far an owner may act under its confirmation."""
+"""How far an owner may act with its current confirmation."""
 
 import enum
 
@@ -6,11 +6,11 @@
 
 
 class ActMode(enum.Enum):
-    """What an owner may admit."""
+    """What the confirmation of the view permits."""
 
-    #: Everything, at the whole rate.
+    #: All work is admitted at the full rate and burst.
     FULL = 'full'
-    #: Repeatable requests only, at half the rate and burst.
+    #: Repeatable work only, at half the rate and burst.
     HALF = 'half'
-    #: Nothing.
+    #: Nothing is admitted.
     NONE = 'none'
