--- a/rattanvalve/calls.py
+++ b/rattanvalve/calls.py
@@ -20,6 +20,8 @@
 __all__ = ('CHAT_PATH', 'CallLimits', 'chat_call', 'service_call')
 
 CHAT_PATH = '/v1/chat/completions'
+#: Reserved from the budget of a program when the caller states no limit.
+DEFAULT_MAX_TOKENS = 4096
 
 HistoryDigests = Callable[[list[dict[str, Any]]], tuple[int, ...]]
 
@@ -65,7 +67,7 @@
             service_name=service,
             is_repeatable=catalog.is_repeatable(service, 'POST', CHAT_PATH),
             prompt_tokens=estimate_tokens(body),
-            max_tokens=chat.limit_tokens(),
+            max_tokens=chat.limit_tokens() or DEFAULT_MAX_TOKENS,
             history_digests=limits.history_digests(list(chat.messages)),
         ),
         entry=entry,
--- a/rattanvalve/config_controller.py
+++ b/rattanvalve/config_controller.py
@@ -98,11 +98,18 @@
     async def load(self) -> None:
         """Get the newest configuration at start, from store or peers."""
         with suppress(StoreError):
-            self._adopt_stored(await self._context.store.get(CONFIG_KEY))
+            await self.refresh()
             return
         self._newer_at.update(self._context.seed_peers)
         await self.pull_newer()
 
+    async def refresh(self) -> None:
+        """Read the newest configuration from the store.
+
+        :raises StoreError: if the store does not answer.
+        """
+        self._adopt_stored(await self._context.store.get(CONFIG_KEY))
+
     async def pull_newer(self) -> None:
         """Pull from the peers that are known to have a newer generation."""
         addresses = tuple(self._newer_at)
--- a/rattanvalve/control.py
+++ b/rattanvalve/control.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import time
-from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -11,14 +10,13 @@
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.counters import Metrics
 from rattanvalve.errors import InvariantError
-from rattanvalve.peers import Address, Handler, Send
+from rattanvalve.peers import Address
 from rattanvalve.store import StoredObject
 
 __all__ = (
     'Call',
     'ControlContext',
     'Store',
-    'merge_handlers',
     'sleep_or_wake',
 )
 
@@ -105,33 +103,3 @@
     finally:
         pause.cancel()
         woken.cancel()
-
-
-def merge_handlers(*tables: dict[type, Handler]) -> dict[type, Handler]:
-    """Combine the handler tables of several controllers.
-
-    Several controllers may handle one message class (``Pull``); each answers
-    only the kinds that it knows.
-
-    :param tables: handler tables.
-    :returns: one table for :class:`rattanvalve.peers.PeerServer`.
-    """
-    by_kind: dict[type, list[Handler]] = defaultdict(list)
-    for table in tables:
-        for kind, handler in table.items():
-            by_kind[kind].append(handler)
-    return {
-        message_class: _in_turn(handlers)
-        for message_class, handlers in by_kind.items()
-    }
-
-
-def _in_turn(handlers: list[Handler]) -> Handler:
-    if len(handlers) == 1:
-        return handlers[0]
-
-    async def handle_in_turn(message: Any, send: Send) -> None:
-        for handler in handlers:
-            await handler(message, send)
-
-    return handle_in_turn
--- /dev/null
+++ b/rattanvalve/entry_parts.py
@@ -0,0 +1,194 @@
+"""Controllers and owner role of an entry process, built from settings."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from rattanvalve import routing, views
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.config_controller import ConfigController
+from rattanvalve.configdocs import PULL_CONFIG
+from rattanvalve.confirmations import Confirmation
+from rattanvalve.control import ControlContext
+from rattanvalve.counters import Metrics
+from rattanvalve.heartbeats import PULL_VIEW
+from rattanvalve.load_controller import LoadController
+from rattanvalve.loads import EndpointLoads
+from rattanvalve.messages import Member, Pull, View
+from rattanvalve.owner_service import OwnerService
+from rattanvalve.ownerports import OwnerPorts, ViewLookups
+from rattanvalve.ownership import Owner
+from rattanvalve.peers import Address, Handler, PeerPool
+from rattanvalve.pull_dispatch import pull_handler
+from rattanvalve.settings import EntrySettings
+from rattanvalve.store import StoreClient
+from rattanvalve.view_controller import ViewController
+
+__all__ = ('EntryParts', 'SharedParts', 'make_member')
+
+_INCARNATION_BYTES = 4
+#: How often endpoints that a takeover could not seal are tried again.
+RESEAL_INTERVAL_S = 3.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SharedParts:
+    """What all parts of an entry process use."""
+
+    blackboard: Blackboard
+    metrics: Metrics
+    pool: PeerPool
+    store: StoreClient
+
+
+class EntryParts:
+    """Controllers and owner role of an entry process.
+
+    :param member: this process, as it is listed in the view.
+    :param settings: validated settings.
+    :param shared: state, counters, connections and store.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        settings: EntrySettings,
+        shared: SharedParts,
+    ) -> None:
+        self.shared = shared
+        self.confirmation = Confirmation()
+        self.loads = EndpointLoads(shared.metrics)
+        self._moves: set[asyncio.Task] = set()
+        context = ControlContext(
+            cell=settings.cell,
+            blackboard=shared.blackboard,
+            store=shared.store,
+            call=shared.pool.call,
+            metrics=shared.metrics,
+            seed_peers=tuple(
+                Address(seed.host, seed.port) for seed in settings.seed_peers
+            ),
+        )
+        self.owner_service = OwnerService(
+            Owner(member.name, member.incarnation, shared.metrics),
+            self._owner_ports(),
+        )
+        self.config_controller = ConfigController(member, context)
+        self.view_controller = ViewController(
+            member,
+            context,
+            self.confirmation,
+            self._on_view_changed,
+        )
+        self.load_controller = LoadController(
+            self.loads,
+            self.view_controller,
+            context,
+        )
+
+    def handlers(self) -> dict[type, Handler]:
+        """List the handlers of messages from peers.
+
+        :returns: handler of each message class.
+        """
+        config_handlers = self.config_controller.handlers()
+        view_handlers = self.view_controller.handlers()
+        pulls = {
+            PULL_CONFIG: config_handlers[Pull],
+            PULL_VIEW: view_handlers[Pull],
+        }
+        return {
+            **self.owner_service.handlers(),
+            **self.load_controller.handlers(),
+            **config_handlers,
+            **view_handlers,
+            Pull: pull_handler(pulls),
+        }
+
+    def work(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        """List what runs until the process stops.
+
+        :returns: coroutines that never end by themselves.
+        """
+        return (
+            self.config_controller.run(),
+            self.view_controller.run(),
+            self.load_controller.run(),
+            self._run_reseal(),
+        )
+
+    async def leave(self) -> None:
+        """Leave the view and hand the owned shards over."""
+        await self.view_controller.leave()
+        while self._moves:
+            await asyncio.wait(self._moves)
+
+    def _owner_ports(self) -> OwnerPorts:
+        return OwnerPorts(
+            blackboard=self.shared.blackboard,
+            pool=self.shared.pool,
+            lookups=ViewLookups(
+                owner_of=views.owner_of,
+                entries_of=views.entries_of,
+                endpoints_of=views.endpoints_of,
+                member_of=views.member_of,
+            ),
+            mode=self.confirmation.mode,
+            place=self._place,
+            placement_request=routing.PlacementRequest,
+            started=self.loads.started,
+            ended=self._end,
+        )
+
+    def _place(
+        self,
+        request: routing.PlacementRequest,
+        now_s: float,
+    ) -> Member | None:
+        catalog = self.shared.blackboard.catalog
+        return routing.place(
+            request,
+            catalog.config.rules.placement_policy,
+            self.loads.candidates(
+                request.service_name,
+                catalog.drained_endpoints,
+                now_s,
+            ),
+            now_s,
+        )
+
+    def _end(self, endpoint: str, is_failure: bool) -> None:
+        self.loads.finished(endpoint, is_failure, time.monotonic())
+
+    def _on_view_changed(self, old_view: View, new_view: View) -> None:
+        self.loads.set_view(new_view)
+        move = asyncio.ensure_future(
+            self.owner_service.on_view_changed(old_view, new_view),
+        )
+        self._moves.add(move)
+        move.add_done_callback(self._moves.discard)
+
+    async def _run_reseal(self) -> None:
+        while True:
+            await asyncio.sleep(RESEAL_INTERVAL_S)
+            await self.owner_service.reseal()
+
+
+def make_member(settings: EntrySettings, peer_port: int) -> Member:
+    """Describe an entry process with a new incarnation.
+
+    :param settings: validated settings.
+    :param peer_port: port that the process listens on for peers.
+    :returns: member for the view.
+    """
+    return Member(
+        name=settings.name,
+        role=views.ROLE_ENTRY,
+        host=settings.peer_listen.host,
+        port=peer_port,
+        zone=settings.zone,
+        incarnation=secrets.token_hex(_INCARNATION_BYTES),
+    )
--- a/rattanvalve/loads.py
+++ b/rattanvalve/loads.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Collection
 from dataclasses import dataclass, field
+from typing import Any
 
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.messages import Announce, Member, View
@@ -20,6 +21,7 @@
 SLOW_START_S = 30.0
 #: Part of its slots that a new endpoint is assumed to have at first.
 SLOW_START_FIRST = 0.1
+_READY = 'ready'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,14 +60,19 @@
             return (requests + 1) / (slots * ramp)
         return requests / slots
 
+    def describe(self, now_s: float) -> str:
+        """Name the first reason why no new work is sent, or ``ready``."""
+        reasons = (
+            (now_s - self.reported_at_s > ENDPOINT_SILENT_S, 'silent'),
+            (self.announce.is_leaving, 'leaving'),
+            (not self.announce.is_healthy, 'unhealthy'),
+            (now_s < self.ejected_until_s, 'ejected'),
+        )
+        return next((text for applies, text in reasons if applies), _READY)
+
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new work may be sent."""
-        return (
-            self.announce.is_healthy
-            and not self.announce.is_leaving
-            and now_s - self.reported_at_s <= ENDPOINT_SILENT_S
-            and now_s >= self.ejected_until_s
-        )
+        return self.describe(now_s) == _READY
 
 
 class EndpointLoads:
@@ -187,6 +194,25 @@
             if now_s - state.reported_at_s > ENDPOINT_SILENT_S
         }
 
+    def rows(self, now_s: float) -> list[dict[str, Any]]:
+        """Describe all endpoints for operators.
+
+        :param now_s: current time.
+        :returns: JSON objects in name order.
+        """
+        return [
+            {
+                'endpoint': name,
+                'service': state.announce.member.service_name,
+                'zone': state.announce.member.zone,
+                'state': state.describe(now_s),
+                'running': state.announce.running_count,
+                'queued': state.announce.queued_count,
+                'in_flight': state.in_flight_count,
+            }
+            for name, state in sorted(self._states.items())
+        ]
+
     def is_known(self, endpoint: str) -> bool:
         """Tell whether an endpoint has announced itself.
 
--- a/rattanvalve/outcome_lookup.py
+++ b/rattanvalve/outcome_lookup.py
@@ -10,14 +10,10 @@
 from rattanvalve.messages import Begin, Outcome, Refusal, Resolve
 from rattanvalve.owner_client import OwnerClient
 from rattanvalve.peers import PeerPool
-from rattanvalve.resultcodes import ResultCode
 from rattanvalve.response_fetch import fetch_settled
+from rattanvalve.resultcodes import ResultCode
 
-__all__ = ('LOOKUP_REASON', 'OutcomeLookup')
-
-#: ``reason`` of a ``Resolve`` that only looks an idempotency key up. The
-#: message holds the key in ``request_id`` and no ticket number.
-LOOKUP_REASON = 'lookup'
+__all__ = ('OutcomeLookup',)
 
 
 @dataclass(slots=True)
@@ -48,7 +44,7 @@
                 workspace=begin.workspace,
                 shard=begin.shard,
                 program_id=begin.program_id,
-                reason=LOOKUP_REASON,
+                reason=outcomes.LOOKUP_REASON,
             ),
             deadline_s,
         )
--- a/rattanvalve/outcomes.py
+++ b/rattanvalve/outcomes.py
@@ -1,6 +1,6 @@
 """Names of the outcome of a request."""
 
-__all__ = ('ANSWERED', 'NOT_RUN', 'RUNNING', 'UNKNOWN')
+__all__ = ('ANSWERED', 'LOOKUP_REASON', 'NOT_RUN', 'RUNNING', 'UNKNOWN')
 
 #: The request ran and its response is recorded.
 ANSWERED = 'answered'
@@ -10,3 +10,7 @@
 RUNNING = 'running'
 #: It cannot be known whether the request ran.
 UNKNOWN = 'unknown'
+
+#: ``reason`` of a ``Resolve`` that only looks an idempotency key up. The
+#: message holds the key in ``request_id`` and no ticket number.
+LOOKUP_REASON = 'lookup'
--- a/rattanvalve/owner_service.py
+++ b/rattanvalve/owner_service.py
@@ -10,6 +10,7 @@
 from rattanvalve import outcomes
 from rattanvalve.beginqueue import OWNER_WAIT_MAX_S, BeginQueue
 from rattanvalve.handover import Handovers
+from rattanvalve.idempotency import Attempt
 from rattanvalve.messages import (
     Ack,
     Begin,
@@ -106,6 +107,8 @@
         answer = await self._queue.begin(begin)
         if isinstance(answer, Refusal):
             self._owner.metrics.count_code(answer.code)
+        elif isinstance(answer, Ticket):
+            self._ports.started(answer.endpoint)
         return answer
 
     async def resolve(self, resolve: Resolve) -> Ticket | Outcome | Refusal:
@@ -118,6 +121,8 @@
         refusal = await self.takeover.wait_serving(name, OWNER_WAIT_MAX_S)
         if refusal is not None:
             return refusal
+        if resolve.reason == outcomes.LOOKUP_REASON:
+            return self._owner.look_up(resolve)
         attempt = self._owner.attempt_of(*name, resolve.number)
         settled = outcomes.UNKNOWN
         if attempt is not None and attempt.ticket.number == resolve.number:
@@ -128,7 +133,11 @@
             self._queue.context(name, wait_left_s=0),
             self._ports.clock(),
         )
-        if not isinstance(answer, Ticket):
+        if settled != outcomes.RUNNING:
+            self._end(attempt, settled)
+        if isinstance(answer, Ticket):
+            self._ports.started(answer.endpoint)
+        else:
             self._queue.wake(attempt)
         return answer
 
@@ -143,8 +152,10 @@
         refusal = await self.takeover.wait_serving(name, OWNER_WAIT_MAX_S)
         if refusal is not None:
             return refusal
-        self._owner.finish(finish, self._ports.clock())
-        self._queue.wake(self._owner.attempt_of(*name, finish.number))
+        attempt = self._owner.attempt_of(*name, finish.number)
+        if self._owner.finish(finish, self._ports.clock()):
+            self._end(attempt, finish.outcome)
+        self._queue.wake(attempt)
         return Ack(epoch=self.takeover.view().epoch)
 
     async def receive_handover(self, handover: Handover) -> Ack | Refusal:
@@ -172,6 +183,12 @@
             body=msgspec.json.encode(found),
         )
 
+    def _end(self, attempt: Attempt | None, outcome: str) -> None:
+        """Report the end of a ticket to the loads of the endpoints."""
+        if attempt is not None:
+            is_failure = outcome == outcomes.UNKNOWN
+            self._ports.ended(attempt.ticket.endpoint, is_failure)
+
 
 async def _answer(action: _Action, message: Any, send: Send) -> None:
     await send(await action(message))
--- a/rattanvalve/ownerports.py
+++ b/rattanvalve/ownerports.py
@@ -39,5 +39,9 @@
     mode: Callable[[float], ActMode]
     place: Callable[[PlacementQuery, float], Member | None]
     placement_request: Callable[..., object] = PlacementQuery
+    #: Called with the endpoint of a new ticket, and when the ticket ends with
+    #: the endpoint and whether the endpoint failed.
+    started: Callable[[str], None] = lambda _endpoint: None
+    ended: Callable[[str, bool], None] = lambda _endpoint, _is_failure: None
     clock: Callable[[], float] = time.monotonic
     sleep: Sleep = asyncio.sleep
--- a/rattanvalve/ownership.py
+++ b/rattanvalve/ownership.py
@@ -209,6 +209,18 @@
         )
         return self._retry(attempt, context, now_s)
 
+    def look_up(self, resolve: Resolve) -> Outcome | Refusal:
+        """Find the outcome of an idempotency key.
+
+        :param resolve: the key stands in ``request_id``.
+        :returns: the outcome and the place of its record, or a refusal.
+        """
+        shard = self.table.find(resolve.workspace, resolve.shard)
+        found = shard and shard.ledger.attempts.find('', resolve.request_id)
+        if not found:
+            return refuse(ResultCode.UNKNOWN_OUTCOME_KEY, retry_after_ms=0)
+        return outcome_of(found)
+
     def explain(self, workspace: str, shard: int, program_id: str) -> dict:
         """Describe a program for operators.
 
--- a/rattanvalve/relay.py
+++ b/rattanvalve/relay.py
@@ -25,10 +25,10 @@
     timeout_refusal,
 )
 from rattanvalve.responder import Responder
+from rattanvalve.response_fetch import fetch_settled
 from rattanvalve.responses import honest_outcome
 from rattanvalve.resultcodes import ResultCode, info_of
 from rattanvalve.runs import open_run
-from rattanvalve.response_fetch import fetch_settled
 from rattanvalve.streams import OpenRequest, OpenRequests
 
 __all__ = ('Relay',)
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -19,12 +19,13 @@
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.config_controller import ConfigController
 from rattanvalve.confirmations import Confirmation
-from rattanvalve.control import ControlContext, merge_handlers
+from rattanvalve.control import ControlContext
 from rattanvalve.counters import Metrics
 from rattanvalve.errors import PeerError, StoreConflictError, StoreError
 from rattanvalve.inventory import Config
-from rattanvalve.messages import Announce, Member
+from rattanvalve.messages import Announce, Member, Pull
 from rattanvalve.peers import Address
+from rattanvalve.pull_dispatch import pull_handler
 from rattanvalve.store import StoredObject
 from rattanvalve.view_controller import ViewController
 from rattanvalve.views import ROLE_ENDPOINT, ROLE_ENTRY, member_of, owner_of
@@ -123,10 +124,14 @@
             self.take_over,
         )
         self.config = ConfigController(self.member, self.context)
-        self.handlers = merge_handlers(
-            self.view.handlers(),
-            self.config.handlers(),
-        )
+        config_handlers = self.config.handlers()
+        view_handlers = self.view.handlers()
+        pulls = {'config': config_handlers[Pull], 'view': view_handlers[Pull]}
+        self.handlers = {
+            **config_handlers,
+            **view_handlers,
+            Pull: pull_handler(pulls),
+        }
 
     async def call(self, address, message, timeout_s):
         """Call another entry through the simulated network."""
