--- /dev/null
+++ b/rattanvalve/announcer.py
@@ -0,0 +1,181 @@
+"""Announces an endpoint process to the entries and follows their view."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.errors import PeerError
+from rattanvalve.health import HealthState
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import (
+    Ack,
+    Announce,
+    Document,
+    Member,
+    Pull,
+    View,
+)
+from rattanvalve.peers import Address, PeerPool
+
+__all__ = ('Announcer', 'AnnouncerParts', 'Confirmable')
+
+ANNOUNCE_INTERVAL_S = 2.0
+#: A round ends before the next one begins.
+CALL_TIMEOUT_S = 1.5
+_MS_PER_S = 1000
+_ROLE_ENTRY = 'entry'
+
+_log = part_logger(LogPart.VIEW)
+
+
+class Confirmable(Protocol):
+    """The part of ``Confirmation`` that is used here."""
+
+    def confirm(self, read_at_s: float) -> None:
+        """Note that the view was current at a moment.
+
+        :param read_at_s: monotonic time in seconds.
+        """
+
+    def age_s(self, now_s: float) -> float:
+        """Give the age of the newest confirmation.
+
+        :param now_s: monotonic time in seconds.
+        :returns: age in seconds.
+        """
+
+
+@dataclass(slots=True, kw_only=True)
+class AnnouncerParts:
+    """What the announcer reads, writes and calls.
+
+    ``load`` gives the current load as an announcement without membership;
+    ``adopt`` takes a newer view; ``decode_view`` is that of
+    :mod:`rattanvalve.views`.
+    """
+
+    pool: PeerPool
+    board: Blackboard
+    confirmation: Confirmable
+    seed_peers: tuple[Address, ...]
+    load: Callable[[], Announce]
+    adopt: Callable[[View], None]
+    decode_view: Callable[[bytes], View]
+    clock: Callable[[], float] = time.monotonic
+
+
+class Announcer:
+    """Sends ``Announce`` to all entries, every 2 s and at once on a change.
+
+    :param member: this process.
+    :param parts: state and functions of the process.
+    """
+
+    def __init__(self, member: Member, parts: AnnouncerParts) -> None:
+        self.health = HealthState()
+        self._member = member
+        self._parts = parts
+        self._is_leaving = False
+        self._rounds: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Announce regularly, until cancelled."""
+        while True:
+            self.announce_now()
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def announce_now(self) -> asyncio.Task:
+        """Start a round; a slow peer of an earlier round does not delay it.
+
+        :returns: task that ends with the round.
+        """
+        task = asyncio.ensure_future(self._announce_to_all())
+        self._rounds.add(task)
+        task.add_done_callback(self._rounds.discard)
+        return task
+
+    def leave(self) -> asyncio.Task:
+        """Announce from now on that this process leaves.
+
+        :returns: task that ends with the first round.
+        """
+        self._is_leaving = True
+        return self.announce_now()
+
+    def observe_health(self, is_good: bool) -> None:
+        """Take the result of a health check; announce a change at once.
+
+        :param is_good: whether the server answered the check.
+        """
+        if self.health.observe(is_good):
+            _log.info('server healthy: %s', self.health.is_healthy)
+            self.announce_now()
+
+    async def _announce_to_all(self) -> None:
+        announce = replace(
+            self._parts.load(),
+            member=self._member,
+            epoch=self._parts.board.view.epoch,
+            is_leaving=self._is_leaving,
+            is_healthy=self.health.is_healthy,
+        )
+        targets = self._targets()
+        acked = await asyncio.gather(
+            *(self._announce_to(target, announce) for target in targets),
+        )
+        rest = set(self._parts.seed_peers) - set(targets)
+        if rest and not any(acked):
+            # All entries of the view may have been replaced.
+            await asyncio.gather(
+                *(self._announce_to(target, announce) for target in rest),
+            )
+
+    def _targets(self) -> tuple[Address, ...]:
+        entries = tuple(
+            Address(member.host, member.port)
+            for member in self._parts.board.view.members
+            if member.role == _ROLE_ENTRY
+        )
+        return entries or self._parts.seed_peers
+
+    async def _announce_to(self, target: Address, announce: Announce) -> bool:
+        # The age in the acknowledgement was measured after this moment, so
+        # the confirmation is never taken for newer than it is.
+        sent_at_s = self._parts.clock()
+        try:
+            ack = await self._parts.pool.call(target, announce, CALL_TIMEOUT_S)
+            if not isinstance(ack, Ack):
+                return False
+            if ack.epoch > self._parts.board.view.epoch:
+                await self._pull_view(target)
+        except PeerError as error:
+            _log.debug('announcement failed: %s', error)
+            return False
+        self._confirm(ack, sent_at_s)
+        return True
+
+    async def _pull_view(self, target: Address) -> None:
+        known = self._parts.board.view.epoch
+        document = await self._parts.pool.call(
+            target,
+            Pull(kind='view', newer_than=known),
+            CALL_TIMEOUT_S,
+        )
+        if not isinstance(document, Document) or document.version <= known:
+            return
+        try:
+            self._parts.adopt(self._parts.decode_view(document.body))
+        except ValueError as error:
+            _log.warning('malformed view from a peer: %s', error)
+
+    def _confirm(self, ack: Ack, sent_at_s: float) -> None:
+        """Take over the confirmation of an entry with the same view."""
+        view = self._parts.board.view
+        read_at_s = sent_at_s - ack.confirmation_age_ms / _MS_PER_S
+        now_s = self._parts.clock()
+        age_s = self._parts.confirmation.age_s(now_s)
+        if ack.epoch == view.epoch > 0 and now_s - read_at_s < age_s:
+            self._parts.confirmation.confirm(read_at_s)
--- /dev/null
+++ b/rattanvalve/cache_keeper.py
@@ -0,0 +1,85 @@
+"""Releases the caches that an engine holds for programs."""
+
+import asyncio
+import time
+from contextlib import suppress
+
+from rattanvalve.cacheholds import CacheHolds, cache_key_of
+from rattanvalve.counters import Counter, Metrics
+from rattanvalve.engine_client import EngineClient
+from rattanvalve.messages import Ticket
+from rattanvalve.queuepolicies import timeout_s_of
+from rattanvalve.service_client import ServiceClient
+
+__all__ = ('CacheKeeper',)
+
+#: How often deadlines of holds are looked at, in seconds.
+CHECK_INTERVAL_S = 0.25
+#: Pause after the engine failed to release a cache, in seconds.
+RETRY_S = 1.0
+_MS_PER_S = 1000
+
+
+class CacheKeeper:
+    """Holds caches between the turns of programs and releases them.
+
+    :param client: client of the server.
+    :param metrics: counters.
+    """
+
+    def __init__(
+        self,
+        client: EngineClient | ServiceClient,
+        metrics: Metrics,
+    ) -> None:
+        self.holds = CacheHolds()
+        self.is_clean = False
+        self._client = client
+        self._metrics = metrics
+        self._wake = asyncio.Event()
+
+    def turn_started(self, ticket: Ticket) -> None:
+        """Hold the cache of a program while its run lasts.
+
+        :param ticket: ticket of the run.
+        """
+        self._hold(ticket, timeout_s_of(ticket))
+
+    def turn_ended(self, ticket: Ticket) -> None:
+        """Hold the cache until the next turn, or release it at once.
+
+        :param ticket: ticket of the run.
+        """
+        hold_ms = 0 if ticket.is_program_end else ticket.cache_hold_ms
+        self._hold(ticket, hold_ms / _MS_PER_S)
+        if hold_ms <= 0:
+            self._wake.set()
+        else:
+            self._metrics.count(Counter.CACHE_HELD)
+
+    async def run(self) -> None:
+        """Release what an earlier process left, then each hold when due."""
+        while not self.is_clean:
+            self.is_clean = await self._client.release_all()
+            if not self.is_clean:
+                await asyncio.sleep(RETRY_S)
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self._wake.wait()
+            self._wake.clear()
+            await self.release_due()
+
+    async def release_due(self) -> None:
+        """Release the caches whose deadline has passed."""
+        for cache_key in self.holds.due(time.monotonic()):
+            if await self._client.release(cache_key):
+                self._metrics.count(Counter.CACHE_RELEASED)
+            elif not self.holds.renew(cache_key, RETRY_S, time.monotonic()):
+                # The engine may still hold it, so it is tried again.
+                self.holds.hold(cache_key, RETRY_S, time.monotonic())
+
+    def _hold(self, ticket: Ticket, hold_s: float) -> None:
+        if self._client.keeps_cache and ticket.program_id:
+            cache_key = cache_key_of(ticket.workspace, ticket.program_id)
+            self.holds.hold(cache_key, hold_s, time.monotonic())
--- /dev/null
+++ b/rattanvalve/endpoint_main.py
@@ -0,0 +1,53 @@
+"""Program ``rattanvalve-endpoint``: the process beside one server."""
+
+import sys
+from pathlib import Path
+
+import aiomisc
+import click
+import uvloop
+
+from rattanvalve import __version__
+from rattanvalve.endpoint_process import EndpointProcess, stop_limit_s
+from rattanvalve.errors import SettingsError
+from rattanvalve.logs import configure_logging
+from rattanvalve.settings import (
+    SETTINGS_EXIT_CODE,
+    EndpointSettings,
+    load_settings,
+)
+
+__all__ = ('main',)
+
+_PROGRAM = 'rattanvalve-endpoint'
+
+
+@click.command(name=_PROGRAM)
+@click.option(
+    '--settings',
+    'settings_path',
+    required=True,
+    metavar='FILE',
+    type=click.Path(path_type=Path),
+    help='JSON file with the settings of this process.',
+)
+@click.version_option(__version__, prog_name=_PROGRAM)
+def main(settings_path: Path) -> None:
+    """Run the endpoint process beside one server, until SIGTERM."""
+    try:
+        settings = load_settings(settings_path, EndpointSettings)
+    except SettingsError as error:
+        click.echo(f'{_PROGRAM}: {error}', err=True)
+        sys.exit(SETTINGS_EXIT_CODE)
+    configure_logging(settings.log_level, settings.name)
+    with aiomisc.entrypoint(
+        EndpointProcess(settings),
+        loop_factory=uvloop.new_event_loop,
+        log_config=False,
+        shutdown_timeout=stop_limit_s(settings),
+    ) as loop:
+        loop.run_forever()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/rattanvalve/endpoint_parts.py
@@ -0,0 +1,58 @@
+"""State and clients that the modules of an endpoint process share."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.cache_keeper import CacheKeeper
+from rattanvalve.counters import Metrics
+from rattanvalve.engine_client import EngineClient
+from rattanvalve.finish_reports import FinishReports
+from rattanvalve.messages import Ticket
+from rattanvalve.records import RecordBook
+from rattanvalve.runqueue import RunQueue
+from rattanvalve.service_client import ServiceClient
+
+__all__ = ('DETACHED_GRACE_S', 'ConfirmationAge', 'EndpointParts')
+
+#: How long a repeatable run goes on without its connection, in seconds.
+DETACHED_GRACE_S = 2.0
+
+
+class ConfirmationAge(Protocol):
+    """The part of ``Confirmation`` that is read here."""
+
+    def age_s(self, now_s: float) -> float:
+        """Give the age of the newest confirmation.
+
+        :param now_s: monotonic time in seconds.
+        :returns: age in seconds.
+        """
+
+
+@dataclass(slots=True, kw_only=True)
+class EndpointParts:
+    """What the process composes; ``lease_s`` is ``confirmations.LEASE_S``."""
+
+    records: RecordBook
+    queue: RunQueue
+    client: EngineClient | ServiceClient
+    keeper: CacheKeeper
+    reports: FinishReports
+    board: Blackboard
+    confirmation: ConfirmationAge
+    lease_s: float
+    metrics: Metrics
+    detached_grace_s: float = DETACHED_GRACE_S
+    clock: Callable[[], float] = field(default=time.monotonic)
+
+    def may_run(self, ticket: Ticket) -> bool:
+        """Tell whether the confirmation allows a run now.
+
+        :param ticket: ticket of the run.
+        :returns: whether the run is repeatable or the confirmation current.
+        """
+        age_s = self.confirmation.age_s(self.clock())
+        return ticket.is_repeatable or age_s < self.lease_s
--- /dev/null
+++ b/rattanvalve/endpoint_process.py
@@ -0,0 +1,187 @@
+"""Builds the parts of an endpoint process, starts and stops them."""
+
+import asyncio
+import importlib
+import secrets
+import time
+
+import aiomisc
+
+from rattanvalve.announcer import Announcer, AnnouncerParts
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.cache_keeper import CacheKeeper
+from rattanvalve.counters import Metrics
+from rattanvalve.endpoint_parts import EndpointParts
+from rattanvalve.endpoint_service import EndpointService
+from rattanvalve.engine_client import EngineClient
+from rattanvalve.finish_reports import FinishReports
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import Announce, Member
+from rattanvalve.peers import Address, PeerPool, PeerServer
+from rattanvalve.records import RecordBook
+from rattanvalve.runqueue import RunQueue
+from rattanvalve.server_session import open_session
+from rattanvalve.service_client import ServiceClient
+from rattanvalve.settings import EndpointSettings
+
+__all__ = ('EndpointProcess', 'stop_limit_s')
+
+HEALTH_INTERVAL_S = 1.0
+_QUEUE_POLICY = 'program_fair'
+_ROLE_ENDPOINT = 'endpoint'
+_STOP_MARGIN_S = 10
+_INCARNATION_BYTES = 8
+
+_log = part_logger(LogPart.PROCESS)
+
+
+def stop_limit_s(settings: EndpointSettings) -> float:
+    """Give the time after which a stop is cut off.
+
+    :param settings: settings of the process.
+    :returns: seconds; above the sum of the limits of the steps of a stop.
+    """
+    return (
+        4 * settings.drain_grace_s
+        + 2 * settings.stop_timeout_s
+        + (_STOP_MARGIN_S)
+    )
+
+
+class EndpointProcess(aiomisc.Service):
+    """Lifecycle of an endpoint process.
+
+    :param settings: settings of the process.
+    """
+
+    def __init__(self, settings: EndpointSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._secret = settings.peer_secret.encode()
+        self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Listen, announce and serve."""
+        settings = self._settings
+        self._pool = PeerPool(self._secret)
+        self._session = open_session(settings.capacity_count)
+        self._parts = self._build_parts()
+        self._service = EndpointService(self._parts)
+        self._server = PeerServer(
+            self._secret,
+            self._service.handlers(),
+            self._parts.metrics,
+        )
+        listen = settings.peer_listen
+        address = await self._server.start(Address(listen.host, listen.port))
+        self._announcer = self._build_announcer(address)
+        for work in (
+            self._service.maintain(),
+            self._parts.keeper.run(),
+            self._announcer.run(),
+            self._watch_health(),
+        ):
+            self._tasks.append(asyncio.ensure_future(work))
+        _log.info('listening on %s:%s', address.host, address.port)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Announce that the process leaves, finish its work and close.
+
+        :param exception: reason given by the entrypoint.
+        """
+        settings = self._settings
+        _log.info('leaving')
+        self._announcer.leave()
+        await self._service.drain(
+            settings.drain_grace_s,
+            settings.stop_timeout_s,
+        )
+        # Caches of programs are not kept beyond this process.
+        if self._parts.client.keeps_cache:
+            await self._parts.client.release_all()
+        for task in self._tasks:
+            task.cancel()
+        await self._server.stop()
+        self._pool.close()
+        await self._session.close()
+        _log.info('stopped')
+
+    def _build_parts(self) -> EndpointParts:
+        settings = self._settings
+        # Imported here, so that a process loads only what it runs.
+        owner_of = importlib.import_module('rattanvalve.views').owner_of
+        confirmations = importlib.import_module('rattanvalve.confirmations')
+        board = Blackboard()
+        client = self._build_client()
+        metrics = Metrics(
+            settings.statsd.host,
+            settings.statsd.port,
+            _ROLE_ENDPOINT,
+        )
+        return EndpointParts(
+            records=RecordBook(settings.name, self._incarnation, owner_of),
+            queue=RunQueue(
+                settings.capacity_count,
+                settings.max_queue_per_workspace_count,
+                _QUEUE_POLICY,
+            ),
+            client=client,
+            keeper=CacheKeeper(client, metrics),
+            reports=FinishReports(self._pool, board, owner_of),
+            board=board,
+            confirmation=confirmations.Confirmation(),
+            lease_s=confirmations.LEASE_S,
+            metrics=metrics,
+        )
+
+    def _build_client(self) -> EngineClient | ServiceClient:
+        settings = self._settings
+        if settings.kind == 'plain':
+            return ServiceClient(settings.server_url, self._session)
+        return EngineClient(
+            settings.server_url,
+            self._session,
+            settings.checks_fencing,
+        )
+
+    def _build_announcer(self, address: Address) -> Announcer:
+        settings = self._settings
+        member = Member(
+            name=settings.name,
+            role=_ROLE_ENDPOINT,
+            host=address.host,
+            port=address.port,
+            zone=settings.zone,
+            service_name=settings.service,
+            incarnation=self._incarnation,
+        )
+        views = importlib.import_module('rattanvalve.views')
+        parts = AnnouncerParts(
+            pool=self._pool,
+            board=self._parts.board,
+            confirmation=self._parts.confirmation,
+            seed_peers=tuple(
+                Address(peer.host, peer.port) for peer in settings.seed_peers
+            ),
+            load=self._load,
+            adopt=self._service.adopt_view,
+            decode_view=views.decode_view,
+            clock=time.monotonic,
+        )
+        return Announcer(member, parts)
+
+    def _load(self) -> Announce:
+        return Announce(
+            running_count=self._parts.queue.running_count,
+            queued_count=self._parts.queue.queued_count,
+            capacity_count=self._settings.capacity_count,
+        )
+
+    async def _watch_health(self) -> None:
+        """Check the server; it takes work once its caches are released."""
+        while True:
+            is_good = await self._parts.client.is_healthy()
+            is_ready = is_good and self._parts.keeper.is_clean
+            self._announcer.observe_health(is_ready)
+            await asyncio.sleep(HEALTH_INTERVAL_S)
--- a/rattanvalve/errors.py
+++ b/rattanvalve/errors.py
@@ -5,6 +5,8 @@
 """
 
 __all__ = (
+    'BodyError',
+    'FencedError',
     'FrameError',
     'InvariantError',
     'PeerError',
@@ -41,3 +43,11 @@
 
 class InvariantError(RattanvalveError):
     """An invariant of the product was violated by our own code."""
+
+
+class BodyError(RattanvalveError):
+    """A request body is not what the server expects; it was not sent."""
+
+
+class FencedError(RattanvalveError):
+    """An engine command has an outdated fencing token; it had no effect."""
--- /dev/null
+++ b/rattanvalve/finish_reports.py
@@ -0,0 +1,108 @@
+"""Reports of usage and outcome from an endpoint process to owners."""
+
+import asyncio
+import random
+
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.errors import PeerError
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import Ack, Finish, Member, Ticket, Usage
+from rattanvalve.peers import Address, PeerPool
+from rattanvalve.records import OwnerOf
+from rattanvalve.workset import WorkSet
+
+__all__ = ('FinishReports',)
+
+CALL_TIMEOUT_S = 2
+#: Pauses before the attempts after the first. Together they exceed the 3 s
+#: after which a silent owner is replaced.
+RETRY_PAUSES_S = (0.1, 0.3, 1.0, 3.0)
+
+_log = part_logger(LogPart.ENDPOINT)
+
+
+class FinishReports:
+    """Sends each ``Finish`` until it is acknowledged, a few times at most.
+
+    A report that is not acknowledged is not lost: the owner or its successor
+    settles the ticket or seals this process, and gets the record.
+
+    :param pool: connections to peers.
+    :param board: holds the view.
+    :param owner_of: function of :mod:`rattanvalve.views`.
+    """
+
+    def __init__(
+        self,
+        pool: PeerPool,
+        board: Blackboard,
+        owner_of: OwnerOf,
+    ) -> None:
+        self._pool = pool
+        self._board = board
+        self._owner_of = owner_of
+        #: Reports that are still being sent.
+        self.tasks = WorkSet()
+
+    def send(self, ticket: Ticket, outcome: str, usage: Usage) -> None:
+        """Report the end of a run in the background.
+
+        :param ticket: ticket of the run.
+        :param outcome: outcome name.
+        :param usage: tokens that the run used.
+        """
+        task = asyncio.ensure_future(self._deliver(ticket, outcome, usage))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _deliver(
+        self,
+        ticket: Ticket,
+        outcome: str,
+        usage: Usage,
+    ) -> None:
+        pauses_s = iter(RETRY_PAUSES_S)
+        is_owner_wrong = False
+        while True:
+            finish = self._build(ticket, outcome, usage)
+            owner = self._find_owner(ticket, is_owner_wrong)
+            answer = await self._call(owner, finish)
+            if isinstance(answer, Ack):
+                return
+            is_owner_wrong = answer is not None
+            pause_s = next(pauses_s, None)
+            if pause_s is None:
+                _log.warning('no acknowledgement of %s', ticket.number)
+                return
+            # Jitter keeps the reports of many runs from arriving together.
+            await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+
+    def _build(self, ticket: Ticket, outcome: str, usage: Usage) -> Finish:
+        return Finish(
+            number=ticket.number,
+            workspace=ticket.workspace,
+            shard=ticket.shard,
+            program_id=ticket.program_id,
+            outcome=outcome,
+            usage=usage,
+            epoch=max(self._board.view.epoch, ticket.epoch),
+        )
+
+    def _find_owner(self, ticket: Ticket, is_wrong: bool) -> Member | None:
+        """Find the owner named in the ticket, or its successor."""
+        view = self._board.view
+        members = {member.name: member for member in view.members}
+        if ticket.owner in members and not is_wrong:
+            return members[ticket.owner]
+        name = self._owner_of(view, ticket.workspace, ticket.shard)
+        return members.get(name)
+
+    async def _call(self, owner: Member | None, finish: Finish):
+        if owner is None:
+            return None
+        address = Address(owner.host, owner.port)
+        try:
+            return await self._pool.call(address, finish, CALL_TIMEOUT_S)
+        except PeerError as error:
+            _log.info('report of %s failed: %s', finish.number, error)
+        return None
--- /dev/null
+++ b/rattanvalve/jobrunner.py
@@ -0,0 +1,194 @@
+"""Runs accepted jobs at the server and completes their records."""
+
+import asyncio
+from typing import Any
+
+from rattanvalve import outcomes
+from rattanvalve.counters import Counter
+from rattanvalve.endpoint_parts import EndpointParts
+from rattanvalve.errors import BodyError, FencedError, InvariantError
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import End, Refusal, Usage
+from rattanvalve.queuepolicies import timeout_s_of
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.runjob import Job
+from rattanvalve.workset import WorkSet
+
+__all__ = ('JobRunner',)
+
+#: A timer may fire up to its resolution before the deadline.
+_TIMER_SLACK_S = 0.005
+
+#: Outcome and result code of a run that raised, by class.
+_FAILURES = {
+    BodyError: (outcomes.NOT_RUN, ResultCode.BAD_JSON),
+    FencedError: (outcomes.NOT_RUN, ResultCode.STALE_FENCING_TOKEN),
+    TimeoutError: (outcomes.UNKNOWN, ResultCode.BACKEND_TIMEOUT),
+    asyncio.CancelledError: (outcomes.UNKNOWN, ResultCode.CALLER_GONE),
+}
+_OTHER_FAILURE = (outcomes.UNKNOWN, ResultCode.INTERNAL_ERROR)
+
+#: Result code of a run that the client ended, by outcome.
+_CODES = {
+    outcomes.NOT_RUN: ResultCode.NO_ENDPOINT,
+    outcomes.UNKNOWN: ResultCode.BACKEND_FAILED,
+    outcomes.ANSWERED: ResultCode.OK,
+}
+
+_log = part_logger(LogPart.ENDPOINT)
+
+
+class JobRunner:
+    """Jobs from their acceptance to their completion.
+
+    :param parts: state and clients of the process.
+    """
+
+    def __init__(self, parts: EndpointParts) -> None:
+        self.jobs: dict[str, Job] = {}
+        #: Numbers of answers that no connection has received yet.
+        self.unfetched = WorkSet()
+        self.unfinished = WorkSet()
+        self._parts = parts
+
+    def submit(self, job: Job) -> Refusal | None:
+        """Queue a job whose ticket was accepted.
+
+        :param job: new job.
+        :returns: ``None``, or the refusal of the queue; the record of a
+            refused job is completed as not run.
+        """
+        now_s = self._parts.clock()
+        self.jobs[job.number] = job
+        self.unfinished.add(job.number)
+        refusal = self._parts.queue.offer(job.ticket, now_s)
+        if refusal is not None:
+            self._complete(job, outcomes.NOT_RUN, Usage())
+            return refusal
+        job.timer = asyncio.get_running_loop().call_later(
+            timeout_s_of(job.ticket) + _TIMER_SLACK_S,
+            self.pump,
+        )
+        self.pump()
+        return None
+
+    def pump(self) -> None:
+        """Start waiting runs in free slots and refuse overdue ones."""
+        queue, now_s = self._parts.queue, self._parts.clock()
+        ticket = queue.pop_ready(now_s)
+        while ticket is not None:
+            job = self.jobs[ticket.number]
+            job.task = asyncio.ensure_future(self._execute(job))
+            ticket = queue.pop_ready(now_s)
+        for expired in queue.take_expired(now_s):
+            job = self.jobs[expired.number]
+            self._complete(job, outcomes.NOT_RUN, Usage())
+            self._parts.metrics.count_code(ResultCode.TIMEOUT_QUEUED)
+            _put_last(job, Refusal(code=ResultCode.TIMEOUT_QUEUED))
+
+    def cancel(self, job: Job) -> None:
+        """Take a job out of the queue, or cancel it at the server.
+
+        :param job: job that nobody waits for, or that takes too long.
+        """
+        if self._parts.queue.withdraw(job.number):
+            self._complete(job, outcomes.NOT_RUN, Usage())
+            _put_last(job, Refusal(code=ResultCode.STOPPING))
+        elif job.task is not None:
+            # A task that is cancelled before its first step would end
+            # without completing its record.
+            asyncio.get_running_loop().call_soon(_cancel_task, job)
+
+    def cancel_all(self) -> None:
+        """Cancel the jobs that are left when a stop takes too long."""
+        for job in tuple(self.jobs.values()):
+            self.cancel(job)
+
+    async def _execute(self, job: Job) -> None:
+        """Run a job that has a slot, and complete it in any case."""
+        usage = Usage()
+        try:
+            outcome, usage, code = await self._run_at_server(job)
+        except (asyncio.CancelledError, Exception) as error:
+            outcome, code = self._explain(job, error)
+        if code != ResultCode.OK:
+            self._parts.metrics.count_code(code)
+        self._complete(job, outcome, usage)
+        await job.put(self._last_message(job, outcome, usage, code))
+
+    def _explain(
+        self,
+        job: Job,
+        error: BaseException,
+    ) -> tuple[str, ResultCode]:
+        found = _FAILURES.get(type(error))
+        if isinstance(error, InvariantError):
+            self._parts.metrics.count(Counter.INVARIANT_VIOLATED)
+        if found is None:
+            _log.error('run %s failed', job.number, exc_info=error)
+            return _OTHER_FAILURE
+        _log.info('run %s ended as %s', job.number, found[1].name)
+        return found
+
+    async def _run_at_server(self, job: Job) -> tuple[str, Usage, ResultCode]:
+        parts = self._parts
+        # The confirmation may have expired while the run waited.
+        if not parts.may_run(job.ticket):
+            return outcomes.NOT_RUN, Usage(), ResultCode.NOT_CONFIRMED
+        parts.records.hand_over(job.number)
+        parts.keeper.turn_started(job.ticket)
+        try:
+            async with asyncio.timeout(job.deadline_s - parts.clock()):
+                outcome, usage = await parts.client.run(
+                    job.run,
+                    job.sink(),
+                    parts.records.newest_epoch,
+                )
+        finally:
+            parts.keeper.turn_ended(job.ticket)
+        return outcome, usage, _CODES[outcome]
+
+    def _complete(self, job: Job, outcome: str, usage: Usage) -> None:
+        """Close the record of a job, free its slot and report it."""
+        parts, now_s = self._parts, self._parts.clock()
+        self.jobs.pop(job.number)
+        self.unfinished.discard(job.number)
+        parts.records.complete(job.number, outcome, usage, now_s)
+        if job.timer is not None:
+            job.timer.cancel()
+        if job.task is not None:
+            parts.queue.finished(job.number, usage, now_s)
+        if outcome == outcomes.ANSWERED and not job.is_attached:
+            self.unfetched.add(job.number)
+        job.done.set()
+        parts.metrics.count(f'outcome.{outcome}')
+        parts.reports.send(job.ticket, outcome, usage)
+        asyncio.get_running_loop().call_soon(self.pump)
+
+    def _last_message(
+        self,
+        job: Job,
+        outcome: str,
+        usage: Usage,
+        code: ResultCode,
+    ) -> Any:
+        if outcome == outcomes.NOT_RUN:
+            return Refusal(code=code)
+        return End(
+            number=job.number,
+            outcome=outcome,
+            usage=usage,
+            running_count=self._parts.queue.running_count,
+            queued_count=self._parts.queue.queued_count,
+        )
+
+
+def _put_last(job: Job, message: Any) -> None:
+    # The outbox of a job that never ran is empty.
+    if job.is_attached:
+        job.outbox.put_nowait(message)
+
+
+def _cancel_task(job: Job) -> None:
+    if job.task is not None and not job.done.is_set():
+        job.task.cancel()
--- /dev/null
+++ b/rattanvalve/records.py
@@ -0,0 +1,277 @@
+"""Records of an endpoint process: each ticket number runs at most once."""
+
+from collections.abc import Callable
+
+from rattanvalve import outcomes
+from rattanvalve.errors import InvariantError
+from rattanvalve.lazyheap import LazyHeap
+from rattanvalve.messages import (
+    Head,
+    RecordSummary,
+    Refusal,
+    Sealed,
+    Settle,
+    Settled,
+    Ticket,
+    Usage,
+    View,
+)
+from rattanvalve.responsestore import Record, ResponseStore
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.ticketnumbers import TicketMarks
+
+__all__ = ('RETENTION_S', 'RecordBook')
+
+#: How long a completed record is kept, in seconds.
+RETENTION_S = 600.0
+#: Most records kept; their summaries must fit into one frame of 16 MiB.
+MAX_RECORD_COUNT = 20_000
+_MS_PER_S = 1000
+
+#: Code for a number that is in the book, by whether it ended as not run.
+_REPEATED = {
+    True: ResultCode.TICKET_VOID,
+    False: ResultCode.DUPLICATE_TICKET,
+}
+
+OwnerOf = Callable[[View, str, int], str]
+
+
+class RecordBook:
+    """Records by ticket number, bounded in count, bytes and time.
+
+    Forgetting a record must not let its ticket run again. The book therefore
+    keeps, for each issuer, the highest sequence it has forgotten, and refuses
+    numbers up to it that it does not know as ``OUTCOME_UNKNOWN``.
+
+    :param endpoint: name of this endpoint process.
+    :param incarnation: incarnation of this endpoint process.
+    :param owner_of: function of :mod:`rattanvalve.views`.
+    :param responses: store of response bodies.
+    """
+
+    def __init__(
+        self,
+        endpoint: str,
+        incarnation: str,
+        owner_of: OwnerOf,
+        responses: ResponseStore | None = None,
+    ) -> None:
+        self.newest_epoch = 0
+        self._endpoint = endpoint
+        self._incarnation = incarnation
+        self._owner_of = owner_of
+        self._responses = responses or ResponseStore()
+        self.records: dict[str, Record] = {}
+        self._completed = LazyHeap()
+        self._marks = TicketMarks()
+
+    def accept(self, ticket: Ticket, now_s: float) -> Refusal | None:
+        """Accept a ticket number, once.
+
+        :param ticket: ticket of a run that arrived.
+        :param now_s: monotonic time in seconds.
+        :returns: ``None`` if the request may run now, else the refusal.
+        """
+        refusal = self.refusal_of(ticket)
+        if refusal is None:
+            self.observe_epoch(ticket.epoch)
+            self._add(Record(ticket=ticket, accepted_at_s=now_s))
+        return refusal
+
+    def observe_epoch(self, epoch: int) -> None:
+        """Refuse tickets of epochs older than this one from now on.
+
+        :param epoch: epoch of a message or view; an older one is ignored.
+        """
+        self.newest_epoch = max(self.newest_epoch, epoch)
+
+    def hand_over(self, number: str) -> None:
+        """Note that the server may see the request from now on.
+
+        :param number: ticket number of a queued request.
+        :raises InvariantError: if the request was handed over before.
+        """
+        record = _open_record(self.records, number)
+        if record.is_handed_over:
+            raise InvariantError(f'{number} was handed over twice')
+        record.is_handed_over = True
+
+    def start(self, number: str, head: Head) -> None:
+        """Record status and headers of the response.
+
+        :param number: ticket number of a running request.
+        :param head: status and headers.
+        :raises InvariantError: if the request is not running at the server.
+        """
+        record = _open_record(self.records, number)
+        if not record.is_handed_over or record.http_status:
+            raise InvariantError(f'{number} has an unexpected response')
+        record.http_status = head.http_status
+        record.headers = head.headers
+
+    def append(self, number: str, content: bytes) -> None:
+        """Record a part of the response body.
+
+        :param number: ticket number of a running request.
+        :param content: bytes that follow the earlier ones.
+        :raises InvariantError: if there is no response to append to.
+        """
+        record = _open_record(self.records, number)
+        if not record.http_status:
+            raise InvariantError(f'{number} has a body before its head')
+        self._responses.append(record, content)
+
+    def complete(
+        self,
+        number: str,
+        outcome: str,
+        usage: Usage,
+        now_s: float,
+    ) -> None:
+        """Close a record.
+
+        :param number: ticket number.
+        :param outcome: ``answered``, ``not_run`` or ``unknown``.
+        :param usage: tokens that the run used.
+        :param now_s: monotonic time in seconds.
+        :raises InvariantError: if the outcome contradicts the record.
+        """
+        record = _open_record(self.records, number)
+        if outcome == outcomes.RUNNING or (
+            (outcome == outcomes.ANSWERED) and not record.http_status
+        ):
+            raise InvariantError(f'{number} cannot end as {outcome}')
+        if outcome == outcomes.NOT_RUN and record.http_status:
+            raise InvariantError(f'{number} ran and cannot end as not run')
+        record.outcome = outcome
+        record.usage = usage
+        if outcome != outcomes.ANSWERED:
+            self._responses.drop(record)
+        self._close(record, now_s)
+
+    def settle(self, settle: Settle, now_s: float) -> Settled:
+        """Give the outcome of a ticket; a number never seen becomes void.
+
+        Any epoch may settle, since this can only prevent a run.
+
+        :param settle: number, and the incarnation its ticket is bound to.
+        :param now_s: monotonic time in seconds.
+        :returns: outcome, with the response if it was answered.
+        """
+        self.observe_epoch(settle.epoch)
+        record = self.records.get(settle.number)
+        if record is not None:
+            return self._responses.settled(record)
+        if (
+            settle.endpoint_incarnation != self._incarnation
+            or not self._marks.is_new(settle.number)
+        ):
+            return Settled(number=settle.number, outcome=outcomes.UNKNOWN)
+        record = Record(
+            ticket=Ticket(number=settle.number),
+            accepted_at_s=now_s,
+            outcome=outcomes.NOT_RUN,
+        )
+        self._add(record)
+        self._close(record, now_s)
+        return self._responses.settled(record)
+
+    def seal(self, view: View, owner: str, now_s: float) -> Sealed | Refusal:
+        """Refuse older epochs from now on and report records.
+
+        :param view: newer view of the cell.
+        :param owner: entry that asks.
+        :param now_s: monotonic time in seconds.
+        :returns: records whose owner under the view is the entry that asks,
+            or ``STALE_EPOCH`` if a newer view is known.
+        """
+        if view.epoch < self.newest_epoch:
+            return _stale_epoch(view.epoch, self.newest_epoch)
+        self.observe_epoch(view.epoch)
+        return Sealed(
+            endpoint=self._endpoint,
+            incarnation=self._incarnation,
+            epoch=self.newest_epoch,
+            records=tuple(
+                _summary(record, now_s)
+                for record in self.records.values()
+                # A number that was only settled has no workspace.
+                if (at := record.ticket).workspace
+                and self._owner_of(view, at.workspace, at.shard) == owner
+            ),
+        )
+
+    def expire(self, now_s: float) -> None:
+        """Forget the records that completed ``RETENTION_S`` ago.
+
+        :param now_s: monotonic time in seconds.
+        """
+        found = self._completed.first()
+        while found is not None and found[0] <= now_s - RETENTION_S:
+            self._forget(found[1])
+            found = self._completed.first()
+
+    def refusal_of(self, ticket: Ticket) -> Refusal | None:
+        """Tell why a ticket cannot be accepted, without accepting it.
+
+        :param ticket: ticket of a run that arrived.
+        :returns: ``None`` if :meth:`accept` would accept it.
+        """
+        if ticket.endpoint_incarnation != self._incarnation:
+            return Refusal(code=ResultCode.STALE_TICKET)
+        record = self.records.get(ticket.number)
+        if record is not None:
+            return Refusal(code=_REPEATED[record.outcome == outcomes.NOT_RUN])
+        # Checked before the epoch, as a stale epoch means "not run".
+        if not self._marks.is_new(ticket.number):
+            return Refusal(
+                code=ResultCode.OUTCOME_UNKNOWN,
+                detail='the record of this ticket is no longer kept',
+            )
+        if ticket.epoch < self.newest_epoch:
+            return _stale_epoch(ticket.epoch, self.newest_epoch)
+        return None
+
+    def _add(self, record: Record) -> None:
+        if record.ticket.number in self.records:
+            raise InvariantError(f'{record.ticket.number} accepted twice')
+        if len(self.records) >= MAX_RECORD_COUNT and self._completed:
+            self._forget(self._completed.first()[1])
+        self.records[record.ticket.number] = record
+
+    def _close(self, record: Record, now_s: float) -> None:
+        self._completed.push(record.ticket.number, now_s)
+        self._responses.completed(record)
+
+    def _forget(self, number: str) -> None:
+        self._completed.discard(number)
+        record = self.records.pop(number)
+        if record.outcome == outcomes.RUNNING:
+            raise InvariantError(f'{number} is forgotten while it runs')
+        self._responses.drop(record)
+        self._marks.forget(number)
+
+
+def _open_record(records: dict[str, Record], number: str) -> Record:
+    record = records.get(number)
+    if record is None or record.outcome != outcomes.RUNNING:
+        raise InvariantError(f'{number} is not running')
+    return record
+
+
+def _stale_epoch(epoch: int, newest_epoch: int) -> Refusal:
+    return Refusal(
+        code=ResultCode.STALE_EPOCH,
+        detail=f'epoch {epoch} is older than {newest_epoch}',
+        epoch=newest_epoch,
+    )
+
+
+def _summary(record: Record, now_s: float) -> RecordSummary:
+    return RecordSummary(
+        ticket=record.ticket,
+        outcome=record.outcome,
+        usage=record.usage,
+        age_ms=int((now_s - record.accepted_at_s) * _MS_PER_S),
+    )
--- a/rattanvalve/resultcodes.py
+++ b/rattanvalve/resultcodes.py
@@ -49,6 +49,7 @@
     BACKEND_TIMEOUT = 1502
     OUTCOME_UNKNOWN = 1503
     CALLER_GONE = 1504
+    RESPONSE_EVICTED = 1505
     BAD_CONFIGURATION = 1601
     CONFLICT = 1602
     STORE_UNAVAILABLE = 1603
@@ -241,6 +242,13 @@
         'it is unknown whether the request ran',
     ),
     (ResultCode.CALLER_GONE, 499, _INVALID, False, 'the caller disconnected'),
+    (
+        ResultCode.RESPONSE_EVICTED,
+        410,
+        _SERVER,
+        False,
+        'the request ran, but its recorded response is no longer kept',
+    ),
     (
         ResultCode.BAD_CONFIGURATION,
         422,
