--- a/rattanvalve/announcer.py
+++ b/rattanvalve/announcer.py
@@ -177,5 +177,6 @@
         read_at_s = sent_at_s - ack.confirmation_age_ms / _MS_PER_S
         now_s = self._parts.clock()
         age_s = self._parts.confirmation.age_s(now_s)
-        if ack.epoch == view.epoch > 0 and now_s - read_at_s < age_s:
+        is_same_view = ack.epoch == view.epoch and view.epoch > 0
+        if is_same_view and now_s - read_at_s < age_s:
             self._parts.confirmation.confirm(read_at_s)
--- a/rattanvalve/endpoint_process.py
+++ b/rattanvalve/endpoint_process.py
@@ -27,7 +27,6 @@
 __all__ = ('EndpointProcess', 'stop_limit_s')
 
 HEALTH_INTERVAL_S = 1.0
-_QUEUE_POLICY = 'program_fair'
 _ROLE_ENDPOINT = 'endpoint'
 _STOP_MARGIN_S = 10
 _INCARNATION_BYTES = 8
@@ -109,7 +108,7 @@
 
     def _build_parts(self) -> EndpointParts:
         settings = self._settings
-        # Imported here, so that a process loads only what it runs.
+        # Imported at start: this module can be loaded without them.
         owner_of = importlib.import_module('rattanvalve.views').owner_of
         confirmations = importlib.import_module('rattanvalve.confirmations')
         board = Blackboard()
@@ -124,7 +123,7 @@
             queue=RunQueue(
                 settings.capacity_count,
                 settings.max_queue_per_workspace_count,
-                _QUEUE_POLICY,
+                settings.queue_policy,
             ),
             client=client,
             keeper=CacheKeeper(client, metrics),
--- /dev/null
+++ b/tests/randomised.py
@@ -0,0 +1,44 @@
+"""Long random sequences of steps, the same in each run."""
+
+import os
+
+from hypothesis import HealthCheck, Phase, given, seed, settings
+from hypothesis import strategies as st
+
+from rattanvalve.errors import InvariantError
+
+ROUNDS = int(os.environ.get('SOAK_ROUNDS', '60'))
+SEED = int(os.environ.get('SOAK_SEED', '1'))
+
+#: A step is the number of an action and two numbers for its arguments.
+_STEPS = st.lists(
+    st.tuples(
+        st.integers(0, 99),
+        st.integers(0, 999),
+        st.integers(0, 999),
+    ),
+    min_size=80,
+    max_size=300,
+)
+
+
+def run_sequences(check, rounds=ROUNDS):
+    """Call ``check(steps)`` with many sequences of steps."""
+    settings(
+        max_examples=rounds,
+        deadline=None,
+        database=None,
+        print_blob=False,
+        report_multiple_bugs=False,
+        phases=(Phase.generate,),
+        suppress_health_check=tuple(HealthCheck),
+    )(seed(SEED)(given(_STEPS)(check)))()
+
+
+def is_caught(check):
+    """Tell whether random sequences find the fault of a broken part."""
+    try:
+        run_sequences(check)
+    except (AssertionError, InvariantError):
+        return True
+    return False
--- /dev/null
+++ b/tests/runqueue.feature
@@ -0,0 +1,56 @@
+Feature: queue before one server
+
+  Scenario: priority first, then workspaces in turn, then the least served
+    Given a program_fair queue with 1 slot
+    When these requests arrive
+      | number | workspace | priority | attained |
+      | a      | north     | 1        | 900      |
+      | b      | north     | 1        | 10       |
+      | c      | north     | 1        | 20       |
+      | d      | south     | 1        | 500      |
+      | e      | south     | 0        | 500      |
+      | f      | south     | 2        | 0        |
+    Then they run in the order e b d c a f
+
+  Scenario: first come, first served
+    Given a first_come queue with 1 slot
+    When these requests arrive
+      | number | workspace | priority | attained |
+      | a      | north     | 1        | 900      |
+      | b      | south     | 0        | 10       |
+      | c      | north     | 1        | 20       |
+    Then they run in the order a b c
+
+  Scenario: a workspace that was idle has not saved up service
+    Given a program_fair queue with 1 slot
+    When north has used 50 turns alone and both workspaces send 20 requests
+    Then the next 20 turns are shared equally
+
+  Scenario: the queue of a workspace is bounded, with a retry time that holds
+    Given a program_fair queue with 1 slot
+    When north fills its queue with runs of 2 s
+    Then one more is refused and accepted after the retry time
+
+  Scenario: the cost of an operation does not grow with the queue
+    Then a queue that is 16 times as long needs less than twice the comparisons
+
+  @randomised
+  Scenario Outline: long random sequences keep order, bounds and deadlines
+    Then random sequences find no fault in a <policy> queue
+
+    Examples:
+      | policy       |
+      | program_fair |
+      | first_come   |
+
+  @randomised
+  Scenario Outline: the check catches a broken queue
+    Then random sequences find a queue with <fault>
+
+    Examples:
+      | fault                     |
+      | no regard to priority     |
+      | most attained first       |
+      | one slot too many         |
+      | overdue requests that run |
+      | a withdrawn one that runs |
--- /dev/null
+++ b/tests/steps/runqueue_steps.py
@@ -0,0 +1,304 @@
+"""Steps of runqueue.feature."""
+
+from collections import Counter
+from dataclasses import replace
+from functools import partial, total_ordering
+
+from behave import given, then, when
+
+from rattanvalve.messages import Ticket, Usage
+from rattanvalve.queuepolicies import QUEUE_POLICIES, QueuePolicy
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.runqueue import RunQueue
+from tests.randomised import is_caught, run_sequences
+
+CAPACITY = 3
+MAX_PER_WORKSPACE = 8
+USAGE = Usage(output_tokens=100)
+
+
+def request(number, workspace='north', priority=1, attained=0, **fields):
+    """Build the ticket of a request."""
+    return Ticket(
+        number=number,
+        workspace=workspace,
+        priority=int(priority),
+        attained_tokens=int(attained),
+        reserved_tokens=100,
+        **fields,
+    )
+
+
+def run_all(queue, now_s=0):
+    """Run the waiting requests one after the other."""
+    order = []
+    while ticket := queue.pop_ready(now_s):
+        order.append(ticket)
+        queue.finished(ticket.number, USAGE, now_s)
+    return order
+
+
+@given('a {policy:w} queue with 1 slot')
+def step_queue(context, policy):
+    context.queue = RunQueue(1, 100, policy)
+
+
+@when('these requests arrive')
+def step_arrive(context):
+    for row in context.table:
+        assert context.queue.offer(request(*row.cells), 0) is None
+
+
+@then('they run in the order {order}')
+def step_order(context, order):
+    ran = [ticket.number for ticket in run_all(context.queue)]
+    assert ran == order.split(), ran
+
+
+@when('north has used 50 turns alone and both workspaces send 20 requests')
+def step_alone(context):
+    for index in range(50):
+        context.queue.offer(request(f'old-{index}'), 0)
+    run_all(context.queue)
+    for index in range(20):
+        for workspace in ('north', 'south'):
+            made = request(f'{workspace}-{index}', workspace)
+            context.queue.offer(made, 0)
+
+
+@then('the next 20 turns are shared equally')
+def step_shared(context):
+    ran = run_all(context.queue)
+    shares = Counter(ticket.workspace for ticket in ran[:20])
+    assert shares['north'] == shares['south'], shares
+
+
+@when('north fills its queue with runs of 2 s')
+def step_fill(context):
+    for index in range(100):
+        assert context.queue.offer(request(str(index)), 0) is None
+    for turn in range(30):
+        started = context.queue.pop_ready(2 * turn)
+        context.queue.finished(started.number, USAGE, 2 * turn + 2)
+        context.queue.offer(request(f'more-{turn}'), 2 * turn + 2)
+    assert context.queue.pop_ready(60)
+    context.queue.offer(request('last'), 60)
+
+
+@then('one more is refused and accepted after the retry time')
+def step_retry(context):
+    refusal = context.queue.offer(request('late'), 60)
+    assert refusal.code == ResultCode.QUEUE_FULL
+    # A run that lasts 2 s has just begun.
+    assert 1900 <= refusal.retry_after_ms <= 2100, refusal
+    context.queue.finished(next(iter(context.queue._running)), USAGE, 62)
+    context.queue.pop_ready(62)
+    assert context.queue.offer(request('late'), 62) is None
+
+
+@total_ordering
+class CountedRank:
+    """A rank that counts its comparisons."""
+
+    count = 0
+
+    def __init__(self, rank):
+        self.rank = rank
+
+    def __lt__(self, other):
+        """Compare and count."""
+        CountedRank.count += 1
+        return self.rank < other.rank
+
+    def __eq__(self, other):
+        """Compare and count."""
+        CountedRank.count += 1
+        return self.rank == other.rank
+
+    __hash__ = None
+
+
+def comparisons(length):
+    """Count the comparisons of 200 operations at a queue length."""
+    queue = RunQueue(1, 10**6, 'program_fair')
+
+    def offer(index):
+        rank = CountedRank(index * 7919 % 10007)
+        made = replace(request(f'n{index}'), attained_tokens=rank)
+        queue.offer(made, 0)
+
+    for index in range(length):
+        offer(index)
+    CountedRank.count = 0
+    for index in range(200):
+        offer(length + index)
+        queue.withdraw(f'n{index * 3}')
+        if ticket := queue.pop_ready(0):
+            queue.finished(ticket.number, USAGE, 0)
+    return CountedRank.count
+
+
+@then('a queue that is 16 times as long needs less than twice the comparisons')
+def step_cost(context):
+    short, long = comparisons(1000), comparisons(16_000)
+    assert 0 < long < 2 * short, (short, long)
+
+
+class QueueHistory:
+    """Compares a queue with a plain list of waiting requests."""
+
+    def __init__(self, policy_name):
+        self.is_fair = policy_name == 'program_fair'
+        self.queue = RunQueue(CAPACITY, MAX_PER_WORKSPACE, policy_name)
+        self.waiting = {}
+        self.running = []
+        self.now_s = 0
+        self.arrival = 0
+
+    def offer(self, first, second):
+        """Offer a new request."""
+        self.arrival += 1
+        made = request(
+            str(self.arrival),
+            workspace=f'w{first % 3}',
+            priority=second % 3,
+            attained=first // 3 % 10,
+            timeout_ms=1000 * (1 + second % 50),
+        )
+        waiting_count = sum(
+            ticket.workspace == made.workspace
+            for ticket, _, _ in self.waiting.values()
+        )
+        refusal = self.queue.offer(made, self.now_s)
+        assert bool(refusal) == (waiting_count >= MAX_PER_WORKSPACE)
+        if refusal is None:
+            deadline_s = self.now_s + made.timeout_ms / 1000
+            self.waiting[made.number] = (made, self.arrival, deadline_s)
+
+    def pop(self, first, second):
+        """Start a request and check that none was to be started before."""
+        ticket = self.queue.pop_ready(self.now_s)
+        if ticket is None:
+            self.check_expired()
+            assert not self.waiting or len(self.running) == CAPACITY
+            return
+        popped = self.waiting.pop(ticket.number)
+        assert popped[2] > self.now_s
+        self.running.append(ticket.number)
+        self.check_expired()
+        assert len(self.running) <= CAPACITY
+        for other in self.waiting.values():
+            assert self.may_precede(popped, other), (popped, other)
+
+    def may_precede(self, popped, other):
+        """Tell whether one request may start before the other."""
+        ticket, arrival, _ = popped
+        other_ticket, other_arrival, _ = other
+        if not self.is_fair:
+            return arrival < other_arrival
+        if ticket.priority != other_ticket.priority:
+            return ticket.priority < other_ticket.priority
+        if ticket.workspace != other_ticket.workspace:
+            return True
+        rank = (ticket.attained_tokens, arrival)
+        return rank < (other_ticket.attained_tokens, other_arrival)
+
+    def finish(self, first, second):
+        """Finish a running request."""
+        if self.running:
+            number = self.running.pop(first % len(self.running))
+            usage = Usage(output_tokens=second)
+            self.queue.finished(number, usage, self.now_s)
+
+    def withdraw(self, first, second):
+        """Withdraw a request that waits, runs or is gone."""
+        number = str(first % (self.arrival + 1))
+        is_waiting = self.waiting.pop(number, None) is not None
+        assert self.queue.withdraw(number) == is_waiting
+
+    def pass_time(self, first, second):
+        """Let time pass and deadlines with it."""
+        self.now_s += first % 9
+        self.check_expired()
+
+    def check_expired(self):
+        """Compare the overdue requests."""
+        taken = {t.number for t in self.queue.take_expired(self.now_s)}
+        overdue = {
+            number
+            for number, (_, _, deadline_s) in self.waiting.items()
+            if deadline_s <= self.now_s
+        }
+        assert taken == overdue
+        for number in overdue:
+            self.waiting.pop(number)
+        assert self.queue.queued_count == len(self.waiting)
+        assert self.queue.running_count == len(self.running)
+
+
+def check_queue(steps, policy_name='program_fair', break_queue=None):
+    """Run one sequence of steps."""
+    history = QueueHistory(policy_name)
+    if break_queue:
+        break_queue(history.queue)
+    actions = (
+        history.offer,
+        history.offer,
+        history.offer,
+        history.pop,
+        history.pop,
+        history.finish,
+        history.withdraw,
+        history.pass_time,
+    )
+    for action, first, second in steps:
+        actions[action % len(actions)](first, second)
+
+
+def with_policy(**functions):
+    """Replace functions of the fair policy."""
+
+    def break_queue(queue):
+        fair = QUEUE_POLICIES['program_fair']
+        known = {'group_of': fair.group_of, 'rank_of': fair.rank_of}
+        queue._policy = QueuePolicy(**known | functions)
+
+    return break_queue
+
+
+def with_slot(queue):
+    """Use one slot too many."""
+    queue._capacity_count += 1
+
+
+def with_overdue(queue):
+    """Overlook the deadlines when a request is started."""
+    queue._collect_expired = lambda now_s: None
+
+
+def with_withdrawn(queue):
+    """Say that a request is withdrawn but keep it."""
+    queue.withdraw = lambda number: number in queue._waiting
+
+
+FAULTS = {
+    'no regard to priority': with_policy(
+        group_of=lambda ticket: (0, ticket.workspace),
+    ),
+    'most attained first': with_policy(
+        rank_of=lambda ticket, arrival: (-ticket.attained_tokens, arrival),
+    ),
+    'one slot too many': with_slot,
+    'overdue requests that run': with_overdue,
+    'a withdrawn one that runs': with_withdrawn,
+}
+
+
+@then('random sequences find no fault in a {policy} queue')
+def step_no_fault(context, policy):
+    run_sequences(partial(check_queue, policy_name=policy))
+
+
+@then('random sequences find a queue with {fault}')
+def step_fault(context, fault):
+    assert is_caught(partial(check_queue, break_queue=FAULTS[fault]))
