Release caches of programs that moved or ended; adapt holds to pauses

Change: Release message from the owner; the endpoint of a program is kept by service, so that an order does not cost the affinity of the next chat call; a hold lasts 4 times the longest pause, 10 s at least and 120 s at most.

--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -221,6 +221,12 @@
   3: binary state
 }
 
+struct Release {
+  1: string workspace
+  2: string program_id
+  3: i64 epoch
+}
+
 struct Explain {
   1: string workspace
   2: i32 shard
--- a/rattanvalve/admission.py
+++ b/rattanvalve/admission.py
@@ -14,7 +14,7 @@
     refuse,
     wait_for_rate,
 )
-from rattanvalve.programs import Turn
+from rattanvalve.programs import Program, Turn
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.shardstate import Shard
 
@@ -22,8 +22,11 @@
 
 #: A request that did not run is placed at most this often.
 MAX_TICKETS_PER_TURN = 4
-#: How long an endpoint process may hold the cache over a tool pause.
-CACHE_HOLD_MS = 30_000
+#: How long an endpoint process holds the cache over a tool pause: a multiple
+#: of the longest pause of the program so far, within these limits.
+CACHE_HOLD_MIN_S = 10.0
+CACHE_HOLD_MAX_S = 120.0
+CACHE_HOLD_PAUSES = 4
 
 
 def admit(
@@ -201,6 +204,13 @@
         idempotency_key=begin.idempotency_key,
         history_digest=digests[-1] if digests else 0,
         timeout_ms=math.ceil(turn.reservation.seconds * 1000),
-        cache_hold_ms=0 if begin.is_program_end else CACHE_HOLD_MS,
+        cache_hold_ms=_hold_ms(begin, turn.program),
         is_program_end=begin.is_program_end,
     )
+
+
+def _hold_ms(begin: Begin, program: Program) -> int:
+    if begin.is_program_end:
+        return 0
+    hold_s = CACHE_HOLD_PAUSES * program.longest_pause_s
+    return int(min(max(hold_s, CACHE_HOLD_MIN_S), CACHE_HOLD_MAX_S) * 1000)
--- a/rattanvalve/cache_keeper.py
+++ b/rattanvalve/cache_keeper.py
@@ -57,6 +57,16 @@
         else:
             self._metrics.count(Counter.CACHE_HELD)
 
+    def program_left(self, workspace: str, program_id: str) -> None:
+        """Release the cache of a program that moved or ended.
+
+        :param workspace: workspace name.
+        :param program_id: program id.
+        """
+        cache_key = cache_key_of(workspace, program_id)
+        if self.holds.renew(cache_key, 0, time.monotonic()):
+            self._wake.set()
+
     async def run(self) -> None:
         """Release what an earlier process left, then each hold when due."""
         while not self.is_clean:
--- a/rattanvalve/endpoint_process.py
+++ b/rattanvalve/endpoint_process.py
@@ -1,7 +1,6 @@
 """Builds the parts of an endpoint process, starts and stops them."""
 
 import asyncio
-import importlib
 import secrets
 import time
 
@@ -10,6 +9,7 @@
 from rattanvalve.announcer import Announcer, AnnouncerParts
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.cache_keeper import CacheKeeper
+from rattanvalve.confirmations import LEASE_S, Confirmation
 from rattanvalve.counters import Metrics
 from rattanvalve.endpoint_parts import EndpointParts
 from rattanvalve.endpoint_service import EndpointService
@@ -23,11 +23,11 @@
 from rattanvalve.server_session import open_session
 from rattanvalve.service_client import ServiceClient
 from rattanvalve.settings import EndpointSettings
+from rattanvalve.views import ROLE_ENDPOINT, decode_view, owner_of
 
 __all__ = ('EndpointProcess', 'stop_limit_s')
 
 HEALTH_INTERVAL_S = 1.0
-_ROLE_ENDPOINT = 'endpoint'
 _STOP_MARGIN_S = 10
 _INCARNATION_BYTES = 8
 
@@ -108,15 +108,12 @@
 
     def _build_parts(self) -> EndpointParts:
         settings = self._settings
-        # Imported at start: this module can be loaded without them.
-        owner_of = importlib.import_module('rattanvalve.views').owner_of
-        confirmations = importlib.import_module('rattanvalve.confirmations')
         board = Blackboard()
         client = self._build_client()
         metrics = Metrics(
             settings.statsd.host,
             settings.statsd.port,
-            _ROLE_ENDPOINT,
+            ROLE_ENDPOINT,
         )
         return EndpointParts(
             records=RecordBook(settings.name, self._incarnation, owner_of),
@@ -129,8 +126,8 @@
             keeper=CacheKeeper(client, metrics),
             reports=FinishReports(self._pool, board, owner_of),
             board=board,
-            confirmation=confirmations.Confirmation(),
-            lease_s=confirmations.LEASE_S,
+            confirmation=Confirmation(),
+            lease_s=LEASE_S,
             metrics=metrics,
         )
 
@@ -148,14 +145,13 @@
         settings = self._settings
         member = Member(
             name=settings.name,
-            role=_ROLE_ENDPOINT,
+            role=ROLE_ENDPOINT,
             host=address.host,
             port=address.port,
             zone=settings.zone,
             service_name=settings.service,
             incarnation=self._incarnation,
         )
-        views = importlib.import_module('rattanvalve.views')
         parts = AnnouncerParts(
             pool=self._pool,
             board=self._parts.board,
@@ -165,7 +161,7 @@
             ),
             load=self._load,
             adopt=self._service.adopt_view,
-            decode_view=views.decode_view,
+            decode_view=decode_view,
             clock=time.monotonic,
         )
         return Announcer(member, parts)
--- a/rattanvalve/endpoint_service.py
+++ b/rattanvalve/endpoint_service.py
@@ -13,7 +13,16 @@
 from rattanvalve.counters import Counter
 from rattanvalve.endpoint_parts import EndpointParts
 from rattanvalve.jobrunner import JobRunner
-from rattanvalve.messages import Refusal, Run, Seal, Settle, Settled, View
+from rattanvalve.messages import (
+    Ack,
+    Refusal,
+    Release,
+    Run,
+    Seal,
+    Settle,
+    Settled,
+    View,
+)
 from rattanvalve.peers import Handler, Send
 from rattanvalve.queuepolicies import timeout_s_of
 from rattanvalve.resultcodes import ResultCode
@@ -50,6 +59,7 @@
             Run: self._on_run,
             Settle: self._on_settle,
             Seal: self._on_seal,
+            Release: self._on_release,
         }
 
     def adopt_view(self, view: View) -> None:
@@ -115,6 +125,16 @@
             if not job.is_delivered:
                 self._detach(job)
 
+    async def _on_release(self, release: Release, send: Send) -> None:
+        records = self._parts.records
+        if release.epoch >= self._parts.board.view.epoch:
+            records.observe_epoch(release.epoch)
+            self._parts.keeper.program_left(
+                release.workspace,
+                release.program_id,
+            )
+        await send(Ack(epoch=self._parts.board.view.epoch))
+
     async def _on_settle(self, settle: Settle, send: Send) -> None:
         settled = self._settle(settle)
         job = self.runner.jobs.get(settle.number)
--- a/rattanvalve/messages.py
+++ b/rattanvalve/messages.py
@@ -26,6 +26,7 @@
     'Pull',
     'RecordSummary',
     'Refusal',
+    'Release',
     'Resolve',
     'Run',
     'Seal',
@@ -330,6 +331,15 @@
     state: bytes = b''
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Release:
+    """Release the engine cache of a program that moved or ended."""
+
+    workspace: str = ''
+    program_id: str = ''
+    epoch: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Explain:
     """Ask an owner what it knows about a program or a request."""
--- a/rattanvalve/owner_service.py
+++ b/rattanvalve/owner_service.py
@@ -9,6 +9,7 @@
 
 from rattanvalve import outcomes
 from rattanvalve.beginqueue import OWNER_WAIT_MAX_S, BeginQueue
+from rattanvalve.cache_releases import CacheReleases
 from rattanvalve.handover import Handovers
 from rattanvalve.idempotency import Attempt
 from rattanvalve.messages import (
@@ -46,6 +47,7 @@
         self.takeover = Takeover(owner, ports)
         self._owner = owner
         self._ports = ports
+        self._releases = CacheReleases(owner, ports)
         self._settler = Settler(owner, ports, self.takeover)
         self._handovers = Handovers(owner, ports, self.takeover)
         self._queue = BeginQueue(owner, ports, self.takeover, self._settler)
@@ -105,6 +107,7 @@
         :returns: ticket, place of an earlier record, or refusal ("not run").
         """
         answer = await self._queue.begin(begin)
+        self._releases.send((begin.workspace, begin.shard))
         if isinstance(answer, Refusal):
             self._owner.metrics.count_code(answer.code)
         elif isinstance(answer, Ticket):
@@ -133,6 +136,7 @@
             self._queue.context(name, wait_left_s=0),
             self._ports.clock(),
         )
+        self._releases.send(name)
         if settled != outcomes.RUNNING:
             self._end(attempt, settled)
         if isinstance(answer, Ticket):
@@ -155,6 +159,7 @@
         attempt = self._owner.attempt_of(*name, finish.number)
         if self._owner.finish(finish, self._ports.clock()):
             self._end(attempt, finish.outcome)
+            self._releases.send(name)
         self._queue.wake(attempt)
         return Ack(epoch=self.takeover.view().epoch)
 
--- a/rattanvalve/programs.py
+++ b/rattanvalve/programs.py
@@ -1,7 +1,7 @@
 """Ledger of the programs of one workspace shard: order, budget, history."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from rattanvalve import budgets, outcomes
 from rattanvalve.accounts import RootAccounts
@@ -10,6 +10,7 @@
 from rattanvalve.idempotency import Attempt, AttemptIndex
 from rattanvalve.inventory import Budget
 from rattanvalve.messages import Begin, Ticket, Usage
+from rattanvalve.programcaches import ProgramCaches
 
 __all__ = ('PROGRAM_IDLE_S', 'Program', 'ProgramLedger', 'Turn')
 
@@ -32,8 +33,10 @@
     turn: int = 0
     running: str = ''
     digest: int = 0
-    last_endpoint: str = ''
+    #: Newest endpoint by service; engines among them hold cache.
+    endpoints: dict[str, str] = field(default_factory=dict)
     active_s: float = 0
+    longest_pause_s: float = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,6 +57,7 @@
         #: In order of the last activity, oldest first.
         self.programs: OrderedDict[str, Program] = OrderedDict()
         self.accounts = RootAccounts()
+        self.caches = ProgramCaches()
 
     def is_busy(self, program_id: str) -> bool:
         """Tell whether a call of a program is running.
@@ -84,7 +88,7 @@
         program = self.programs.get(begin.program_id)
         if program is None or self.is_fork(begin):
             return ''
-        return program.last_endpoint
+        return program.endpoints.get(begin.service_name, '')
 
     def has_room(self, program_id: str, now_s: float) -> bool:
         """Expire idle programs and tell whether a call can be recorded.
@@ -127,6 +131,7 @@
             timeout_s,
         )
         if reservation is None:
+            self.caches.release_all(program.program_id, program.endpoints)
             return None
         return Turn(
             program=program,
@@ -245,6 +250,8 @@
             now_s - attempt.issued_s,
         )
         self.attempts.finish(attempt, outcome, now_s)
+        if attempt.ticket.is_program_end:
+            self.caches.release_all(program.program_id, program.endpoints)
         return True
 
     def join(self, program_id: str, parent_id: str, now_s: float) -> Program:
@@ -266,12 +273,20 @@
                 program.root,
                 parent.root if parent else parent_id,
             )
+        if program.turn:
+            pause_s = now_s - program.active_s
+            program.longest_pause_s = max(program.longest_pause_s, pause_s)
         self._touch(program, now_s)
         return program
 
     def _start(self, program: Program, ticket: Ticket, now_s: float) -> None:
         program.running = ticket.number
-        program.last_endpoint = ticket.endpoint
+        self.caches.move(
+            program.program_id,
+            program.endpoints,
+            ticket.service_name,
+            ticket.endpoint,
+        )
         self._touch(program, now_s)
 
     def _touch(self, program: Program, now_s: float) -> None:
@@ -290,6 +305,7 @@
             self._touch(program, now_s)
             return True
         self.programs.pop(program.program_id)
+        self.caches.release_all(program.program_id, program.endpoints)
         self.accounts.leave(program.root)
         return True
 
--- a/rattanvalve/shardstate.py
+++ b/rattanvalve/shardstate.py
@@ -134,7 +134,7 @@
     )
     if ticket.turn >= program.turn and record.outcome != outcomes.NOT_RUN:
         program.digest = ticket.history_digest or program.digest
-        program.last_endpoint = ticket.endpoint
+        program.endpoints[ticket.service_name] = ticket.endpoint
     program.turn = max(program.turn, ticket.turn)
     account = ledger.accounts.of_root(program.root)
     account.tokens = max(account.tokens, ticket.attained_tokens)
--- a/rattanvalve/wire.py
+++ b/rattanvalve/wire.py
@@ -65,6 +65,7 @@
     20: messages.Handover,
     21: messages.Explain,
     22: messages.View,
+    23: messages.Release,
 }
 _KIND_NUMBERS = {kind: number for number, kind in _KINDS.items()}
 
--- a/rattanvalve/wire_gen/ttypes.py
+++ b/rattanvalve/wire_gen/ttypes.py
@@ -2790,6 +2790,85 @@
         return not (self == other)
 
 
+class Release(object):
+    """
+    Attributes:
+     - workspace
+     - program_id
+     - epoch
+
+    """
+
+
+    def __init__(self, workspace=None, program_id=None, epoch=None,):
+        self.workspace = workspace
+        self.program_id = program_id
+        self.epoch = epoch
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.workspace = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.program_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Release')
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.STRING, 1)
+            oprot.writeString(self.workspace.encode('utf-8') if sys.version_info[0] == 2 else self.workspace)
+            oprot.writeFieldEnd()
+        if self.program_id is not None:
+            oprot.writeFieldBegin('program_id', TType.STRING, 2)
+            oprot.writeString(self.program_id.encode('utf-8') if sys.version_info[0] == 2 else self.program_id)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Explain(object):
     """
     Attributes:
@@ -3120,6 +3199,13 @@
     (2, TType.STRING, 'owner', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'state', 'BINARY', None, ),  # 3
 )
+all_structs.append(Release)
+Release.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'workspace', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'program_id', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'epoch', None, None, ),  # 3
+)
 all_structs.append(Explain)
 Explain.thrift_spec = (
     None,  # 0
