--- /dev/null
+++ b/tests/endpoint_service.feature
@@ -0,0 +1,32 @@
+Feature: runs at an endpoint process
+
+  Scenario: an engine stream is passed on with its usage
+    Given an endpoint process beside an engine
+    When a run of POST /v1/chat/completions is read to its end
+    Then the stream arrived unchanged with 7, 5 and 3 tokens
+    And the server saw the headers of this process and no key
+
+  Scenario: a broken connection is not repeated and ends as unknown
+    Given an endpoint process beside a plain service
+    When a run of PUT /break is read to its end
+    Then the server saw 1 request and the outcome is unknown
+
+  Scenario: the check sees the repetition that the session forbids
+    Given an endpoint process with a session that repeats
+    When a run of PUT /break is read to its end
+    Then the server saw 2 requests and the outcome is unknown
+
+  Scenario: a non-repeatable run goes on without its connection
+    Given an endpoint process beside a plain service
+    When the connection of a non-repeatable run of POST /held closes
+    Then settling with a wait gives the whole response
+
+  Scenario: a repeatable run is cancelled without its connection
+    Given an endpoint process beside a plain service
+    When the connection of a repeatable run of POST /held closes
+    Then the server saw the cancellation
+
+  Scenario: an expired confirmation stops non-repeatable runs only
+    Given an endpoint process beside a plain service
+    When the confirmation has expired
+    Then a non-repeatable run is refused and a repeatable one runs
--- /dev/null
+++ b/tests/fakeserver.py
@@ -0,0 +1,57 @@
+"""A small engine and plain service for the features of endpoint clients."""
+
+import asyncio
+
+from aiohttp import web
+
+EVENTS = (
+    b'data: {"choices": [{"delta": {"content": "a"}}]}\n\n',
+    b'data: {"choices": [], "usage": {"prompt_tokens": 7,'
+    b' "completion_tokens": 3,'
+    b' "prompt_tokens_details": {"cached_tokens": 5}}}\n\n',
+    b'data: [DONE]\n\n',
+)
+
+
+class FakeServer:
+    """Journal of requests; those to ``/held`` wait for ``release``."""
+
+    def __init__(self):
+        self.journal = []
+        self.release = asyncio.Event()
+        self.seen = asyncio.Event()
+        self.cancelled = asyncio.Event()
+
+    async def handle(self, request):
+        """Serve any request."""
+        self.journal.append((request.method, request.raw_path, request.headers))
+        self.seen.set()
+        if request.path == '/break':
+            await request.read()
+            request.transport.abort()
+        if request.path == '/held':
+            await self._wait()
+        if request.path != '/v1/chat/completions':
+            return web.Response(body=b'plain', status=201)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for event in EVENTS:
+            await response.write(event)
+        return response
+
+    async def start(self):
+        """Listen and give the base URL."""
+        app = web.Application()
+        app.router.add_route('*', '/{path:.*}', self.handle)
+        self.runner = web.AppRunner(app, handler_cancellation=True)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0, shutdown_timeout=0)
+        await site.start()
+        return f'http://127.0.0.1:{self.runner.addresses[0][1]}'
+
+    async def _wait(self):
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
--- /dev/null
+++ b/tests/steps/endpoint_service_steps.py
@@ -0,0 +1,192 @@
+"""Steps of endpoint_service.feature."""
+
+import asyncio
+from unittest import mock
+
+from behave import given, then, when
+
+from rattanvalve import outcomes, server_session
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.cache_keeper import CacheKeeper
+from rattanvalve.counters import Metrics
+from rattanvalve.endpoint_parts import EndpointParts
+from rattanvalve.endpoint_service import EndpointService
+from rattanvalve.engine_client import EngineClient
+from rattanvalve.finish_reports import FinishReports
+from rattanvalve.messages import (
+    Chunk,
+    End,
+    Header,
+    Refusal,
+    Run,
+    Settle,
+    Ticket,
+    Usage,
+)
+from rattanvalve.peers import Address, PeerPool, PeerServer
+from rattanvalve.records import RecordBook
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.runqueue import RunQueue
+from rattanvalve.service_client import ServiceClient
+from tests.fakeserver import EVENTS, FakeServer
+
+SECRET = b's' * 32
+TIMEOUT_S = 30
+
+
+def owner_of(view, workspace, shard):
+    """Name no owner, so that reports are given up."""
+    return ''
+
+
+async def start(context, kind):
+    """Start the fake server and the service beside it."""
+    context.server = FakeServer()
+    url = await context.server.start()
+    session = server_session.open_session(2)
+    client = ServiceClient(url, session)
+    if kind == 'engine':
+        client = EngineClient(url, session, checks_fencing=False)
+    context.confirmation = mock.Mock(age_s=lambda now_s: 0)
+    context.pool = PeerPool(SECRET)
+    board = Blackboard()
+    metrics = Metrics()
+    parts = EndpointParts(
+        records=RecordBook('endpoint-a', 'inc-a', owner_of),
+        queue=RunQueue(2, 10, 'program_fair'),
+        client=client,
+        keeper=CacheKeeper(client, metrics),
+        reports=FinishReports(context.pool, board, owner_of),
+        board=board,
+        confirmation=context.confirmation,
+        lease_s=10,
+        metrics=metrics,
+        detached_grace_s=0,
+    )
+    context.service = EndpointService(parts)
+    peers = PeerServer(SECRET, context.service.handlers(), metrics)
+    context.address = await peers.start(Address('127.0.0.1', 0))
+    context.closers.extend(
+        (context.server.runner.cleanup, session.close, peers.stop),
+    )
+
+
+@given('an endpoint process beside {kind}')
+def step_start(context, kind):
+    context.run(start(context, kind.split()[-1]))
+
+
+@given('an endpoint process with a session that repeats')
+def step_repeats(context):
+    async def repeat(request, handler):
+        return await handler(request)
+
+    with mock.patch.object(server_session, '_forbid_retry', repeat):
+        context.run(start(context, 'service'))
+
+
+def build_run(method, path, is_repeatable=False, number='entry-a/x/1'):
+    """Build a run with a key that no server may see."""
+    ticket = Ticket(
+        number=number,
+        endpoint_incarnation='inc-a',
+        workspace='north',
+        program_id='p1',
+        is_repeatable=is_repeatable,
+    )
+    headers = (
+        Header(name='Authorization', content='Bearer rv-secret'),
+        Header(name='accept', content='text/event-stream'),
+    )
+    return Run(
+        ticket=ticket,
+        method=method,
+        path=path,
+        headers=headers,
+        body=b'{}',
+        is_stream=path.startswith('/v1'),
+    )
+
+
+async def read(context, run):
+    """Read all messages of a run."""
+    async with asyncio.timeout(TIMEOUT_S):
+        async with context.pool.stream(context.address, run) as stream:
+            return [message async for message in stream]
+
+
+@when('a run of {method:w} {path} is read to its end')
+def step_read(context, method, path):
+    context.received = context.run(read(context, build_run(method, path)))
+
+
+@then('the stream arrived unchanged with 7, 5 and 3 tokens')
+def step_stream(context):
+    parts = [m.content for m in context.received if isinstance(m, Chunk)]
+    assert b''.join(parts) == b''.join(EVENTS)
+    assert context.received[-1].usage == Usage(
+        prompt_tokens=7,
+        cached_tokens=5,
+        output_tokens=3,
+    )
+
+
+@then('the server saw the headers of this process and no key')
+def step_headers(context):
+    headers = context.server.journal[0][2]
+    assert headers['X-Request-Id'] == 'entry-a/x/1'
+    assert headers['X-Cache-Key'] == 'north/p1'
+    assert headers['Accept'] == 'text/event-stream'
+    assert 'rv-secret' not in str(headers)
+
+
+@then('the server saw {count:d} {word} and the outcome is {outcome}')
+def step_seen(context, count, word, outcome):
+    assert len(context.server.journal) == count
+    assert context.received[-1].outcome == outcome
+
+
+@when('the connection of a {kind} run of POST /held closes')
+def step_close(context, kind):
+    run = build_run('POST', '/held', is_repeatable=kind == 'repeatable')
+
+    async def leave():
+        async with context.pool.stream(context.address, run):
+            await context.server.seen.wait()
+
+    context.run(asyncio.wait_for(leave(), TIMEOUT_S))
+
+
+@then('settling with a wait gives the whole response')
+def step_settle(context):
+    settle = Settle(
+        number='entry-a/x/1',
+        endpoint_incarnation='inc-a',
+        wait_ms=1000 * TIMEOUT_S,
+    )
+    context.loop.call_later(0.05, context.server.release.set)
+    settled = context.run(
+        context.pool.call(context.address, settle, TIMEOUT_S),
+    )
+    assert settled.outcome == outcomes.ANSWERED
+    assert (settled.http_status, settled.body) == (201, b'plain')
+
+
+@then('the server saw the cancellation')
+def step_cancelled(context):
+    context.run(asyncio.wait_for(context.server.cancelled.wait(), TIMEOUT_S))
+
+
+@when('the confirmation has expired')
+def step_expired(context):
+    context.confirmation.age_s = lambda now_s: 10
+
+
+@then('a non-repeatable run is refused and a repeatable one runs')
+def step_refused(context):
+    refused = context.run(read(context, build_run('POST', '/a')))
+    assert refused == [Refusal(code=ResultCode.NOT_CONFIRMED)]
+    repeatable = build_run('POST', '/a', is_repeatable=True)
+    received = context.run(read(context, repeatable))
+    assert isinstance(received[-1], End)
+    assert received[-1].outcome == outcomes.ANSWERED
