--- a/rattanvalve/endpoint_main.py
+++ b/rattanvalve/endpoint_main.py
@@ -10,7 +10,7 @@
 from rattanvalve import __version__
 from rattanvalve.endpoint_process import EndpointProcess, stop_limit_s
 from rattanvalve.errors import SettingsError
-from rattanvalve.logs import configure_logging
+from rattanvalve.logs import LogPart, configure_logging, part_logger
 from rattanvalve.settings import (
     SETTINGS_EXIT_CODE,
     EndpointSettings,
@@ -46,6 +46,8 @@
         log_config=False,
         shutdown_timeout=stop_limit_s(settings),
     ) as loop:
+        # From here on, SIGTERM leads to an ordered stop.
+        part_logger(LogPart.PROCESS).info('ready')
         loop.run_forever()
 
 
--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -26,6 +26,16 @@
     When the connection of a repeatable run of POST /held closes
     Then the server saw the cancellation
 
+  Scenario: a waiting run whose deadline passes is refused as not run
+    Given an endpoint process beside a plain service
+    When all slots are taken and a run with a deadline of 50 ms arrives
+    Then it is refused with TIMEOUT_QUEUED and settled as not run
+
+  Scenario: a process that leaves finishes its work and refuses new runs
+    Given an endpoint process beside a plain service
+    When it drains while a run of POST /held is running
+    Then the run is answered, a new one is refused and a copy is a duplicate
+
   Scenario: an expired confirmation stops non-repeatable runs only
     Given an endpoint process beside a plain service
     When the confirmation has expired
--- a/tests/steps/endpoint_service_steps.py
+++ b/tests/steps/endpoint_service_steps.py
@@ -85,7 +85,13 @@
         context.run(start(context, 'service'))
 
 
-def build_run(method, path, is_repeatable=False, number='entry-a/x/1'):
+def build_run(
+    method,
+    path,
+    is_repeatable=False,
+    number='entry-a/x/1',
+    timeout_ms=0,
+):
     """Build a run with a key that no server may see."""
     ticket = Ticket(
         number=number,
@@ -93,6 +99,7 @@
         workspace='north',
         program_id='p1',
         is_repeatable=is_repeatable,
+        timeout_ms=timeout_ms,
     )
     headers = (
         Header(name='Authorization', content='Bearer rv-secret'),
@@ -190,3 +197,59 @@
     received = context.run(read(context, repeatable))
     assert isinstance(received[-1], End)
     assert received[-1].outcome == outcomes.ANSWERED
+
+
+@when('all slots are taken and a run with a deadline of 50 ms arrives')
+def step_overdue(context):
+    async def overflow():
+        holders = [
+            asyncio.ensure_future(
+                read(context, build_run('POST', '/held', number=f'e/x/{slot}')),
+            )
+            for slot in (8, 9)
+        ]
+        while len(context.server.journal) < 2:
+            context.server.seen.clear()
+            await context.server.seen.wait()
+        late = build_run('POST', '/a', timeout_ms=50)
+        context.received = await read(context, late)
+        context.server.release.set()
+        await asyncio.gather(*holders)
+
+    context.run(asyncio.wait_for(overflow(), TIMEOUT_S))
+
+
+@then('it is refused with TIMEOUT_QUEUED and settled as not run')
+def step_not_run(context):
+    assert context.received == [Refusal(code=ResultCode.TIMEOUT_QUEUED)]
+    settle = Settle(number='entry-a/x/1', endpoint_incarnation='inc-a')
+    settled = context.run(
+        context.pool.call(context.address, settle, TIMEOUT_S),
+    )
+    assert settled.outcome == outcomes.NOT_RUN
+    assert len(context.server.journal) == 2
+
+
+@when('it drains while a run of POST /held is running')
+def step_drain(context):
+    async def drain():
+        held = build_run('POST', '/held')
+        running = asyncio.ensure_future(read(context, held))
+        await context.server.seen.wait()
+        draining = asyncio.ensure_future(context.service.drain(0, TIMEOUT_S))
+        await asyncio.sleep(0.01)
+        late = build_run('POST', '/held', number='entry-a/x/2')
+        context.late = await read(context, late)
+        context.copy = await read(context, held)
+        context.server.release.set()
+        await draining
+        context.received = await running
+
+    context.run(asyncio.wait_for(drain(), TIMEOUT_S))
+
+
+@then('the run is answered, a new one is refused and a copy is a duplicate')
+def step_drained(context):
+    assert context.received[-1].outcome == outcomes.ANSWERED
+    assert context.late == [Refusal(code=ResultCode.ENDPOINT_LEAVING)]
+    assert context.copy == [Refusal(code=ResultCode.DUPLICATE_TICKET)]
