--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -40,3 +40,13 @@
     Given an endpoint process beside a plain service
     When the confirmation has expired
     Then a non-repeatable run is refused and a repeatable one runs
+
+  Scenario Outline: the end of a run is reported until it is acknowledged
+    Given an owner that answers <answers> to reports
+    When the end of a run is reported
+    Then the owner got <count> reports with the usage
+
+    Examples:
+      | answers         | count |
+      | Ack             | 1     |
+      | Refusal Ack     | 2     |
--- /dev/null
+++ b/tests/steps/finish_reports_steps.py
@@ -0,0 +1,62 @@
+"""Steps for the reports of the end of runs."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from rattanvalve import finish_reports, outcomes
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.counters import Metrics
+from rattanvalve.messages import (
+    Ack,
+    Finish,
+    Member,
+    Refusal,
+    Ticket,
+    Usage,
+    View,
+)
+from rattanvalve.peers import Address, PeerPool, PeerServer
+
+SECRET = b's' * 32
+TIMEOUT_S = 30
+ANSWERS = {'Ack': Ack(), 'Refusal': Refusal(code=1407)}
+
+
+@given('an owner that answers {answers} to reports')
+def step_owner(context, answers):
+    context.got = []
+    left = [ANSWERS[name] for name in answers.split()]
+
+    async def answer(message, send):
+        context.got.append(message)
+        await send(left.pop(0))
+
+    server = PeerServer(SECRET, {Finish: answer}, Metrics())
+    address = context.run(server.start(Address('127.0.0.1', 0)))
+    context.closers.append(server.stop)
+    owner = Member(name='entry-a', host=address.host, port=address.port)
+    context.reports = finish_reports.FinishReports(
+        PeerPool(SECRET),
+        Blackboard(view=View(epoch=6, members=(owner,))),
+        lambda view, workspace, shard: 'entry-a',
+    )
+
+
+@when('the end of a run is reported')
+def step_report(context):
+    async def report():
+        ticket = Ticket(number='entry-a/x/1', owner='entry-a', epoch=5)
+        usage = Usage(output_tokens=3)
+        context.reports.send(ticket, outcomes.ANSWERED, usage)
+        return await context.reports.tasks.wait_empty(TIMEOUT_S)
+
+    with mock.patch.object(finish_reports, 'RETRY_PAUSES_S', (0.01,)):
+        assert context.run(report())
+
+
+@then('the owner got {count:d} reports with the usage')
+def step_got(context, count):
+    assert len(context.got) == count
+    assert context.got[-1].usage == Usage(output_tokens=3)
+    assert context.got[-1].epoch == 6
