--- a/tests/steps/runqueue_steps.py
+++ b/tests/steps/runqueue_steps.py
@@ -182,6 +182,7 @@
             self.check_expired()
             assert not self.waiting or len(self.running) == CAPACITY
             return
+        assert ticket.number in self.waiting
         popped = self.waiting.pop(ticket.number)
         assert popped[2] > self.now_s
         self.running.append(ticket.number)
