--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -373,9 +373,10 @@
         generation = max((0, *self.accepted)) - index % 2
         entries = list(self.entries.values())[-2:]
         racing = [self.apply(entry, generation) for entry in entries]
-        if racing:
-            self.before_put = racing.pop()
-            await (racing or [self.before_put]).pop()
+        # The second operator writes between the first one's read and write.
+        self.before_put = racing.pop() if len(racing) > 1 else None
+        for change in racing:
+            await change
         if self.before_put:
             self.before_put.close()
             self.before_put = None
