--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: help install demo test format lint docs generate soak
+.PHONY: help install demo test format lint docs generate soak capacity
 
 help:
 	@echo "make demo      install, then run the product with stand-ins and check the result"
@@ -12,6 +12,7 @@
 	@echo "make lint      run the linters"
 	@echo "make docs      rewrite the generated docs pages"
 	@echo "make generate  regenerate the thrift code (needs the thrift compiler)"
+	@echo "make capacity  measure messages, memory, decisions and idle cells"
 	@echo "make soak      run the randomised features with SEED and ROUNDS"
 
 install: $(VENV)/.installed
@@ -49,3 +50,6 @@
 ROUNDS ?= 2000
 soak: install
 	SOAK_SEED=$(SEED) SOAK_ROUNDS=$(ROUNDS) $(BIN)/behave --no-capture --tags=randomised tests
+
+capacity: install
+	$(BIN)/python -m rattanvalve.load_main capacity
--- /dev/null
+++ b/rattanvalve/capacity_fleet.py
@@ -0,0 +1,194 @@
+"""Idle cells of real processes; all endpoint processes share one server."""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from itertools import cycle
+from pathlib import Path
+
+import aiohttp
+
+from rattanvalve.capacity_samples import Shape, config_document
+from rattanvalve.child_processes import Children
+from rattanvalve.fleet_settings import FleetPlan, plan_fleet
+from rattanvalve.keys import generate_key, key_digest
+from rattanvalve.readiness import wait_endpoints, wait_ready
+from rattanvalve.scenario import (
+    ProgramSpec,
+    Scenario,
+    ServiceSpec,
+    WorkspaceSpec,
+)
+
+__all__ = ('CellSize', 'IdleCell', 'running_cell')
+
+_ZONES = ('selfoss', 'hella', 'vik')
+_SERVICE = 'agent-models-1'
+_STOP_GRACE_S = 6.0
+_STANDIN = 'rattanvalve.standin_main'
+
+
+@dataclass(frozen=True, slots=True)
+class CellSize:
+    """Processes of a cell."""
+
+    entry_count: int
+    endpoint_count: int
+
+
+@dataclass(slots=True)
+class IdleCell:
+    """A running cell and its store."""
+
+    plan: FleetPlan
+    children: Children
+    session: aiohttp.ClientSession
+    shape: Shape
+    admin_key: str = field(default_factory=generate_key)
+    generation: int = 0
+
+    def pids(self, names: list[str]) -> list[int]:
+        """Give the process ids of children.
+
+        :param names: names of the children.
+        :returns: process ids.
+        """
+        return [self.children.running[name].pid for name in names]
+
+    async def store_calls(self) -> dict[str, int]:
+        """Read how often each kind of call reached the store.
+
+        :returns: counts by kind.
+        """
+        async with self.session.get(f'{self.plan.store.url}/calls') as found:
+            return await found.json()
+
+    async def write_config(self) -> None:
+        """Write the next generation, which differs in one rate."""
+        version = self.generation
+        self.generation += 1
+        document = config_document(self.shape)
+        rates = document['rules']['rates']
+        rates['workspace-00000']['rate_per_s'] += self.generation
+        stored = {
+            'generation': self.generation,
+            'change_id': f'change-{self.generation}',
+            'author': 'operator',
+            'config': document,
+        }
+        condition = {'If-Match': f'"{version}"'}
+        if not version:
+            condition = {'If-None-Match': '*'}
+        async with self.session.put(
+            f'{self.plan.store.url}/v1/objects/config',
+            data=json.dumps(stored, separators=(',', ':')),
+            headers=condition,
+        ) as response:
+            response.raise_for_status()
+
+
+@asynccontextmanager
+async def running_cell(
+    size: CellSize,
+    shape: Shape,
+    folder: Path,
+) -> AsyncIterator[IdleCell]:
+    """Run a cell without traffic.
+
+    :param size: numbers of processes.
+    :param shape: configuration of the cell.
+            existing folder for settings and logs.
+    :returns: cell whose processes are ready; all have ended afterwards.
+    :raises ChildError: if a process ends or does not become ready.
+    """
+    children = Children(folder)
+    try:
+        async with aiohttp.ClientSession() as session:
+            cell = IdleCell(_plan(size), children, session, shape)
+            await _start(cell, folder)
+            yield cell
+    finally:
+        # Blocking: no cancellation can leave a child behind.
+        children.stop_all(_STOP_GRACE_S)
+
+
+def _plan(size: CellSize) -> FleetPlan:
+    plan = plan_fleet(
+        Scenario(
+            name='capacity',
+            cell='is-south-1',
+            zones=tuple(f'{at:02d}' for at in range(size.entry_count)),
+            services=(
+                ServiceSpec(
+                    name=_SERVICE,
+                    kind='engine',
+                    model='model-1',
+                    server_count=size.endpoint_count,
+                ),
+            ),
+            workspaces=(WorkspaceSpec(name='none', rate_per_s=1, burst=1),),
+            programs=ProgramSpec(
+                min_turns=1,
+                max_turns=1,
+                order_service='none',
+                order_path='/',
+            ),
+        ),
+    )
+    server = plan.endpoints[0].server
+    return replace(
+        plan,
+        entries=tuple(
+            replace(entry, zone=zone)
+            for entry, zone in zip(plan.entries, cycle(_ZONES), strict=False)
+        ),
+        endpoints=tuple(
+            replace(endpoint, server=server, zone=zone)
+            for endpoint, zone in zip(
+                plan.endpoints,
+                cycle(_ZONES),
+                strict=False,
+            )
+        ),
+    )
+
+
+async def _start(cell: IdleCell, folder: Path) -> None:
+    plan, children = cell.plan, cell.children
+    standins = {
+        'store': plan.store,
+        'vms': plan.vms,
+        'engine': plan.endpoints[0].server,
+    }
+    for kind, address in standins.items():
+        children.start(
+            kind,
+            _STANDIN,
+            kind,
+            f'--host={address.host}',
+            f'--port={address.port}',
+        )
+    await wait_ready(children, cell.session, standins.values())
+    await cell.write_config()
+    digest = key_digest(cell.admin_key)
+    for entry in plan.entries:
+        settings = plan.entry_settings(entry, digest)
+        _start_process(cell, folder, 'rattanvalve.entry_main', settings)
+    callers = [planned.caller for planned in plan.entries]
+    await wait_ready(children, cell.session, callers)
+    for endpoint in plan.endpoints:
+        settings = plan.endpoint_settings(endpoint)
+        _start_process(cell, folder, 'rattanvalve.endpoint_main', settings)
+    await wait_endpoints(children, cell.session, plan, cell.admin_key)
+
+
+def _start_process(
+    cell: IdleCell,
+    folder: Path,
+    module: str,
+    settings: dict,
+) -> None:
+    path = folder / f'{settings["name"]}.json'
+    path.write_text(json.dumps(settings))
+    cell.children.start(settings['name'], module, f'--settings={path}')
--- /dev/null
+++ b/rattanvalve/capacity_time.py
@@ -0,0 +1,224 @@
+"""Processor time per decision at n, 10n and 100n."""
+
+import itertools
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from functools import partial
+
+from rattanvalve import routing, views
+from rattanvalve.capacity_samples import (
+    EVENT,
+    EVENT_COUNT,
+    SERVICE,
+    Shape,
+    announce,
+    begin,
+    sample_catalog,
+    sample_view,
+    ticket,
+)
+from rattanvalve.capacity_states import (
+    OwnedCell,
+    add_record,
+    loads_of,
+    make_book,
+    parse_sample,
+    run_turn,
+)
+from rattanvalve.messages import Announce, Chunk, Usage
+from rattanvalve.ratelimit import Bucket
+from rattanvalve.runqueue import RunQueue
+from rattanvalve.wire import LENGTH_BYTES, FrameSealer
+
+__all__ = ('TIME_HEADER', 'time_rows')
+
+TIME_HEADER = ('decision', 'by', 'µs at n', '10n', '100n', 'n', '100n : n')
+_FACTORS = (1, 10, 100)
+_REPEAT_COUNT = 3
+_MEASURED_S = 0.04
+#: More than the steps of one measurement.
+_FRAME_COUNT = 2 + _REPEAT_COUNT * EVENT_COUNT
+_FIRST_NUMBER = 10_000_000
+_SECRET = b's' * 32
+_NONCE = b'n' * 16
+Step = Callable[[int], object]
+
+
+@dataclass(frozen=True, slots=True)
+class _Probe:
+    """A decision; ``prepare`` builds state of size n and gives its step."""
+
+    name: str
+    size: str
+    first: int
+    prepare: Callable[[int], Step]
+
+
+def _begin_by_programs(count: int) -> Step:
+    cell = OwnedCell(8, Shape())
+    for earlier in range(count):
+        run_turn(cell, begin(earlier))
+    return lambda number: run_turn(cell, begin(number))
+
+
+def _begin_by_endpoints(count: int) -> Step:
+    cell = OwnedCell(count, Shape())
+    return lambda number: run_turn(cell, begin(number))
+
+
+def _begin_by_workspaces(count: int) -> Step:
+    cell = OwnedCell(8, Shape(count))
+    step = partial(_turn_of_workspace, cell, count)
+    for number in range(count):
+        step(number)
+    return step
+
+
+def _turn_of_workspace(cell: OwnedCell, count: int, number: int) -> None:
+    run_turn(cell, begin(number, f'workspace-{number % count:05d}'))
+
+
+def _place(count: int) -> Step:
+    loads = loads_of(sample_view(count))
+    request = routing.PlacementRequest(
+        service_name=SERVICE,
+        last_endpoint='endpoint-00001',
+        prompt_tokens=200_000,
+    )
+    return lambda _number: routing.place(
+        request,
+        'affinity',
+        loads.candidates(SERVICE, frozenset(), 1),
+        1,
+    )
+
+
+def _record(count: int) -> Step:
+    book = make_book()
+    for earlier in range(count):
+        add_record(book, earlier, 1)
+    return lambda number: add_record(book, number, 1)
+
+
+def _queue(count: int) -> Step:
+    queue = RunQueue(8, count + 1, 'program_fair')
+    for number in range(count):
+        queue.offer(ticket(number, number % 10), 1)
+
+    def step(number: int) -> None:
+        queue.offer(ticket(number, number % 10), 1)
+        started = queue.pop_ready(1)
+        queue.finished(started.number, Usage(), 1)
+
+    return step
+
+
+def _bucket(_count: int) -> Step:
+    bucket = Bucket(1e9, 1e9, 0)
+    return bucket.take
+
+
+def _seal(event_count: int) -> Step:
+    sealer = FrameSealer(_SECRET, _NONCE, b'c')
+    chunk = Chunk(number=ticket(1).number, content=EVENT * event_count)
+    return lambda _number: sealer.seal(chunk)
+
+
+def _open(event_count: int) -> Step:
+    sealer = FrameSealer(_SECRET, _NONCE, b'c')
+    opener = FrameSealer(_SECRET, _NONCE, b'c')
+    chunk = Chunk(number=ticket(1).number, content=EVENT * event_count)
+    frames = iter(
+        [sealer.seal(chunk)[LENGTH_BYTES:] for _ in range(_FRAME_COUNT)],
+    )
+    return lambda _number: opener.open(next(frames))
+
+
+def _announce_frame(count: int) -> Step:
+    view = sample_view(count)
+    loads = loads_of(view)
+    message: Announce = announce(view.members[0])
+
+    def step(_number: int) -> None:
+        loads.report(message, 1)
+        loads.set_view(view)
+
+    return step
+
+
+def _apply(count: int) -> Step:
+    shape = Shape(count)
+    return lambda _number: sample_catalog(parse_sample(shape))
+
+
+def _owner_lookup(count: int) -> Step:
+    view = sample_view(count)
+    return lambda number: views.member_of(
+        view,
+        views.owner_of(view, f'workspace-{number % 45}', 0),
+    )
+
+
+def _view_change(count: int) -> Step:
+    return lambda number: views.owner_of(
+        sample_view(count, epoch=number),
+        f'workspace-{number}',
+        0,
+    )
+
+
+_PROBES = (
+    _Probe('Owner.begin and finish', 'programs', 100, _begin_by_programs),
+    _Probe('Owner.begin and finish', 'endpoints', 10, _begin_by_endpoints),
+    _Probe('Owner.begin and finish', 'workspaces', 20, _begin_by_workspaces),
+    _Probe('candidates and place', 'endpoints', 10, _place),
+    _Probe('RecordBook accept to complete', 'records', 100, _record),
+    _Probe('RunQueue offer, pop, finished', 'waiting', 10, _queue),
+    _Probe('Bucket.take', '-', 1, _bucket),
+    _Probe('seal a chunk', 'events in it', 1, _seal),
+    _Probe('open a chunk', 'events in it', 1, _open),
+    _Probe('owner and member in a known view', 'endpoints', 10, _owner_lookup),
+    _Probe('new view and one owner_of', 'endpoints', 10, _view_change),
+    _Probe('one Announce, without its frame', 'endpoints', 10, _announce_frame),
+    _Probe('apply a whole configuration', 'workspaces', 18, _apply),
+)
+
+
+def time_rows() -> list[tuple[str, ...]]:
+    """Measure all decisions; ``EVENT_COUNT`` events are one response.
+
+    :returns: decision, what varies, time at each size and the growth.
+    """
+    return [_row(probe) for probe in _PROBES]
+
+
+def _row(probe: _Probe) -> tuple[str, ...]:
+    times = [
+        1e6 * _step_s(probe.prepare(probe.first * factor))
+        for factor in _FACTORS
+    ]
+    return (
+        probe.name,
+        probe.size,
+        *(f'{step:,.1f}' for step in times),
+        str(probe.first),
+        f'{times[-1] / times[0]:.1f}',
+    )
+
+
+def _step_s(step: Step) -> float:
+    """Take the least of several means, as other load only adds time."""
+    numbers = itertools.count(_FIRST_NUMBER)
+    step(next(numbers))
+    return min(_mean_s(step, numbers) for _ in range(_REPEAT_COUNT))
+
+
+def _mean_s(step: Step, numbers: Iterator[int]) -> float:
+    began_s = time.process_time()
+    for done_count, number in enumerate(numbers, 1):
+        step(number)
+        spent_s = time.process_time() - began_s
+        if spent_s > _MEASURED_S or done_count == EVENT_COUNT:
+            return spent_s / done_count
+    raise StopIteration
--- a/rattanvalve/load_main.py
+++ b/rattanvalve/load_main.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from rattanvalve import __version__
+from rattanvalve.capacity_command import capacity
 from rattanvalve.client_records import read_run
 from rattanvalve.errors import RattanvalveError, SettingsError
 from rattanvalve.experiment import Experiment, run_experiment
@@ -32,6 +33,9 @@
     """Drive agent programs and check what happened."""
 
 
+main.add_command(capacity)
+
+
 @main.command()
 @click.option(
     '--scenario',
