Make owner lookup, announces and placement independent of the cell's size

Change: an index of each view by identity; set_view ignores the adopted view; candidates of a service are kept until time changes them, and a report or a request changes one entry. Policies and their choices are the same. Conclusion: no decision on the request path grows with endpoints, programs or workspaces, except round_robin, the baseline, which sorts its candidates.

--- a/rattanvalve/capacity_states.py
+++ b/rattanvalve/capacity_states.py
@@ -17,8 +17,9 @@
     sample_view,
     ticket,
 )
+from rattanvalve.endpointstate import SLOW_START_S
 from rattanvalve.inventory import Config, parse_config
-from rattanvalve.loads import SLOW_START_S, EndpointLoads
+from rattanvalve.loads import EndpointLoads
 from rattanvalve.messages import Begin, Finish, Head, Header, View
 from rattanvalve.ownercontext import OwnerContext, Wait
 from rattanvalve.ownership import Owner
--- a/rattanvalve/loads.py
+++ b/rattanvalve/loads.py
@@ -2,77 +2,21 @@
 
 from collections import defaultdict
 from collections.abc import Collection
-from dataclasses import dataclass, field
 from typing import Any
 
+from rattanvalve.candidates import Candidates, EndpointLoad, Validity
 from rattanvalve.counters import Counter, Metrics
+from rattanvalve.endpointstate import ENDPOINT_SILENT_S, EndpointState
 from rattanvalve.messages import Announce, Member, View
 from rattanvalve.views import endpoints_of
 
 __all__ = ('ENDPOINT_SILENT_S', 'EndpointLoad', 'EndpointLoads')
 
-#: Three announces were missed.
-ENDPOINT_SILENT_S = 6.0
 EJECT_AFTER_COUNT = 5
 EJECT_FIRST_S = 5.0
 EJECT_MAX_S = 300.0
 #: An endpoint without ejection for this long starts with the first period.
 EJECT_FORGET_S = 600.0
-SLOW_START_S = 30.0
-#: Part of its slots that a new endpoint is assumed to have at first.
-SLOW_START_FIRST = 0.1
-_READY = 'ready'
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EndpointLoad:
-    """Estimated load of a candidate in requests per slot."""
-
-    member: Member
-    load: float
-    is_slow_start: bool = False
-
-
-@dataclass(slots=True, kw_only=True)
-class _State:
-    """What is known about one incarnation of an endpoint."""
-
-    announce: Announce
-    started_at_s: float
-    reported_at_s: float
-    in_flight_count: int = 0
-    in_flight_at_report_count: int = 0
-    failure_count: int = 0
-    ejection_count: int = 0
-    ejected_until_s: float = field(default=float('-inf'))
-
-    def load(self, now_s: float) -> float:
-        """Estimate the requests per slot, with those sent since the report."""
-        announce = self.announce
-        reported = announce.running_count + announce.queued_count
-        since = self.in_flight_count - self.in_flight_at_report_count
-        requests = max(self.in_flight_count, reported + since)
-        slots = max(1, announce.capacity_count)
-        age_s = now_s - self.started_at_s
-        # The extra request makes an empty new endpoint look loaded, too.
-        if age_s < SLOW_START_S:
-            ramp = max(SLOW_START_FIRST, age_s / SLOW_START_S)
-            return (requests + 1) / (slots * ramp)
-        return requests / slots
-
-    def describe(self, now_s: float) -> str:
-        """Name the first reason why no new work is sent, or ``ready``."""
-        reasons = (
-            (now_s - self.reported_at_s > ENDPOINT_SILENT_S, 'silent'),
-            (self.announce.is_leaving, 'leaving'),
-            (not self.announce.is_healthy, 'unhealthy'),
-            (now_s < self.ejected_until_s, 'ejected'),
-        )
-        return next((text for applies, text in reasons if applies), _READY)
-
-    def is_usable(self, now_s: float) -> bool:
-        """Tell whether new work may be sent."""
-        return self.describe(now_s) == _READY
 
 
 class EndpointLoads:
@@ -83,9 +27,11 @@
 
     def __init__(self, metrics: Metrics | None = None) -> None:
         self._metrics = metrics or Metrics()
-        self._states: dict[str, _State] = {}
-        self._services: dict[str, dict[str, _State]] = defaultdict(dict)
+        self._states: dict[str, EndpointState] = {}
+        self._services: dict[str, dict[str, EndpointState]] = defaultdict(dict)
         self._listed: dict[str, str] | None = None
+        self._listed_view: View | None = None
+        self._kept: dict[str, Candidates] = {}
 
     def set_view(self, view: View) -> None:
         """Restrict the candidates to the endpoints of a view.
@@ -93,8 +39,13 @@
         A successor seals the endpoints of the views only, so an owner must
         send nothing to others. Before the first call nothing is restricted.
 
-        :param view: the adopted view.
+        :param view: the adopted view; nothing is done for the same one again,
+            since each announce leads to a call.
         """
+        if view is self._listed_view:
+            return
+        self._listed_view = view
+        self._kept.clear()
         self._listed = {
             member.name: member.incarnation for member in endpoints_of(view)
         }
@@ -108,7 +59,7 @@
         state = self._states.get(announce.member.name)
         if state is None or state.announce.member != announce.member:
             self.forget(announce.member.name)
-            state = _State(
+            state = EndpointState(
                 announce=announce,
                 started_at_s=now_s,
                 reported_at_s=now_s,
@@ -116,9 +67,15 @@
             self._states[announce.member.name] = state
             service = self._services[announce.member.service_name]
             service[announce.member.name] = state
+            self._drop(state)
+        was_usable = state.is_usable(now_s)
         state.announce = announce
         state.reported_at_s = now_s
         state.in_flight_at_report_count = state.in_flight_count
+        if was_usable and state.is_usable(now_s):
+            self._update(state)
+        else:
+            self._drop(state)
 
     def forget(self, endpoint: str) -> None:
         """Drop an endpoint.
@@ -129,6 +86,7 @@
         if state is not None:
             service_name = state.announce.member.service_name
             self._services[service_name].pop(endpoint)
+            self._drop(state)
 
     def started(self, endpoint: str) -> None:
         """Count a request that is sent to an endpoint.
@@ -138,6 +96,7 @@
         state = self._states.get(endpoint)
         if state is not None:
             state.in_flight_count += 1
+            self._update(state)
 
     def finished(self, endpoint: str, is_failure: bool, now_s: float) -> None:
         """Count the end of a request; consecutive failures eject.
@@ -154,33 +113,29 @@
         state.failure_count = state.failure_count + 1 if is_failure else 0
         if state.failure_count >= EJECT_AFTER_COUNT:
             self._eject(state, now_s)
+        self._update(state)
 
     def candidates(
         self,
         service_name: str,
         drained: Collection[str],
         now_s: float,
-    ) -> list[EndpointLoad]:
+    ) -> Candidates:
         """List the endpoints of a service that may get new work.
 
+        Loads in the list change with later reports and requests.
+
         :param service_name: name of the service.
         :param drained: names of endpoints that a rule drains.
         :param now_s: current time.
         :returns: endpoints without leaving, unhealthy, silent, ejected,
             drained and unlisted ones.
         """
-        states = self._services.get(service_name, {})
-        return [
-            EndpointLoad(
-                member=state.announce.member,
-                load=state.load(now_s),
-                is_slow_start=now_s - state.started_at_s < SLOW_START_S,
-            )
-            for name, state in states.items()
-            if name not in drained
-            and state.is_usable(now_s)
-            and self._is_listed(state.announce.member)
-        ]
+        kept = self._kept.get(service_name)
+        if kept is None or not kept.validity.holds(drained, now_s):
+            kept = self._list_candidates(service_name, drained, now_s)
+            self._kept[service_name] = kept
+        return kept
 
     def silent_names(self, now_s: float) -> set[str]:
         """List the known endpoints that announce nothing any more.
@@ -221,17 +176,48 @@
         """
         return endpoint in self._states
 
+    def _list_candidates(
+        self,
+        service_name: str,
+        drained: Collection[str],
+        now_s: float,
+    ) -> Candidates:
+        states = self._services.get(service_name, {})
+        until_s = min(
+            (state.usable_until_s(now_s) for state in states.values()),
+            default=float('inf'),
+        )
+        return Candidates(
+            (
+                state.as_candidate(now_s)
+                for name, state in states.items()
+                if name not in drained
+                and state.is_usable(now_s)
+                and self._is_listed(state.announce.member)
+            ),
+            Validity(drained, now_s, until_s),
+        )
+
+    def _update(self, state: EndpointState) -> None:
+        kept = self._kept.get(state.announce.member.service_name)
+        if kept is not None:
+            kept.update(state.as_candidate(kept.validity.from_s))
+
+    def _drop(self, state: EndpointState) -> None:
+        self._kept.pop(state.announce.member.service_name, None)
+
     def _is_listed(self, member: Member) -> bool:
         return (
             self._listed is None
             or self._listed.get(member.name) == member.incarnation
         )
 
-    def _eject(self, state: _State, now_s: float) -> None:
+    def _eject(self, state: EndpointState, now_s: float) -> None:
         if now_s - state.ejected_until_s > EJECT_FORGET_S:
             state.ejection_count = 0
         period_s = min(EJECT_MAX_S, EJECT_FIRST_S * 2**state.ejection_count)
         state.ejection_count += 1
         state.failure_count = 0
         state.ejected_until_s = now_s + period_s
+        self._drop(state)
         self._metrics.count(Counter.ENDPOINT_EJECTED)
--- a/rattanvalve/routing.py
+++ b/rattanvalve/routing.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from rattanvalve.loads import EndpointLoad
+from rattanvalve.candidates import (
+    EndpointLoad,
+    find_candidate,
+    least_load,
+)
 from rattanvalve.messages import Member
 
 __all__ = ('PLACEMENT_POLICIES', 'PlacementRequest', 'Policy', 'place')
@@ -91,13 +95,12 @@
         candidates: Sequence[EndpointLoad],
         now_s: float,
     ) -> EndpointLoad:
-        least = min(map(_load_of, candidates))
+        least = least_load(candidates)
         worth = request.prompt_tokens / PROMPT_TOKENS_PER_LOAD
         limit = least + min(AFFINITY_PENALTY_MAX, worth)
-        for candidate in candidates:
-            is_last = candidate.member.name == request.last_endpoint
-            if is_last and candidate.load <= limit:
-                return candidate
+        last = find_candidate(candidates, request.last_endpoint)
+        if last is not None and last.load <= limit:
+            return last
         return fallback(request, candidates, now_s)
 
     return choose
--- a/rattanvalve/views.py
+++ b/rattanvalve/views.py
@@ -1,7 +1,8 @@
 """Functions over the view of a cell: members, ownership, changes, JSON."""
 
+from collections import OrderedDict
 from collections.abc import Collection, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from functools import lru_cache
 
 import msgspec
@@ -28,6 +29,51 @@
 ROLE_ENDPOINT = 'endpoint'
 #: Shards times views that are kept; a cell has about 45 home workspaces.
 _OWNER_CACHE_COUNT = 16_384
+#: Views whose index is kept: the adopted one and those being taken over.
+_INDEX_COUNT = 16
+
+
+@dataclass(slots=True)
+class _Index:
+    """Lookups of one view, so that no request looks at every member."""
+
+    view: View
+    members: dict[str, Member]
+    entries: tuple[Member, ...]
+    endpoints: tuple[Member, ...]
+    entry_names: tuple[str, ...]
+    owners: dict[tuple[str, int], str] = field(default_factory=dict)
+
+
+#: Indexes by identity of the view, which is immutable. An index holds its
+#: view, so that no other object can take its identity.
+_indexes: OrderedDict[int, _Index] = OrderedDict()
+
+
+def _index_of(view: View) -> _Index:
+    found = _indexes.get(id(view))
+    if found is None:
+        found = _build_index(view)
+        _indexes[id(view)] = found
+        if len(_indexes) > _INDEX_COUNT:
+            _indexes.popitem(last=False)
+    return found
+
+
+def _build_index(view: View) -> _Index:
+    members: dict[str, Member] = {}
+    roles: dict[str, list[Member]] = {ROLE_ENTRY: [], ROLE_ENDPOINT: []}
+    for member in view.members:
+        members.setdefault(member.name, member)
+        roles.setdefault(member.role, []).append(member)
+    entries = tuple(roles[ROLE_ENTRY])
+    return _Index(
+        view=view,
+        members=members,
+        entries=entries,
+        endpoints=tuple(roles[ROLE_ENDPOINT]),
+        entry_names=tuple(entry.name for entry in entries),
+    )
 
 
 def entries_of(view: View) -> tuple[Member, ...]:
@@ -36,7 +82,7 @@
     :param view: view of a cell.
     :returns: entries in name order.
     """
-    return tuple(member for member in view.members if member.role == ROLE_ENTRY)
+    return _index_of(view).entries
 
 
 def endpoints_of(view: View, service_name: str = '') -> tuple[Member, ...]:
@@ -46,11 +92,11 @@
     :param service_name: service to select; empty for all services.
     :returns: endpoints in name order.
     """
+    endpoints = _index_of(view).endpoints
+    if not service_name:
+        return endpoints
     return tuple(
-        member
-        for member in view.members
-        if member.role == ROLE_ENDPOINT
-        and service_name in {'', member.service_name}
+        member for member in endpoints if member.service_name == service_name
     )
 
 
@@ -61,9 +107,7 @@
     :param name: process name.
     :returns: the member, or ``None`` if the view does not list it.
     """
-    return next(
-        (member for member in view.members if member.name == name), None
-    )
+    return _index_of(view).members.get(name)
 
 
 def owner_of(view: View, workspace: str, shard: int) -> str:
@@ -74,8 +118,14 @@
     :param shard: shard index from 0.
     :returns: entry name, or an empty string if the view has no entry.
     """
-    names = tuple(member.name for member in entries_of(view))
-    return _best_entry(names, workspace, shard)
+    index = _index_of(view)
+    owner = index.owners.get((workspace, shard))
+    if owner is None:
+        owner = _best_entry(index.entry_names, workspace, shard)
+        # A caller may name any shard, so that the index must be bounded.
+        if len(index.owners) < _OWNER_CACHE_COUNT:
+            index.owners[workspace, shard] = owner
+    return owner
 
 
 def change_members(
