--- a/rattanvalve/child_processes.py
+++ b/rattanvalve/child_processes.py
@@ -25,11 +25,13 @@
 class Children:
     """Processes started by this one, by name; only these are ever ended.
 
-    ``log_folder`` receives one log file for each child.
+    ``log_folder`` receives one log file for each child; ``root`` is the
+    checkout whose programs are started.
     """
 
     log_folder: Path
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
+    root: Path = _ROOT
 
     def start(self, name: str, module: str, *arguments: str) -> None:
         """Start a program of this package.
@@ -39,11 +41,13 @@
         :param arguments: command line arguments.
         """
         python_path = os.pathsep.join(
-            filter(None, (str(_ROOT), os.environ.get('PYTHONPATH', ''))),
+            filter(None, (str(self.root), os.environ.get('PYTHONPATH', ''))),
         )
         with (self.log_folder / f'{name}.log').open('ab') as log:
             self.running[name] = subprocess.Popen(
                 (sys.executable, '-m', module, *arguments),
+                # Python puts the current folder first on its path.
+                cwd=self.root,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/rattanvalve/fleet.py
+++ b/rattanvalve/fleet.py
@@ -84,6 +84,7 @@
     policy: tuple[str, str] = ('affinity', 'program_fair'),
     *,
     is_direct: bool = False,
+    root: Path | None = None,
 ) -> AsyncIterator[Fleet]:
     """Run the processes of a scenario.
 
@@ -91,6 +92,7 @@
     :param folder: empty folder for settings, journals and logs.
     :param policy: placement policy and queue policy.
     :param is_direct: start only the stand-ins, without the product.
+    :param root: checkout to run; default is that of this program.
     :returns: fleet that is ready; all its processes have ended afterwards,
         also after an exception or a cancellation.
     :raises ChildError: if a process ends or does not become ready.
@@ -101,7 +103,7 @@
         scenario,
         folder,
         plan_fleet(scenario),
-        Children(folder / 'logs'),
+        _children(folder / 'logs', root),
         {name: generate_key() for name in scenario.initial_keys()},
     )
     try:
@@ -115,6 +117,10 @@
         fleet.children.stop_all(_STOP_GRACE_S)
 
 
+def _children(log_folder: Path, root: Path | None) -> Children:
+    return Children(log_folder, root=root) if root else Children(log_folder)
+
+
 async def _stop_gently(fleet: Fleet) -> None:
     # Waiting here and not in stop_all() lets another fleet of this process
     # go on.
--- a/rattanvalve/load_main.py
+++ b/rattanvalve/load_main.py
@@ -20,6 +20,7 @@
 from rattanvalve.main_task import cancel_on_signals
 from rattanvalve.report import Measures, format_table, measure, verdict_table
 from rattanvalve.scenario import Scenario, bundled_scenarios, load_scenario
+from rattanvalve.speed_command import speed
 from rattanvalve.standin_batch import EngineCosts
 
 __all__ = ('main',)
@@ -34,6 +35,7 @@
 
 
 main.add_command(capacity)
+main.add_command(speed)
 
 
 @main.command()
