--- a/rattanvalve/beginqueue.py
+++ b/rattanvalve/beginqueue.py
@@ -22,6 +22,10 @@
 MAX_WAITING_PER_PROGRAM_COUNT = 100
 #: A ticket without a report this long after its deadline is settled.
 OVERDUE_GRACE_S = 30.0
+#: Longest wait for an endpoint. A restarted endpoint process is listed in the
+#: view within about two rounds of heartbeats.
+ENDPOINT_WAIT_MAX_S = 2.0
+ENDPOINT_POLL_S = 0.1
 _DEFAULT_TIMEOUT_S = 600.0
 _OVERDUE_RETRY_S = 5.0
 
@@ -128,6 +132,7 @@
     ) -> Ticket | Refusal | Outcome:
         """Begin the call that is first in the line of its program."""
         name = (begin.workspace, begin.shard)
+        arrived_s = self._ports.clock()
         while True:
             left_s = deadline_s - self._ports.clock()
             if left_s <= 0:
@@ -143,11 +148,29 @@
                 self.context(name, RATE_WAIT_MAX_S, deadline_s),
                 self._ports.clock(),
             )
-            if not isinstance(answer, Wait):
+            if self._may_find_endpoint(answer, arrived_s, deadline_s):
+                await self._ports.sleep(ENDPOINT_POLL_S)
+            elif not isinstance(answer, Wait):
                 return answer
-            if answer.is_for_rate:
+            elif answer.is_for_rate:
                 return await self._begin_at_rate(begin, deadline_s)
-            await self._wait_idle(begin, deadline_s)
+            else:
+                await self._wait_idle(begin, deadline_s)
+
+    def _may_find_endpoint(
+        self,
+        answer: object,
+        arrived_s: float,
+        deadline_s: float,
+    ) -> bool:
+        """Tell whether a request without an endpoint should wait for one."""
+        if not isinstance(answer, Refusal):
+            return False
+        limit_s = min(arrived_s + ENDPOINT_WAIT_MAX_S, deadline_s)
+        return (
+            answer.code == ResultCode.NO_ENDPOINT
+            and self._ports.clock() < limit_s
+        )
 
     async def _begin_at_rate(
         self,
--- a/rattanvalve/loads.py
+++ b/rattanvalve/loads.py
@@ -205,7 +205,7 @@
                 'endpoint': name,
                 'service': state.announce.member.service_name,
                 'zone': state.announce.member.zone,
-                'state': state.describe(now_s),
+                'state': self._state_of(state, now_s),
                 'running': state.announce.running_count,
                 'queued': state.announce.queued_count,
                 'in_flight': state.in_flight_count,
@@ -221,6 +221,12 @@
         """
         return endpoint in self._states
 
+    def _state_of(self, state: _State, now_s: float) -> str:
+        described = state.describe(now_s)
+        if described == _READY and not self._is_listed(state.announce.member):
+            return 'unlisted'
+        return described
+
     def _is_listed(self, member: Member) -> bool:
         return (
             self._listed is None
--- a/rattanvalve/readiness.py
+++ b/rattanvalve/readiness.py
@@ -1,8 +1,9 @@
 """Waits until the processes of a fleet take requests."""
 
 import asyncio
+import json
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import aiohttp
 
@@ -30,7 +31,7 @@
     :raises ChildError: if a process ends or is not ready in time.
     """
     for address in addresses:
-        await _wait_until(children, session, f'{address.url}/readyz', {}, ())
+        await _wait_until(children, session, f'{address.url}/readyz')
 
 
 async def wait_endpoints(
@@ -39,9 +40,10 @@
     plan: FleetPlan,
     admin_key: str,
 ) -> None:
-    """Wait until every entry process lists all endpoints in its status.
+    """Wait until every entry process would send work to all endpoints.
 
-    Endpoint processes serve no HTTP, so this stands for their readiness.
+    An endpoint that has announced itself gets work only once the view lists
+    it, so its state in the status must be ``ready``.
 
     :param children: processes, none of which may end meanwhile.
     :param session: HTTP session.
@@ -49,26 +51,35 @@
     :param admin_key: operator's key.
     :raises ChildError: if a process ends or is not ready in time.
     """
-    names = [endpoint.name for endpoint in plan.endpoints]
+    names = {endpoint.name for endpoint in plan.endpoints}
+
+    def is_ready(text: str) -> bool:
+        status = json.loads(text)
+        ready = {
+            row['endpoint']
+            for row in status['endpoints']
+            if row['state'] == 'ready'
+        }
+        return names <= ready and status['act_mode'] == 'full'
+
     headers = {'Authorization': f'Bearer {admin_key}'}
     for entry in plan.entries:
         url = f'{entry.admin.url}/v1/status'
-        await _wait_until(children, session, url, headers, names)
+        await _wait_until(children, session, url, headers, is_ready)
 
 
 async def _wait_until(
     children: Children,
     session: aiohttp.ClientSession,
     url: str,
-    headers: dict[str, str],
-    names: Iterable[str],
+    headers: dict[str, str] | None = None,
+    is_ready: Callable[[str], bool] = bool,
 ) -> None:
     deadline_s = time.monotonic() + _READY_TIMEOUT_S
-    quoted = [f'"{name}"' for name in names]
     while time.monotonic() < deadline_s:
         children.check_alive()
-        text = await _get_text(session, url, headers)
-        if text is not None and all(name in text for name in quoted):
+        text = await _get_text(session, url, headers or {})
+        if text is not None and is_ready(text):
             return
         await asyncio.sleep(_POLL_S)
     raise ChildError(f'{url} was not ready within {_READY_TIMEOUT_S:g} s')
--- a/tests/owner_service.feature
+++ b/tests/owner_service.feature
@@ -14,6 +14,11 @@
     When 40 requests arrive at a rate of 10 in one second
     Then those that fit into a second wait and the others are refused at once
 
+  Scenario: a request waits for an endpoint that restarts, but not for long
+    When a request arrives while no endpoint is up
+    Then it is admitted once an endpoint is up again
+    And another one is refused with NO_ENDPOINT after 2 seconds
+
   Scenario: a process that is not the owner refuses
     Then requests at another process get NOT_OWNER with its epoch
 
--- a/tests/owner_world.py
+++ b/tests/owner_world.py
@@ -248,6 +248,8 @@
     def place(self, request, now_s):
         """Prefer the last endpoint, else choose by program."""
         live = [each for each in self.endpoints if each.is_up]
+        if not live:
+            return None
         for each in live:
             if each.name == request.last_endpoint:
                 return each.member()
--- a/tests/steps/owner_service_steps.py
+++ b/tests/steps/owner_service_steps.py
@@ -101,6 +101,39 @@
     assert context.admitted == expected
 
 
+def set_endpoints(context, is_up):
+    """Stop or restart all endpoints of the cell."""
+    for endpoint in context.world.endpoints:
+        endpoint.is_up = is_up
+
+
+@when('a request arrives while no endpoint is up')
+def step_no_endpoint(context):
+    world = start_world(context)
+    set_endpoints(context, is_up=False)
+    context.task = start_all(context, world.owner(), [new_begin()])[0]
+    context.run(world.time.advance(1))
+    assert not context.task.done()
+
+
+@then('it is admitted once an endpoint is up again')
+def step_endpoint_back(context):
+    set_endpoints(context, is_up=True)
+    context.run(context.world.time.advance(0.2))
+    assert isinstance(context.task.result(), Ticket)
+
+
+@then('another one is refused with NO_ENDPOINT after 2 seconds')
+def step_endpoint_missing(context):
+    set_endpoints(context, is_up=False)
+    time = context.world.time
+    started_s = time.now_s
+    begin = new_begin('other', request_id='other')
+    answer = drive(context, context.world.owner().service.begin(begin))
+    assert code_of(answer) == 'NO_ENDPOINT'
+    assert 2 <= time.now_s - started_s < 2.2
+
+
 @then('a call of a busy program is refused at its timeout')
 def step_timeout(context):
     world = start_world(context)
