--- a/rattanvalve/loads.py
+++ b/rattanvalve/loads.py
@@ -6,7 +6,11 @@
 
 from rattanvalve.candidates import Candidates, EndpointLoad, Validity
 from rattanvalve.counters import Counter, Metrics
-from rattanvalve.endpointstate import ENDPOINT_SILENT_S, EndpointState
+from rattanvalve.endpointstate import (
+    ENDPOINT_SILENT_S,
+    READY,
+    EndpointState,
+)
 from rattanvalve.messages import Announce, Member, View
 from rattanvalve.views import endpoints_of
 
@@ -160,7 +164,7 @@
                 'endpoint': name,
                 'service': state.announce.member.service_name,
                 'zone': state.announce.member.zone,
-                'state': state.describe(now_s),
+                'state': self._state_of(state, now_s),
                 'running': state.announce.running_count,
                 'queued': state.announce.queued_count,
                 'in_flight': state.in_flight_count,
@@ -206,6 +210,12 @@
     def _drop(self, state: EndpointState) -> None:
         self._kept.pop(state.announce.member.service_name, None)
 
+    def _state_of(self, state: EndpointState, now_s: float) -> str:
+        described = state.describe(now_s)
+        if described == READY and not self._is_listed(state.announce.member):
+            return 'unlisted'
+        return described
+
     def _is_listed(self, member: Member) -> bool:
         return (
             self._listed is None
--- a/rattanvalve/speed_command.py
+++ b/rattanvalve/speed_command.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from itertools import product
 from pathlib import Path
 
 import aiohttp
@@ -23,7 +24,13 @@
     ServiceSpec,
     WorkspaceSpec,
 )
-from rattanvalve.speed_load import Burst, BurstKind, Target, run_burst
+from rattanvalve.speed_load import (
+    LONG_TOKENS,
+    Burst,
+    BurstKind,
+    Target,
+    run_burst,
+)
 
 __all__ = ('KINDS', 'speed')
 
@@ -35,29 +42,35 @@
     'latency p50',
     'first byte p50',
     'latency ratio (spread)',
-    'entry µs',
-    'endpoint µs',
-    'per',
+    'entry µs a request',
+    'endpoint µs a request',
     'entry ratio to the first (spread)',
     'endpoint ratio to the first (spread)',
 )
+_EVENT_HEADER = ('burst', 'target', 'role', 'µs', 'ratio to the first (spread)')
 #: ``paced`` streams have the gaps of a batch of 8 in the stand-in engine; in
 #: ``crowded`` ones tokens of many streams arrive together.
 KINDS = (
     BurstKind(name='short', request_count=120),
     BurstKind(name='parallel', request_count=200, at_once_count=16),
+    BurstKind(
+        name='opening',
+        request_count=64,
+        at_once_count=8,
+        is_stream=True,
+    ),
     BurstKind(
         name='paced',
-        request_count=8,
+        request_count=24,
         at_once_count=8,
-        max_tokens=300,
+        max_tokens=LONG_TOKENS,
         is_stream=True,
     ),
     BurstKind(
         name='crowded',
-        request_count=64,
+        request_count=128,
         at_once_count=64,
-        max_tokens=300,
+        max_tokens=LONG_TOKENS,
         is_stream=True,
     ),
     BurstKind(name='history', request_count=2, prompt_bytes=3_000_000),
@@ -204,10 +217,11 @@
                     bursts[kind.name, target.name].append(found)
             sizes.append(_resident_row(str(number + 1), targets))
     names = [target.name for target in targets]
-    rows = [
-        _row(kind, name, names, bursts) for kind in kinds for name in names
-    ]
+    rows = [_row(kind, name, names, bursts) for kind in kinds for name in names]
     click.echo(format_table(_HEADER, rows))
+    if {'opening', 'paced', 'crowded'} <= {kind.name for kind in kinds}:
+        click.echo('\neach further event of a stream\n')
+        click.echo(format_table(_EVENT_HEADER, _event_rows(names, bursts)))
     processes = [
         f'{target.name} {role}' for target in targets for role in target.pids
     ]
@@ -254,18 +268,54 @@
         _ratio(_costs(found, kind, role), _costs(first, kind, role))
         for role in ('entry', 'endpoint')
     )
-    unit = 'event' if kind.is_stream else 'request'
-    return (kind.name, name, *columns, *costs, unit, *ratios)
+    return (kind.name, name, *columns, *costs, *ratios)
 
 
-def _costs(bursts: list[Burst], kind: BurstKind, role: str) -> list[float]:
+def _event_rows(names: list[str], bursts: Bursts) -> list[tuple[str, ...]]:
+    """Compare long streams with streams of one token."""
+    rows = []
+    for kind, role in product(('paced', 'crowded'), ('entry', 'endpoint')):
+        costs = {
+            name: _event_costs(bursts, kind, name, role) for name in names[1:]
+        }
+        rows.extend(
+            (
+                kind,
+                name,
+                role,
+                f'{1e6 * statistics.median(found):.1f}',
+                _ratio(found, costs[names[1]]),
+            )
+            for name, found in costs.items()
+        )
+    return rows
+
+
+def _event_costs(
+    bursts: Bursts,
+    kind: str,
+    name: str,
+    role: str,
+) -> list[float]:
+    counts = {one.name: one.request_count for one in KINDS}
+    pairs = zip(bursts[kind, name], bursts['opening', name], strict=True)
     return [
-        one.processor_s.get(role, 0)
-        / (one.event_count if kind.is_stream else kind.request_count)
-        for one in bursts
+        (
+            long.processor_s[role] / counts[kind]
+            - short.processor_s[role] / counts['opening']
+        )
+        / (
+            long.event_count / counts[kind]
+            - short.event_count / counts['opening']
+        )
+        for long, short in pairs
     ]
 
 
+def _costs(bursts: list[Burst], kind: BurstKind, role: str) -> list[float]:
+    return [one.processor_s.get(role, 0) / kind.request_count for one in bursts]
+
+
 def _p50(samples: list[list[float]]) -> float:
     return statistics.median(number for sample in samples for number in sample)
 
--- a/rattanvalve/speed_load.py
+++ b/rattanvalve/speed_load.py
@@ -1,17 +1,21 @@
 """Bursts of requests to one base URL, and what processes spent on them."""
 
 import asyncio
+import itertools
 import time
 from dataclasses import dataclass, field
 
 import aiohttp
 
 from rattanvalve.process_usage import usage_of
+from rattanvalve.standin_text import expected_tokens
 
 __all__ = ('Burst', 'BurstKind', 'Target', 'run_burst')
 
 _EVENT_START = b'data: {'
 _WORD = 'word '
+#: Most responses of the stand-in have fewer tokens, so prompts are chosen.
+LONG_TOKENS = 44
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,14 +39,26 @@
         :param index: makes the prompt distinct.
         :returns: chat-completions request.
         """
-        filler = _WORD * (self.prompt_bytes // len(_WORD))
+        messages = self._messages(index)
         return {
             'model': 'small',
-            'messages': [{'role': 'user', 'content': f'{index} {filler}'}],
+            'messages': messages,
             'max_tokens': self.max_tokens,
             'stream': self.is_stream,
         }
 
+    def _messages(self, index: int) -> list[dict]:
+        """Choose a prompt to which the stand-in gives a long response."""
+        filler = _WORD * (self.prompt_bytes // len(_WORD))
+        wanted_count = min(self.max_tokens, LONG_TOKENS)
+        for variant in itertools.count():
+            content = f'{index} {variant} {filler}'
+            messages = [{'role': 'user', 'content': content}]
+            found = expected_tokens(messages, wanted_count)
+            if len(found) == wanted_count:
+                return messages
+        raise AssertionError('unreachable')
+
 
 @dataclass(frozen=True, slots=True)
 class Target:
