--- a/rattanvalve/capacity_time.py
+++ b/rattanvalve/capacity_time.py
@@ -16,6 +16,7 @@
     begin,
     sample_catalog,
     sample_view,
+    summary,
     ticket,
 )
 from rattanvalve.capacity_states import (
@@ -26,10 +27,15 @@
     parse_sample,
     run_turn,
 )
-from rattanvalve.messages import Announce, Chunk, Usage
+from rattanvalve.messages import Announce, Chunk, Sealed, Usage
 from rattanvalve.ratelimit import Bucket
 from rattanvalve.runqueue import RunQueue
-from rattanvalve.wire import LENGTH_BYTES, FrameSealer
+from rattanvalve.wire import (
+    LENGTH_BYTES,
+    FrameSealer,
+    decode_struct,
+    encode_struct,
+)
 
 __all__ = ('TIME_HEADER', 'time_rows')
 
@@ -101,6 +107,29 @@
     return lambda number: add_record(book, number, 1)
 
 
+def _seal_book(count: int) -> Step:
+    book = make_book()
+    for earlier in range(count):
+        add_record(book, earlier, 1)
+    view = sample_view(epoch=123_457)
+    return lambda _number: [
+        encode_struct(book.seal(view, entry.name, 1))
+        for entry in views.entries_of(view)
+    ]
+
+
+def _adopt(count: int) -> Step:
+    sealed = Sealed(records=tuple(map(summary, range(count))))
+    payload = encode_struct(sealed)
+
+    def step(_number: int) -> None:
+        cell = OwnedCell(8, Shape())
+        records = decode_struct(Sealed, payload).records
+        cell.owner.table.adopt(records, cell.context, 1)
+
+    return step
+
+
 def _queue(count: int) -> Step:
     queue = RunQueue(8, count + 1, 'program_fair')
     for number in range(count):
@@ -174,6 +203,8 @@
     _Probe('Owner.begin and finish', 'workspaces', 20, _begin_by_workspaces),
     _Probe('candidates and place', 'endpoints', 10, _place),
     _Probe('RecordBook accept to complete', 'records', 100, _record),
+    _Probe('seal a book for 9 entries', 'records', 20, _seal_book),
+    _Probe('decode and adopt Sealed', 'records', 20, _adopt),
     _Probe('RunQueue offer, pop, finished', 'waiting', 10, _queue),
     _Probe('Bucket.take', '-', 1, _bucket),
     _Probe('seal a chunk', 'events in it', 1, _seal),
