Send configuration changes as differences and replace malformed documents

Cause: each change made each process pull the whole document, which has 1,142,292 bytes at 1,800 workspaces with 3 keys each; the object API refuses more than 1 MB. A malformed document in the store could not be replaced by an operator, since apply failed on it.

Change: entries keep differences between consecutive generations and verify a digest of the result, which does not depend on the order of entries. A large configuration is stored as a compressed base and a head with differences. The head is changed last. Too large configurations get result code 1604. A malformed configuration or view is kept out, counted, shown in status and replaced after an apply.

--- a/rattanvalve/admin_api.py
+++ b/rattanvalve/admin_api.py
@@ -14,6 +14,7 @@
 
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.configdiff import list_changes
+from rattanvalve.configdocs import MAX_CONFIG_BYTES
 from rattanvalve.configedit import (
     Edit,
     drain_endpoint,
@@ -22,7 +23,11 @@
     withdraw_key,
 )
 from rattanvalve.counters import Metrics
-from rattanvalve.errors import StoreConflictError, StoreError
+from rattanvalve.errors import (
+    ConfigTooLargeError,
+    StoreConflictError,
+    StoreError,
+)
 from rattanvalve.inventory import Config, parse_config
 from rattanvalve.keys import generate_key, key_digest
 from rattanvalve.logs import LogPart, part_logger
@@ -30,7 +35,6 @@
 
 __all__ = ('AdminContext', 'build_admin_app')
 
-MAX_CONFIG_BYTES = 1024 * 1024
 #: A single edit is repeated this often when other operators write meanwhile.
 EDIT_ATTEMPTS = 8
 ROLE_EDITOR = 'editor'
@@ -47,6 +51,8 @@
     expected generation, author, change id; it returns the new generation.
     ``refresh`` reads the newest configuration from the store. ``status`` and
     ``explain`` describe this process and one program or request as JSON.
+    ``begin_repair`` has a malformed stored view replaced, and tells whether
+    the stored configuration is malformed and must be written again.
     ``record`` and ``audit`` write and read the audit records.
     """
 
@@ -59,6 +65,7 @@
     explain: Callable[[str, str, str], Awaitable[dict[str, Any]]]
     record: Callable[[int, dict[str, Any]], Awaitable[None]]
     audit: Callable[[int], Awaitable[list[dict[str, Any]]]]
+    begin_repair: Callable[[], bool] = bool
     viewers: frozenset[str] = field(default_factory=frozenset)
 
 
@@ -84,7 +91,7 @@
         ``openapi.json``.
     """
     app = web.Application(
-        middlewares=(_report_errors, _authenticate),
+        middlewares=(_report_errors, _authenticate, _report_size),
         client_max_size=MAX_CONFIG_BYTES,
     )
     app[_CONTEXT] = context
@@ -111,6 +118,17 @@
         )
 
 
+@web.middleware
+async def _report_size(request, handler):
+    try:
+        return await handler(request)
+    except (ConfigTooLargeError, web.HTTPRequestEntityTooLarge) as error:
+        raise _AdminError(
+            ResultCode.CONFIGURATION_TOO_LARGE,
+            str(error),
+        ) from error
+
+
 @web.middleware
 async def _authenticate(request, handler):
     context = request.app[_CONTEXT]
@@ -169,12 +187,14 @@
             place=error.place,
         )
     config = parsed.unwrap()
-    if context.blackboard.catalog.generation != expected:
+    with suppress(StoreError):
+        # Without an answer, the write below says so.
         await context.refresh()
     if context.blackboard.catalog.generation != expected:
         raise _conflict(context, f'If-Match names generation {expected}')
     changes = _changes(context.blackboard.catalog.config, config)
-    if request.query.get('dry_run') == 'true' or not changes:
+    is_dry = request.query.get('dry_run') == 'true'
+    if is_dry or not (context.begin_repair() or changes):
         return web.json_response({'generation': expected, 'changes': changes})
     generation = await _write(request, config, expected, changes)
     return web.json_response({'generation': generation, 'changes': changes})
--- a/rattanvalve/catalog.py
+++ b/rattanvalve/catalog.py
@@ -1,9 +1,11 @@
 """Indexed view of one generation of the configuration."""
 
 import enum
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
+from rattanvalve.configtables import RowChange
 from rattanvalve.inventory import (
     Budget,
     Config,
@@ -13,7 +15,7 @@
     ServiceEntry,
 )
 
-__all__ = ('Catalog', 'Priority', 'build_catalog')
+__all__ = ('Catalog', 'Priority', 'build_catalog', 'revise_catalog')
 
 #: Rate of a workspace that no rule names.
 DEFAULT_RATE = Rate(rate_per_s=10, burst=20)
@@ -156,6 +158,71 @@
     )
 
 
+def revise_catalog(
+    previous: Catalog,
+    config: Config,
+    generation: int,
+    changes: Iterable[RowChange],
+) -> Catalog:
+    """Index a configuration that differs in a few rows.
+
+    :param previous: catalog of the configuration before the changes.
+    :param config: configuration after the changes.
+    :param generation: its generation number.
+    :param changes: changed rows in the order in which they were made.
+    :returns: the catalog. Tables with a change are copied, others shared.
+    """
+    net: dict[tuple[str, str], RowChange] = {}
+    for change in changes:
+        place = (change.table, change.name)
+        first = net.get(place, change)
+        net[place] = replace(change, before=first.before)
+    names = {_TABLE_OF_ROWS.get(table) for table, _ in net} - {None}
+    tables = {name: getattr(previous, name).copy() for name in names}
+    # A key digest may move from one key entry to another, so that all old
+    # rows are removed before new ones are added.
+    for is_removal in (True, False):
+        for change in net.values():
+            _revise(tables, change, is_removal)
+    return replace(
+        previous,
+        generation=generation,
+        config=config,
+        drained_endpoints=frozenset(config.rules.drained_endpoints),
+        **tables,
+    )
+
+
+def _revise(
+    tables: dict[str, dict],
+    change: RowChange,
+    is_removal: bool,
+) -> None:
+    row = change.before if is_removal else change.after
+    target = _TABLE_OF_ROWS.get(change.table)
+    if target is None or row is None:
+        return
+    name, content = _index_entry(change.table, row)
+    if is_removal:
+        tables[target].pop(name, None)
+    else:
+        tables[target][name] = content
+
+
+def _index_entry(table, row):
+    if table == 'keys':
+        return row.digest_sha256, row.workspace
+    return row.name, row.shards if table == 'workspaces' else row
+
+
+_TABLE_OF_ROWS = {
+    'models': 'models',
+    'services': 'services',
+    'workspaces': 'shard_counts',
+    'keys': 'key_workspaces',
+}
+
+
 def _matches(rule: RouteRule, method: str, path: str) -> bool:
     if rule.method not in {'*', method}:
         return False
--- a/rattanvalve/config_controller.py
+++ b/rattanvalve/config_controller.py
@@ -3,26 +3,21 @@
 import asyncio
 from contextlib import suppress
 
-import msgspec
-
-from rattanvalve.configdocs import (
-    PULL_CONFIG,
-    ConfigHolder,
-    StoredConfig,
-    decode_stored_config,
-)
+from rattanvalve.configadoption import ConfigAdoption
+from rattanvalve.configdocs import StoredConfig
+from rattanvalve.configholder import PULL_CONFIG, ConfigHolder
+from rattanvalve.configstore import ConfigDraft, ConfigStore, make_draft
+from rattanvalve.configtables import tables_of
 from rattanvalve.control import ControlContext, sleep_or_wake
 from rattanvalve.errors import StoreConflictError, StoreError
-from rattanvalve.inventory import Config, encode_config
+from rattanvalve.inventory import Config
 from rattanvalve.messages import Member, Pull
 from rattanvalve.peers import Address, Handler, Send
 from rattanvalve.rendezvous import rank
-from rattanvalve.store import StoredObject
 from rattanvalve.views import entries_of
 
 __all__ = ('ConfigController', 'GenerationConflictError')
 
-CONFIG_KEY = 'config'
 #: Watching entries of each zone of a cell.
 WATCHER_COUNT = 2
 WATCH_TIMEOUT_S = 20.0
@@ -54,11 +49,17 @@
         self._member = member
         self._context = context
         self._holder = ConfigHolder(context)
-        self._known_version = 0
+        self._store = ConfigStore(context)
+        self._adoption = ConfigAdoption(context, self._holder, self._store)
         self._newer_at: set[Address] = set()
         self._wake = asyncio.Event()
         context.hear_generation = self.hear
 
+    @property
+    def problem(self) -> str:
+        """Why the stored document is not adopted; empty if it is."""
+        return self._adoption.problem
+
     def handlers(self) -> dict[type, Handler]:
         """List the handlers of messages from peers.
 
@@ -108,7 +109,7 @@
 
         :raises StoreError: if the store does not answer.
         """
-        self._adopt_stored(await self._context.store.get(CONFIG_KEY))
+        await self._adoption.refresh()
 
     async def pull_newer(self) -> None:
         """Pull from the peers that are known to have a newer generation."""
@@ -121,13 +122,7 @@
 
         :raises StoreError: if the store does not answer.
         """
-        self._adopt_stored(
-            await self._context.store.watch(
-                CONFIG_KEY,
-                self._known_version,
-                WATCH_TIMEOUT_S,
-            ),
-        )
+        await self._adoption.watch(WATCH_TIMEOUT_S)
 
     async def apply(
         self,
@@ -139,7 +134,8 @@
         """Write a new generation of the configuration.
 
         A repeated call with the change id of the current generation changes
-        nothing, so that an operator may retry.
+        nothing, so that an operator may retry. A stored document that cannot
+        be adopted is replaced.
 
         :param config: valid configuration.
         :param expected_generation: generation that the change is based on.
@@ -147,50 +143,49 @@
         :param change_id: identifies the change.
         :returns: the new generation.
         :raises GenerationConflictError: if another generation is current.
+        :raises ConfigTooLargeError: if the configuration is too large.
         :raises StoreError: if it is unknown whether the write took effect.
         """
-        stored = await self._context.store.get(CONFIG_KEY)
-        current = decode_stored_config(stored.body) if stored else None
-        generation = _generation_of(stored)
-        if current and current.change_id == change_id:
-            return generation
+        stored = await self._adoption.refresh()
+        head = self._adoption.sound_head(stored)
+        if head and head.change_id == change_id:
+            return head.generation
+        if not head:
+            await self.pull_newer()
+        generation = self._holder.generation
         if generation != expected_generation:
             raise GenerationConflictError(expected_generation, generation)
-        if generation < self._holder.generation:
-            raise StoreError(f'store holds older generation {generation}')
-        body = msgspec.json.encode(
-            StoredConfig(
-                generation=generation + 1,
-                change_id=change_id,
-                author=author,
-                config=msgspec.Raw(encode_config(config)),
-            ),
+        version = stored.version if stored else 0
+        following = generation + 1
+        if stored and not head:
+            # Each generation took a write, so that no generation that was
+            # overwritten, here or in another cell, is above the version.
+            following = max(generation, version) + 1
+        draft = make_draft(
+            self._holder.tables,
+            tables_of(config),
+            following,
+            change_id,
+            author,
         )
-        await self._write(body, stored.version if stored else 0, generation)
-        return generation + 1
+        await self._write(draft, head, version)
+        return following
 
-    async def _write(self, body: bytes, version: int, generation: int) -> None:
-        change_id = decode_stored_config(body).change_id
+    async def _write(
+        self,
+        draft: ConfigDraft,
+        head: StoredConfig | None,
+        version: int,
+    ) -> None:
+        generation = self._holder.generation
         try:
-            new_version = await self._context.store.put(
-                CONFIG_KEY,
-                body,
-                version,
-                change_id,
-            )
+            written = await self._store.write(draft, head, version)
         except StoreConflictError as error:
-            stored = await self._context.store.get(CONFIG_KEY)
-            current = _generation_of(stored)
+            with suppress(StoreError):
+                await self.refresh()
+            current = self._holder.generation
             raise GenerationConflictError(generation, current) from error
-        self._adopt_stored(StoredObject(new_version, body))
-
-    def _adopt_stored(self, stored: StoredObject | None) -> None:
-        """Adopt a stored document; a watcher spreads it at once."""
-        if stored is None:
-            return
-        self._known_version = max(self._known_version, stored.version)
-        if self._holder.adopt(stored.body):
-            self._context.request_beat()
+        await self._adoption.adopt_written(written)
 
     async def _answer_pull(self, message: Pull, send: Send) -> None:
         if message.kind != PULL_CONFIG:
@@ -217,7 +212,3 @@
             # Also bounds the call rate while the store answers with errors.
             jitter = self._context.random_source.uniform(0.1, 1)
             await self._context.sleep(ROUND_INTERVAL_S * jitter)
-
-
-def _generation_of(stored: StoredObject | None) -> int:
-    return decode_stored_config(stored.body).generation if stored else 0
--- a/rattanvalve/entry_admin.py
+++ b/rattanvalve/entry_admin.py
@@ -45,11 +45,17 @@
         refresh=parts.config_controller.refresh,
         status=inspector.status,
         explain=inspector.explain,
+        begin_repair=partial(_begin_repair, parts),
         record=partial(write_audit, store),
         audit=inspector.audit,
     )
 
 
+def _begin_repair(parts: EntryParts) -> bool:
+    parts.view_controller.repair.request()
+    return bool(parts.config_controller.problem)
+
+
 @dataclass(frozen=True, slots=True)
 class _Inspector:
     """Describes the process, its cell and the programs of the cell."""
@@ -155,6 +161,13 @@
                 not shared.blackboard.catalog.generation,
                 'there is no configuration yet',
             ),
+            *(
+                (bool(text), text)
+                for text in (
+                    self.parts.config_controller.problem,
+                    self.parts.view_controller.repair.problem,
+                )
+            ),
             (violated > 0, f'{violated} invariant violations'),
         )
         problems = [text for applies, text in checks if applies]
--- a/rattanvalve/entry_parts.py
+++ b/rattanvalve/entry_parts.py
@@ -10,7 +10,7 @@
 from rattanvalve import routing, views
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.config_controller import ConfigController
-from rattanvalve.configdocs import PULL_CONFIG
+from rattanvalve.configholder import PULL_CONFIG
 from rattanvalve.confirmations import Confirmation
 from rattanvalve.control import ControlContext
 from rattanvalve.counters import Metrics
--- a/rattanvalve/errors.py
+++ b/rattanvalve/errors.py
@@ -6,6 +6,7 @@
 
 __all__ = (
     'BodyError',
+    'ConfigTooLargeError',
     'FencedError',
     'FrameError',
     'InvariantError',
@@ -51,3 +52,7 @@
 
 class FencedError(RattanvalveError):
     """An engine command has an outdated fencing token; it had no effect."""
+
+
+class ConfigTooLargeError(RattanvalveError):
+    """A configuration is larger than what can be stored; it was not written."""
--- a/rattanvalve/inventory.py
+++ b/rattanvalve/inventory.py
@@ -18,6 +18,7 @@
     'Rules',
     'ServiceEntry',
     'WorkspaceEntry',
+    'check_config',
     'encode_config',
     'parse_config',
 )
@@ -150,11 +151,21 @@
         return Err(ConfigError(place=place.rstrip('`') or '$', text=text))
     except msgspec.DecodeError as error:
         return Err(ConfigError(place='$', text=str(error)))
+    found = check_config(config)
+    return Ok(config) if found is None else Err(found)
+
+
+def check_config(config: Config) -> ConfigError | None:
+    """Check the references between the entries of a configuration.
+
+    :param config: configuration whose entries are valid by themselves.
+    :returns: the first error found.
+    """
     for check in _CHECKS:
         found = check(config)
         if found is not None:
-            return Err(found)
-    return Ok(config)
+            return found
+    return None
 
 
 def encode_config(config: Config) -> bytes:
--- a/rattanvalve/resultcodes.py
+++ b/rattanvalve/resultcodes.py
@@ -53,6 +53,7 @@
     BAD_CONFIGURATION = 1601
     CONFLICT = 1602
     STORE_UNAVAILABLE = 1603
+    CONFIGURATION_TOO_LARGE = 1604
     BAD_FRAME = 1701
     STRANGER = 1702
     INTERNAL_ERROR = 1901
@@ -270,6 +271,13 @@
         False,
         'the object store cannot be reached',
     ),
+    (
+        ResultCode.CONFIGURATION_TOO_LARGE,
+        413,
+        _INVALID,
+        True,
+        'the configuration is too large to be stored',
+    ),
     (ResultCode.BAD_FRAME, 400, _INTERNAL, True, 'malformed internal frame'),
     (
         ResultCode.STRANGER,
--- a/rattanvalve/view_controller.py
+++ b/rattanvalve/view_controller.py
@@ -11,6 +11,7 @@
 from rattanvalve.peers import Handler
 from rattanvalve.presence import Presence
 from rattanvalve.viewchanges import ViewChanges, only_if_allowed
+from rattanvalve.viewrepair import ViewRepair
 from rattanvalve.views import entries_of
 from rattanvalve.viewstate import ViewChanged, ViewState
 from rattanvalve.viewstore import ChangeView, ViewStore
@@ -48,6 +49,7 @@
         self._presence = Presence(member.name)
         self._exchange = HeartbeatExchange(context, self.state, self._presence)
         self._changes = ViewChanges(context, self.state, self._presence)
+        self.repair = ViewRepair(context, self.state, self._store)
         context.request_beat = self._exchange.wake.set
 
     def handlers(self) -> dict[type, Handler]:
@@ -143,6 +145,9 @@
         """Make the call that is due; tell whether one was."""
         if self._exchange.is_leaving:
             return False
+        if self.repair.is_due():
+            await self.repair.attempt()
+            return True
         now_s = self._context.clock()
         is_maintainer = self._presence.is_maintainer(now_s)
         limit_s = READ_AFTER_S if is_maintainer else READ_AFTER_OTHERS_S
--- a/rattanvalve/viewstate.py
+++ b/rattanvalve/viewstate.py
@@ -86,6 +86,13 @@
         """
         return self._context.clock() >= self._promised_until_s
 
+    def knows_newest(self) -> bool:
+        """Tell whether no sign of a newer view was heard.
+
+        :returns: whether the adopted epoch is the highest one heard.
+        """
+        return self._heard_epoch <= self.view.epoch
+
     def hear_epoch(self, epoch: int) -> bool:
         """Note the epoch of a message.
 
--- a/rattanvalve/viewstore.py
+++ b/rattanvalve/viewstore.py
@@ -6,7 +6,9 @@
 from rattanvalve.control import ControlContext
 from rattanvalve.counters import Counter
 from rattanvalve.errors import FrameError, StoreConflictError, StoreError
+from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import View
+from rattanvalve.store import StoredObject
 from rattanvalve.views import decode_view, encode_view
 
 __all__ = ('ChangeView', 'StoredView', 'ViewStore')
@@ -14,6 +16,8 @@
 #: Attempts of one change; the next round makes new ones.
 ATTEMPT_COUNT = 4
 
+_log = part_logger(LogPart.VIEW)
+
 #: Computes the next view from the stored one, or ``None`` for no change.
 ChangeView = Callable[[View], View | None]
 
@@ -37,7 +41,10 @@
 
     def __init__(self, context: ControlContext) -> None:
         self._context = context
-        self._key = f'view/{context.cell}'
+        self.key = f'view/{context.cell}'
+        #: Why the stored view cannot be read; empty if it can.
+        self.problem = ''
+        self.malformed_since_s: float = 0
 
     async def read(self) -> StoredView:
         """Read the stored view.
@@ -63,6 +70,20 @@
                 self._context.metrics.count(Counter.VIEW_CONFLICT)
         return await self._change_once(change)
 
+    def is_malformed(self, stored: StoredObject | None) -> bool:
+        """Tell whether a stored object is no view.
+
+        :param stored: object that was read.
+        :returns: whether there is an object that cannot be read as a view.
+        """
+        if stored is None:
+            return False
+        try:
+            decode_view(stored.body)
+        except FrameError:
+            return True
+        return False
+
     async def _change_once(self, change: ChangeView) -> StoredView:
         stored, version = await self._read()
         target = change(stored.view)
@@ -74,7 +95,7 @@
         )
         began_s = self._context.clock()
         await self._context.store.put(
-            self._key,
+            self.key,
             encode_view(target),
             version,
             target.change_id,
@@ -83,12 +104,21 @@
 
     async def _read(self) -> tuple[StoredView, int]:
         began_s = self._context.clock()
-        stored = await self._context.store.get(self._key)
+        stored = await self._context.store.get(self.key)
         view = View(cell=self._context.cell)
         if stored is not None:
             try:
                 view = decode_view(stored.body)
             except FrameError as error:
-                raise StoreError(f'{self._key}: {error}') from error
+                self._note_malformed(str(error))
+                raise StoreError(f'{self.key}: {error}') from error
+        self.problem = ''
         found = StoredView(view=view, read_at_s=began_s)
         return found, stored.version if stored else 0
+
+    def _note_malformed(self, text: str) -> None:
+        if not self.problem:
+            self.malformed_since_s = self._context.clock()
+            self._context.metrics.count(Counter.VIEW_MALFORMED)
+            _log.error('stored view is malformed: %s', text)
+        self.problem = f'the stored view is malformed: {text}'
--- a/tests/admin_api.feature
+++ b/tests/admin_api.feature
@@ -50,3 +50,14 @@
     Given an administration API
     When the store is down and a key is granted
     Then the answer has code 1603
+
+  Scenario: a configuration that is too large is refused with its own code
+    Given an administration API
+    When a configuration above the limit of its size is sent
+    Then the answer has code 1604
+    And generation 1 is in force
+
+  Scenario: a configuration without changes is written if the stored one is bad
+    Given an administration API
+    When the stored configuration is malformed and the same one is sent
+    Then generation 2 is in force
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -3,16 +3,34 @@
 Each entry replaces one attribute of the product by a wrong one.
 """
 
+import zlib
+from dataclasses import replace
 from unittest import mock
 
-from rattanvalve import confirmations
+import msgspec
+
+from rattanvalve import (
+    configadoption,
+    configdocs,
+    configholder,
+    confirmations,
+    viewrepair,
+)
 from rattanvalve.actmode import ActMode
+from rattanvalve.catalog import revise_catalog
+from rattanvalve.configadoption import ConfigAdoption
+from rattanvalve.configholder import ConfigHolder
+from rattanvalve.configstore import ConfigStore
+from rattanvalve.configtables import ConfigTables, tables_of
 from rattanvalve.confirmations import Confirmation
 from rattanvalve.viewstate import ViewState
+from tests import configfaults
 from tests.cellsim import LEASE_S, FakeStore
 
 _take_ack = ViewState.take_ack
 _put = FakeStore.put
+_revise_catalog = revise_catalog
+_tables_of = tables_of
 
 
 def take_ack_as_new(self, member, ack, began_s):
@@ -33,7 +51,54 @@
     return _put(self, key, body, stored.version if stored else 0)
 
 
+def catalog_with_old_keys(previous, config, generation, changes):
+    """Keep the keys that a change removes or replaces."""
+    revised = _revise_catalog(previous, config, generation, changes)
+    keys = previous.key_workspaces | revised.key_workspaces
+    return replace(revised, key_workspaces=keys)
+
+
+def hash_with_order(config):
+    """Make the digest depend on the order of the entries."""
+    tables = _tables_of(config)
+    digest_sum = zlib.crc32(msgspec.json.encode(config))
+    return replace(tables, digest_sum=digest_sum)
+
+
+async def drop_nothing(self, base, change_id):
+    """Leave a base in the store that no head names any more."""
+
+
 BREAKS = {
+    'differences are not sent': (
+        ConfigHolder,
+        '_differences_since',
+        lambda holder, generation: b'',
+    ),
+    'old keys stay in the catalog': (
+        configholder,
+        'revise_catalog',
+        catalog_with_old_keys,
+    ),
+    'digests are not compared': (ConfigTables, 'digest', ''),
+    'digests depend on the order': (
+        configfaults,
+        'tables_of',
+        hash_with_order,
+    ),
+    'replaced bases stay': (ConfigStore, '_drop_base', drop_nothing),
+    'heads are read once': (configadoption, 'READ_ATTEMPT_COUNT', 1),
+    'sizes are not limited': (
+        configdocs,
+        '_check_size',
+        lambda size, limit, what: None,
+    ),
+    'rubbish is not noticed': (
+        ConfigAdoption,
+        'problem',
+        property(lambda adoption: '', lambda adoption, text: None),
+    ),
+    'views are repaired at once': (viewrepair, 'LEASE_S', 0),
     'leases do not expire': (confirmations, 'LEASE_S', 1e9),
     'half shares do not end': (confirmations, 'HALF_S', 1e9),
     'unlisted and held entries act': (Confirmation, 'mode', half_after_half),
@@ -54,4 +119,6 @@
     :param name: key of ``BREAKS``.
     :returns: context manager that restores the product.
     """
-    return mock.patch.object(*BREAKS[name])
+    target, attribute, wrong = BREAKS[name]
+    # Attributes that only instances have are replaced on the class, too.
+    return mock.patch.object(target, attribute, wrong, create=True)
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -7,6 +7,7 @@
 import asyncio
 import heapq
 import itertools
+import json
 import os
 from collections import defaultdict
 from contextlib import suppress
@@ -82,7 +83,14 @@
         if planned:
             await planned
         self.sim.check_link(self.name, 'store', StoreError)
-        return self.sim.store.put(key, body, expected_version)
+        try:
+            return self.sim.store.put(key, body, expected_version)
+        except StoreConflictError:
+            # As the store client does: an earlier attempt took effect.
+            stored = self.sim.store.get(key)
+            if stored and json.loads(stored.body)['change_id'] == change_id:
+                return stored.version
+            raise
 
     async def watch(self, key, version, timeout_s):
         """Answer at once, as nothing changes while a process waits."""
--- /dev/null
+++ b/tests/config_bench.py
@@ -0,0 +1,129 @@
+"""Measures the configuration at target size; prints a Markdown table.
+
+Run ``python -m tests.config_bench``. Absolute times depend on the machine; the
+two ways of a change are timed alternately, and their ratio is printed.
+"""
+
+import statistics
+import sys
+import time
+
+import msgspec
+
+from rattanvalve.catalog import build_catalog, revise_catalog
+from rattanvalve.configapply import apply_all, parse_tables
+from rattanvalve.configdocs import StoredConfig, encode_base, encode_whole
+from rattanvalve.configtables import RowChange, compare_tables, tables_of
+from rattanvalve.inventory import KeyEntry, encode_config, parse_config
+from rattanvalve.keys import key_digest
+
+WORKSPACE_COUNT = 1800
+KEYS_PER_WORKSPACE = 3
+CHANGES_PER_S = 12_000 / 86_400
+ROUND_COUNT = 40
+_MS_PER_S = 1000
+
+
+def make_document(workspace_count=WORKSPACE_COUNT):
+    """Build a configuration with rules for each workspace."""
+    names = [f'workspace-{number:04d}' for number in range(workspace_count)]
+    services = [f'engine-{number}' for number in range(7)]
+    return {
+        'inventory': {
+            'models': [
+                {'name': f'model-{name}', 'service': name} for name in services
+            ],
+            'services': [{'name': name, 'kind': 'engine'} for name in services],
+            'workspaces': [{'name': name} for name in names],
+            'keys': [
+                {
+                    'name': f'{name}-app-{number}',
+                    'workspace': name,
+                    'digest_sha256': key_digest(f'{name}/{number}'),
+                }
+                for name in names
+                for number in range(KEYS_PER_WORKSPACE)
+            ],
+        },
+        'rules': {
+            'rates': {name: {'rate_per_s': 50, 'burst': 100} for name in names},
+            'priorities': dict.fromkeys(names, 'normal'),
+            'budgets': {
+                name: {'program_tokens': 2_000_000, 'program_calls': 200}
+                for name in names
+            },
+        },
+    }
+
+
+def main():
+    """Measure and print."""
+    text = msgspec.json.encode(make_document())
+    tables = tables_of(parse_config(text).unwrap())
+    key = KeyEntry(
+        name='workspace-0001-app-9',
+        workspace='workspace-0001',
+        digest_sha256=key_digest('new'),
+    )
+    granted = tables.with_changes([RowChange('keys', key.name, None, key)])
+    difference = msgspec.structs.replace(
+        compare_tables(tables, granted),
+        generation=2,
+        change_id='0' * 32,
+        author='operator',
+    )
+    catalog = build_catalog(tables.config, 1)
+    whole = msgspec.json.encode(tables.config)
+
+    def adopt_whole():
+        build_catalog(parse_tables(whole).config, 2)
+
+    def adopt_difference():
+        after, changes = apply_all(tables, 1, [difference])
+        revise_catalog(catalog, after.config, 2, changes)
+
+    times = {adopt_whole: [], adopt_difference: []}
+    for _ in range(ROUND_COUNT):
+        for work, taken in times.items():
+            began_s = time.perf_counter()
+            work()
+            taken.append((time.perf_counter() - began_s) * _MS_PER_S)
+    ratios = [long / short for long, short in zip(*times.values(), strict=True)]
+    _print_sizes(tables, difference)
+    for work, taken in times.items():
+        _row(f'{work.__name__} (ms)', *_spread(taken))
+    _row('ratio', *_spread(ratios))
+
+
+def _print_sizes(tables, difference):
+    envelope = StoredConfig(
+        generation=1,
+        change_id='0' * 32,
+        author='operator',
+        config=msgspec.Raw(encode_config(tables.config)),
+    )
+    base = encode_base(tables.config, 1, '0' * 32)
+    change = len(msgspec.json.encode([difference]))
+    _row('measure', 'median', 'least', 'most')
+    _row('---', '---', '---', '---')
+    _row('document (bytes)', len(encode_config(tables.config)), '', '')
+    _row('base object (bytes)', len(base), '', '')
+    _row('packed for a peer (bytes)', len(encode_whole(envelope)), '', '')
+    _row('difference of one key (bytes)', change, '', '')
+    per_s = change * CHANGES_PER_S
+    _row('differences at a daemon (bytes/s)', f'{per_s:.0f}', '', '')
+
+
+def _spread(samples):
+    return [
+        f'{value:.2f}'
+        for value in (statistics.median(samples), min(samples), max(samples))
+    ]
+
+
+def _row(*cells):
+    sys.stdout.write(f'| {" | ".join(map(str, cells))} |\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/steps/admin_api_steps.py
+++ b/tests/steps/admin_api_steps.py
@@ -11,6 +11,7 @@
 from rattanvalve import admin_api
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.catalog import build_catalog
+from rattanvalve.configdocs import MAX_CONFIG_BYTES
 from rattanvalve.counters import Metrics
 from rattanvalve.errors import StoreConflictError, StoreError
 from rattanvalve.keys import key_digest
@@ -28,6 +29,7 @@
         self.newest = blackboard.catalog
         self.records = {}
         self.is_down = False
+        self.is_malformed = False
 
     async def apply(self, config, expected, author, change_id):
         await asyncio.sleep(0)
@@ -64,6 +66,7 @@
             viewers=frozenset(('viewer',)),
             apply=context.store.apply,
             refresh=context.store.refresh,
+            begin_repair=lambda: context.store.is_malformed,
             status=dict,
             explain=None,
             record=context.store.record,
@@ -249,3 +252,16 @@
     context.store.is_down = True
     fields = {'name': 'north-2', 'workspace': 'north'}
     context.body = context.run(ask(context, 'POST', '/v1/keys', json=fields))
+
+
+@when('a configuration above the limit of its size is sent')
+def step_too_large(context):
+    document = sample_document()
+    document['inventory']['filler'] = 'x' * MAX_CONFIG_BYTES
+    context.body = context.run(put_config(context, document))
+
+
+@when('the stored configuration is malformed and the same one is sent')
+def step_malformed(context):
+    context.store.is_malformed = True
+    context.body = context.run(put_config(context, sample_document()))
