Use the platform's VM list as a hint for new work

Cause: the lagging list of live and leaving VMs was configured and never read.

Change: two entries of a cell poll it, the others ask them. An endpoint listed as leaving gets no new work while its service has another usable endpoint; the hint ends 30 s after the last read. The view does not depend on the list.

Conclusion: a wrong or missing entry costs at most the use of one endpoint.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -30,6 +30,7 @@
     VIEW_CHANGED = 'view.changed'
     VIEW_CONFLICT = 'view.conflict'
     VIEW_MALFORMED = 'view.malformed'
+    VM_LIST_ERROR = 'vms.error'
     CONFIG_ADOPTED = 'config.adopted'
     CONFIG_REJECTED_OLDER = 'config.rejected_older'
     CONFIG_DIFFERENCES = 'config.differences'
--- a/rattanvalve/ctl_main.py
+++ b/rattanvalve/ctl_main.py
@@ -308,7 +308,15 @@
         ', '.join(f'{fact} {body[fact]}' for fact in facts if fact in body),
     )
     endpoints = body.get('endpoints', [])
-    headers = ('endpoint', 'service', 'zone', 'state', 'running', 'queued')
+    headers = (
+        'endpoint',
+        'service',
+        'zone',
+        'state',
+        'vm',
+        'running',
+        'queued',
+    )
     lines.append(
         format_table(
             headers,
--- a/rattanvalve/entry_admin.py
+++ b/rattanvalve/entry_admin.py
@@ -166,6 +166,7 @@
                 for text in (
                     self.parts.config_controller.problem,
                     self.parts.view_controller.repair.problem,
+                    self.parts.vm_controller.problem,
                 )
             ),
             (violated > 0, f'{violated} invariant violations'),
--- a/rattanvalve/entry_parts.py
+++ b/rattanvalve/entry_parts.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from rattanvalve import routing, views
+from rattanvalve import routing, views, vm_controller
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.config_controller import ConfigController
 from rattanvalve.configholder import PULL_CONFIG
@@ -42,6 +42,7 @@
     metrics: Metrics
     pool: PeerPool
     store: StoreClient
+    fetch_vms: vm_controller.FetchVms | None = None
 
 
 class EntryParts:
@@ -83,6 +84,12 @@
             self.confirmation,
             self._on_view_changed,
         )
+        self.vm_controller = vm_controller.VmController(
+            member,
+            context,
+            self.loads,
+            shared.fetch_vms,
+        )
         self.load_controller = LoadController(
             self.loads,
             self.view_controller,
@@ -99,6 +106,7 @@
         pulls = {
             PULL_CONFIG: config_handlers[Pull],
             PULL_VIEW: view_handlers[Pull],
+            vm_controller.PULL_VMS: self.vm_controller.handlers()[Pull],
         }
         return {
             **self.owner_service.handlers(),
@@ -117,6 +125,7 @@
             self.config_controller.run(),
             self.view_controller.run(),
             self.load_controller.run(),
+            self.vm_controller.run(),
             self._run_reseal(),
         )
 
--- a/rattanvalve/entry_process.py
+++ b/rattanvalve/entry_process.py
@@ -23,6 +23,7 @@
 from rattanvalve.shutdown import Shutdown
 from rattanvalve.store import StoreClient
 from rattanvalve.streams import OpenRequests
+from rattanvalve.vm_controller import vm_fetcher
 
 __all__ = ('EntryProcess',)
 
@@ -69,6 +70,11 @@
                 self._session,
                 self._metrics,
             ),
+            fetch_vms=(
+                vm_fetcher(self._settings.vm_list_url, self._session)
+                if self._settings.vm_list_url
+                else None
+            ),
         )
         member = make_member(self._settings, address.port)
         self._parts = EntryParts(member, self._settings, shared)
--- a/rattanvalve/loads.py
+++ b/rattanvalve/loads.py
@@ -13,6 +13,8 @@
 
 #: Three announces were missed.
 ENDPOINT_SILENT_S = 6.0
+#: Hints of the VM list are dropped when the list was not read for this long.
+HINT_S = 30.0
 EJECT_AFTER_COUNT = 5
 EJECT_FIRST_S = 5.0
 EJECT_MAX_S = 300.0
@@ -86,6 +88,8 @@
         self._states: dict[str, _State] = {}
         self._services: dict[str, dict[str, _State]] = defaultdict(dict)
         self._listed: dict[str, str] | None = None
+        self._hinted: frozenset[str] = frozenset()
+        self._hinted_at_s = float('-inf')
 
     def set_view(self, view: View) -> None:
         """Restrict the candidates to the endpoints of a view.
@@ -99,6 +103,15 @@
             member.name: member.incarnation for member in endpoints_of(view)
         }
 
+    def hint_leaving(self, names: Collection[str], read_at_s: float) -> None:
+        """Note which endpoints the VM list calls leaving.
+
+        :param names: endpoint names; they replace those noted before.
+        :param read_at_s: moment at which the list was read.
+        """
+        self._hinted = frozenset(names)
+        self._hinted_at_s = read_at_s
+
     def report(self, announce: Announce, now_s: float) -> None:
         """Note an announce.
 
@@ -167,19 +180,32 @@
         :param drained: names of endpoints that a rule drains.
         :param now_s: current time.
         :returns: endpoints without leaving, unhealthy, silent, ejected,
-            drained and unlisted ones.
+            drained and unlisted ones; without those that the VM list calls
+            leaving, unless there are no others.
         """
         states = self._services.get(service_name, {})
+        usable = {
+            name: state
+            for name, state in states.items()
+            if name not in drained
+            and state.is_usable(now_s)
+            and self._is_listed(state.announce.member)
+        }
+        hinted = self._hints(now_s)
+        # The list may be wrong, so it must not leave a service without any.
+        if not usable.keys() <= hinted:
+            usable = {
+                name: state
+                for name, state in usable.items()
+                if name not in hinted
+            }
         return [
             EndpointLoad(
                 member=state.announce.member,
                 load=state.load(now_s),
                 is_slow_start=now_s - state.started_at_s < SLOW_START_S,
             )
-            for name, state in states.items()
-            if name not in drained
-            and state.is_usable(now_s)
-            and self._is_listed(state.announce.member)
+            for state in usable.values()
         ]
 
     def silent_names(self, now_s: float) -> set[str]:
@@ -200,9 +226,11 @@
         :param now_s: current time.
         :returns: JSON objects in name order.
         """
+        hinted = self._hints(now_s)
         return [
             {
                 'endpoint': name,
+                'vm': 'leaving' if name in hinted else '',
                 'service': state.announce.member.service_name,
                 'zone': state.announce.member.zone,
                 'state': state.describe(now_s),
@@ -221,6 +249,10 @@
         """
         return endpoint in self._states
 
+    def _hints(self, now_s: float) -> frozenset[str]:
+        is_fresh = now_s - self._hinted_at_s < HINT_S
+        return self._hinted if is_fresh else frozenset()
+
     def _is_listed(self, member: Member) -> bool:
         return (
             self._listed is None
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -16,6 +16,7 @@
     confirmations,
     viewrepair,
 )
+from rattanvalve import loads as endpoint_loads
 from rattanvalve.actmode import ActMode
 from rattanvalve.catalog import revise_catalog
 from rattanvalve.configadoption import ConfigAdoption
@@ -23,6 +24,7 @@
 from rattanvalve.configstore import ConfigStore
 from rattanvalve.configtables import ConfigTables, tables_of
 from rattanvalve.confirmations import Confirmation
+from rattanvalve.loads import EndpointLoads
 from rattanvalve.viewstate import ViewState
 from tests import configfaults
 from tests.cellsim import LEASE_S, FakeStore
@@ -31,6 +33,7 @@
 _put = FakeStore.put
 _revise_catalog = revise_catalog
 _tables_of = tables_of
+_candidates = EndpointLoads.candidates
 
 
 def take_ack_as_new(self, member, ack, began_s):
@@ -69,7 +72,19 @@
     """Leave a base in the store that no head names any more."""
 
 
+def candidates_without_hinted(self, service_name, drained, now_s):
+    """Leave out all hinted endpoints, even the last ones."""
+    found = _candidates(self, service_name, drained, now_s)
+    return [each for each in found if each.member.name not in self._hinted]
+
+
 BREAKS = {
+    'hints do not end': (endpoint_loads, 'HINT_S', 1e9),
+    'hints exclude the last': (
+        EndpointLoads,
+        'candidates',
+        candidates_without_hinted,
+    ),
     'differences are not sent': (
         ConfigHolder,
         '_differences_since',
--- a/tests/loads.feature
+++ b/tests/loads.feature
@@ -16,6 +16,9 @@
       | fails 4 times              | s-1 s-2 s-3 |
       | is not in the view         | s-2 s-3     |
       | has another incarnation    | s-2 s-3     |
+      | is listed as leaving       | s-2 s-3     |
+      | and all others are listed  | s-1 s-2 s-3 |
+      | was listed 31 s ago        | s-1 s-2 s-3 |
 
   Scenario: own requests count until a report includes them
     Given three endpoints of one service and one of another
--- a/tests/steps/loads_steps.py
+++ b/tests/steps/loads_steps.py
@@ -71,6 +71,11 @@
     context.loads.report(announce('s-1'), NOW_S - 6.1)
 
 
+def hint(context, *names, age_s=1):
+    """Have the VM list call endpoints leaving."""
+    context.loads.hint_leaving(names, NOW_S - age_s)
+
+
 EVENTS = {
     'reports nothing special': lambda context: None,
     'is leaving': lambda context: context.loads.report(
@@ -92,6 +97,14 @@
         context.loads.set_view(view_of('s-1', 's-2', 's-3')),
         context.loads.report(announce('s-1', incarnation='2'), NOW_S),
     ),
+    'is listed as leaving': lambda context: hint(context, 's-1'),
+    'and all others are listed': lambda context: hint(
+        context,
+        's-1',
+        's-2',
+        's-3',
+    ),
+    'was listed 31 s ago': lambda context: hint(context, 's-1', age_s=31),
 }
 
 
