Show a whole cell in status and wait until a change is in force

Cause: an operator had to ask each entry for its state and could not tell when an applied change was in force everywhere.

--- a/rattanvalve/admin_api.py
+++ b/rattanvalve/admin_api.py
@@ -50,7 +50,8 @@
     ``apply`` writes a configuration by conditional update: configuration,
     expected generation, author, change id; it returns the new generation.
     ``refresh`` reads the newest configuration from the store. ``status`` and
-    ``explain`` describe this process and one program or request as JSON.
+    ``explain`` describe this process and one program or request as JSON,
+    ``status_of_all`` all entries of the cell.
     ``begin_repair`` has a malformed stored view replaced, and tells whether
     the stored configuration is malformed and must be written again.
     ``record`` and ``audit`` write and read the audit records.
@@ -62,6 +63,7 @@
     apply: Callable[[Config, int, str, str], Awaitable[int]]
     refresh: Callable[[], Awaitable[None]]
     status: Callable[[], dict[str, Any]]
+    status_of_all: Callable[[], Awaitable[dict[str, Any]]]
     explain: Callable[[str, str, str], Awaitable[dict[str, Any]]]
     record: Callable[[int, dict[str, Any]], Awaitable[None]]
     audit: Callable[[int], Awaitable[list[dict[str, Any]]]]
@@ -300,7 +302,10 @@
 
 
 async def _get_status(request: web.Request) -> web.Response:
-    return web.json_response(request.app[_CONTEXT].status())
+    context = request.app[_CONTEXT]
+    if request.query.get('all') == 'true':
+        return web.json_response(await context.status_of_all())
+    return web.json_response(context.status())
 
 
 async def _get_audit(request: web.Request) -> web.Response:
--- a/rattanvalve/ctl_main.py
+++ b/rattanvalve/ctl_main.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+import time
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -11,6 +12,7 @@
 from rattanvalve import __version__
 from rattanvalve.configdiff import list_changes
 from rattanvalve.ctl_client import AdminFailure, AdminRequest, send
+from rattanvalve.ctl_status import cell_text, entries_behind, status_text
 from rattanvalve.inventory import Config, parse_config
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.tables import format_table
@@ -22,6 +24,9 @@
 EXIT_INVALID = 3
 EXIT_CONFLICT = 4
 EXIT_UNREACHABLE = 5
+EXIT_NOT_IN_FORCE = 6
+#: Pause between two looks at the generations in force.
+WAIT_INTERVAL_S = 0.5
 
 _EXIT_CODES = {
     0: EXIT_UNREACHABLE,
@@ -175,12 +180,19 @@
 @click.argument('files', nargs=-1, required=True, type=_existing_file)
 @click.option('--generation', type=int, help='Generation to start from.')
 @click.option('--dry-run', is_flag=True, help='Check and compare only.')
+@click.option(
+    '--wait',
+    'wait_s',
+    type=click.FloatRange(min=0),
+    help='Seconds to wait until it is in force at every entry of the cell.',
+)
 @_pass_connection
 def apply(
     connection: _Connection,
     files: tuple[Path, ...],
     generation: int | None,
     dry_run: bool,
+    wait_s: float | None,
 ) -> None:
     """Replace the configuration by that of the files."""
     config = _read_config(files)
@@ -195,6 +207,37 @@
     )
     text = f'generation {body["generation"]}'
     connection.show(body, f'{_changes_text(body["changes"])}\n{text}')
+    if wait_s is not None and not dry_run:
+        _wait_in_force(connection, body['generation'], wait_s)
+
+
+def _wait_in_force(
+    connection: _Connection,
+    generation: int,
+    wait_s: float,
+) -> None:
+    """Wait for a generation; end with an exit code of its own if in vain."""
+    deadline_s = time.monotonic() + wait_s
+    while True:
+        body = connection.ask('GET', '/v1/status', params={'all': 'true'})
+        behind = entries_behind(body, generation)
+        total = len(body['entries']) + len(body['unreachable'])
+        line = (
+            f'generation {generation} in force at {total - len(behind)} of '
+            f'{total} entries'
+        )
+        is_over = time.monotonic() >= deadline_s
+        if not behind or is_over:
+            break
+        if sys.stderr.isatty():
+            click.echo(f'\r{line}', nl=False, err=True)
+        time.sleep(WAIT_INTERVAL_S)
+    if sys.stderr.isatty():
+        click.echo('\r', nl=False, err=True)
+    missing = f'; not at {", ".join(behind)}' if behind else ''
+    click.echo(f'{line}{missing}', err=True)
+    if behind:
+        sys.exit(EXIT_NOT_IN_FORCE)
 
 
 @main.command()
@@ -250,11 +293,16 @@
 
 
 @main.command()
+@click.option('--all', 'is_all', is_flag=True, help='All entries of the cell.')
 @_pass_connection
-def status(connection: _Connection) -> None:
+def status(connection: _Connection, is_all: bool) -> None:
     """Show what is unwell and the members of the cell."""
+    if is_all:
+        body = connection.ask('GET', '/v1/status', params={'all': 'true'})
+        connection.show(body, cell_text(body))
+        return
     body = connection.ask('GET', '/v1/status')
-    connection.show(body, _status_text(body))
+    connection.show(body, status_text(body))
 
 
 @main.command()
@@ -300,34 +348,5 @@
     connection.show(body, f'generation {body["generation"]}')
 
 
-def _status_text(body: dict[str, Any]) -> str:
-    problems = body.get('problems', [])
-    lines = [f'problem: {problem}' for problem in problems] or ['all is well']
-    facts = ('name', 'cell', 'zone', 'epoch', 'generation', 'act_mode')
-    lines.append(
-        ', '.join(f'{fact} {body[fact]}' for fact in facts if fact in body),
-    )
-    endpoints = body.get('endpoints', [])
-    headers = (
-        'endpoint',
-        'service',
-        'zone',
-        'state',
-        'vm',
-        'running',
-        'queued',
-    )
-    lines.append(
-        format_table(
-            headers,
-            [
-                tuple(str(row.get(name, '')) for name in headers)
-                for row in endpoints
-            ],
-        ),
-    )
-    return '\n'.join(lines)
-
-
 if __name__ == '__main__':
     main()
--- a/rattanvalve/entry_admin.py
+++ b/rattanvalve/entry_admin.py
@@ -1,6 +1,5 @@
 """What the administration API of an entry process acts on and shows."""
 
-import time
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -8,11 +7,10 @@
 import msgspec
 
 from rattanvalve import views
-from rattanvalve.actmode import ActMode
 from rattanvalve.admin_api import AdminContext
 from rattanvalve.audit import read_audit, write_audit
-from rattanvalve.counters import Counter
 from rattanvalve.entry_parts import EntryParts
+from rattanvalve.entry_status import EntryStatus
 from rattanvalve.errors import PeerError
 from rattanvalve.messages import Document, Explain
 from rattanvalve.peers import Address
@@ -36,6 +34,7 @@
     shared = parts.shared
     store = shared.store
     inspector = _Inspector(settings, parts)
+    status = EntryStatus(settings, parts)
     return AdminContext(
         blackboard=shared.blackboard,
         metrics=shared.metrics,
@@ -43,7 +42,8 @@
         viewers=frozenset(settings.admin_viewers),
         apply=parts.config_controller.apply,
         refresh=parts.config_controller.refresh,
-        status=inspector.status,
+        status=status.describe,
+        status_of_all=status.describe_all,
         explain=inspector.explain,
         begin_repair=partial(_begin_repair, parts),
         record=partial(write_audit, store),
@@ -58,35 +58,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _Inspector:
-    """Describes the process, its cell and the programs of the cell."""
+    """Describes programs of the cell and changes of its configuration."""
 
     settings: EntrySettings
     parts: EntryParts
 
-    def status(self) -> dict[str, Any]:
-        """Describe the process and its cell.
-
-        :returns: JSON object; ``problems`` names what is unwell and why.
-        """
-        now_s = time.monotonic()
-        blackboard = self.parts.shared.blackboard
-        endpoints = self.parts.loads.rows(now_s)
-        return {
-            'name': self.settings.name,
-            'cell': self.settings.cell,
-            'zone': self.settings.zone,
-            'epoch': blackboard.view.epoch,
-            'generation': blackboard.catalog.generation,
-            'act_mode': self.parts.confirmation.mode(now_s).name.lower(),
-            'entries': [
-                {'name': member.name, 'zone': member.zone}
-                for member in views.entries_of(blackboard.view)
-            ],
-            'endpoints': endpoints,
-            'counters': dict(sorted(self.parts.shared.metrics.counts.items())),
-            'problems': self._problems(now_s, endpoints),
-        }
-
     async def explain(
         self,
         workspace: str,
@@ -142,39 +118,3 @@
             )
         except PeerError:
             return None
-
-    def _problems(
-        self,
-        now_s: float,
-        endpoints: list[dict[str, Any]],
-    ) -> list[str]:
-        shared = self.parts.shared
-        mode = self.parts.confirmation.mode(now_s)
-        violated = shared.metrics.counts[Counter.INVARIANT_VIOLATED]
-        checks = (
-            (
-                not shared.blackboard.is_store_reachable,
-                'the store cannot be reached',
-            ),
-            (mode is not ActMode.FULL, f'act mode {mode.name.lower()}'),
-            (
-                not shared.blackboard.catalog.generation,
-                'there is no configuration yet',
-            ),
-            *(
-                (bool(text), text)
-                for text in (
-                    self.parts.config_controller.problem,
-                    self.parts.view_controller.repair.problem,
-                    self.parts.vm_controller.problem,
-                )
-            ),
-            (violated > 0, f'{violated} invariant violations'),
-        )
-        problems = [text for applies, text in checks if applies]
-        problems.extend(
-            f'endpoint {row["endpoint"]} is {row["state"]}'
-            for row in endpoints
-            if row['state'] != 'ready'
-        )
-        return problems
--- a/rattanvalve/entry_parts.py
+++ b/rattanvalve/entry_parts.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -96,14 +96,19 @@
             context,
         )
 
-    def handlers(self) -> dict[type, Handler]:
+    def handlers(
+        self,
+        more_pulls: Mapping[str, Handler],
+    ) -> dict[type, Handler]:
         """List the handlers of messages from peers.
 
+        :param more_pulls: handlers of further kinds of documents.
         :returns: handler of each message class.
         """
         config_handlers = self.config_controller.handlers()
         view_handlers = self.view_controller.handlers()
         pulls = {
+            **more_pulls,
             PULL_CONFIG: config_handlers[Pull],
             PULL_VIEW: view_handlers[Pull],
             vm_controller.PULL_VMS: self.vm_controller.handlers()[Pull],
--- a/rattanvalve/entry_process.py
+++ b/rattanvalve/entry_process.py
@@ -16,6 +16,11 @@
 from rattanvalve.counters import Metrics
 from rattanvalve.entry_admin import make_admin_context
 from rattanvalve.entry_parts import EntryParts, SharedParts, make_member
+from rattanvalve.entry_status import (
+    PULL_STATUS,
+    EntryStatus,
+    status_handler,
+)
 from rattanvalve.ingress import IngressParts, build_ingress
 from rattanvalve.messages import Member, View
 from rattanvalve.peers import Address, Handler, PeerPool, PeerServer
@@ -78,7 +83,12 @@
         )
         member = make_member(self._settings, address.port)
         self._parts = EntryParts(member, self._settings, shared)
-        self._handlers.update(self._parts.handlers())
+        status = EntryStatus(self._settings, self._parts)
+        self._handlers.update(
+            self._parts.handlers(
+                {PULL_STATUS: status_handler(status.describe)},
+            ),
+        )
         self._tasks.extend(
             asyncio.ensure_future(work)
             for work in (
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -14,6 +14,7 @@
     configdocs,
     configholder,
     confirmations,
+    ctl_main,
     viewrepair,
 )
 from rattanvalve import loads as endpoint_loads
@@ -33,6 +34,7 @@
 _put = FakeStore.put
 _revise_catalog = revise_catalog
 _tables_of = tables_of
+_entries_behind = ctl_main.entries_behind
 _candidates = EndpointLoads.candidates
 
 
@@ -78,7 +80,17 @@
     return [each for each in found if each.member.name not in self._hinted]
 
 
+def entries_that_answered_behind(body, generation):
+    """Pass over the entries that did not answer."""
+    return _entries_behind(body | {'unreachable': []}, generation)
+
+
 BREAKS = {
+    'entries without an answer are passed over': (
+        ctl_main,
+        'entries_behind',
+        entries_that_answered_behind,
+    ),
     'hints do not end': (endpoint_loads, 'HINT_S', 1e9),
     'hints exclude the last': (
         EndpointLoads,
--- /dev/null
+++ b/tests/config_cell_bench.py
@@ -0,0 +1,141 @@
+"""Measures how fast a change is in force in a running cell at target size.
+
+Run ``python -m tests.config_cell_bench``. The real processes of the demo run
+on loopback; an operator applies a document of 1,800 workspaces and then makes
+keys, first with few workspaces and then with many. A time ends when all
+entries answer with the new generation.
+"""
+
+import asyncio
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+
+from rattanvalve.ctl_status import entries_behind
+from rattanvalve.fleet import running_fleet
+from rattanvalve.scenario import load_scenario
+from tests.config_bench import make_document
+
+CHANGE_COUNT = 20
+LIMIT_S = 60
+SCENARIO = 'hrafnsdottir'
+_POLL_S = 0.02
+
+
+class Operator:
+    """Client of the administration API of one entry."""
+
+    def __init__(self, session, fleet):
+        self.session = session
+        self.url = fleet.plan.entries[0].admin.url
+        self.headers = {'Authorization': f'Bearer {fleet.admin_key}'}
+
+    async def ask(self, method, path, **options):
+        """Send a request and give its body."""
+        headers = self.headers | options.pop('headers', {})
+        async with self.session.request(
+            method,
+            f'{self.url}{path}',
+            headers=headers,
+            **options,
+        ) as response:
+            body = await response.json()
+            response.raise_for_status()
+            return body
+
+    async def enlarge(self):
+        """Add the workspaces of the target size."""
+        current = await self.ask('GET', '/v1/config')
+        config = current['config']
+        added = make_document()
+        for part in ('workspaces', 'keys', 'models', 'services'):
+            config['inventory'][part].extend(added['inventory'][part])
+        for part in ('rates', 'priorities', 'budgets'):
+            config['rules'][part].update(added['rules'][part])
+        return await self.ask(
+            'PUT',
+            '/v1/config',
+            json=config,
+            headers={'If-Match': f'"{current["generation"]}"'},
+        )
+
+    async def time_change(self, change):
+        """Make a change; give the seconds until it was accepted and in force.
+
+        The time from acceptance to force everywhere includes the questions.
+        """
+        began_s = time.monotonic()
+        body = await change
+        accepted_s = time.monotonic() - began_s
+        async with asyncio.timeout(LIMIT_S):
+            while True:
+                state = await self.ask('GET', '/v1/status?all=true')
+                if not entries_behind(state, body['generation']):
+                    return accepted_s, time.monotonic() - began_s
+                await asyncio.sleep(_POLL_S)
+
+
+async def time_grants(operator, prefix, workspace):
+    """Time the granting of keys one after another."""
+    return [
+        await operator.time_change(
+            operator.ask(
+                'POST',
+                '/v1/keys',
+                json={'name': f'{prefix}-{number}', 'workspace': workspace},
+            ),
+        )
+        for number in range(CHANGE_COUNT)
+    ]
+
+
+async def measure(folder):
+    """Run the cell and print the table."""
+    scenario = load_scenario(SCENARIO)
+    async with (
+        running_fleet(scenario, folder) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
+        operator = Operator(session, fleet)
+        config = (await operator.ask('GET', '/v1/config'))['config']
+        workspace = config['inventory']['workspaces'][0]['name']
+        _rows('small', await time_grants(operator, 'few', workspace))
+        _rows('enlarge', [await operator.time_change(operator.enlarge())])
+        _rows('large', await time_grants(operator, 'many', workspace))
+        state = await operator.ask('GET', '/v1/status?all=true')
+        for entry in state['entries']:
+            shown = {
+                name: count
+                for name, count in entry['counters'].items()
+                if name.startswith('config.')
+            }
+            sys.stdout.write(f'{entry["name"]} {shown}\n')
+
+
+def _rows(name, times):
+    for what, samples in zip(
+        ('accepted', 'in force'), zip(*times), strict=True
+    ):
+        cells = (
+            f'{value:.3f}'
+            for value in (
+                statistics.median(samples),
+                min(samples),
+                max(samples),
+            )
+        )
+        sys.stdout.write(f'| {name}, {what} (s) | {" | ".join(cells)} |\n')
+
+
+def main():
+    """Measure in a temporary folder."""
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(measure(Path(folder)))
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/ctl_main.feature
+++ b/tests/ctl_main.feature
@@ -25,3 +25,26 @@
       | --url http://127.0.0.1:1 get       | 5         | no response                       |
       | --output json withdraw north-1     | 0         | "generation": 2                   |
       | --version                          | 0         | rattanvalvectl                    |
+      | apply good.json --wait 60          | 0         | generation 2 in force at 2 of 2   |
+      | apply good.json --wait 0           | 6         | not at b                          |
+      | apply good.json --dry-run --wait 0 | 0         | generation 1                      |
+      | status --all                       | 0         | reached (a, b)                    |
+
+  Scenario Outline: an entry that does not answer is named
+    Given an administration API
+    And entry c of the cell does not answer
+    When rattanvalvectl runs <arguments>
+    Then it exits with <exit_code> and prints <text>
+
+    Examples:
+      | arguments                          | exit_code | text                              |
+      | status --all                       | 0         | problem: no answer (c)            |
+      | status --all                       | 0         | rate_exceeded 7                   |
+      | apply good.json --wait 0           | 6         | not at b, c                       |
+
+  Scenario: the checks notice entries that are passed over
+    Given a break: entries without an answer are passed over
+    And an administration API
+    And entry c of the cell does not answer
+    When rattanvalvectl runs apply good.json --wait 60
+    Then it does not exit with 6
--- a/tests/steps/admin_api_steps.py
+++ b/tests/steps/admin_api_steps.py
@@ -13,8 +13,11 @@
 from rattanvalve.catalog import build_catalog
 from rattanvalve.configdocs import MAX_CONFIG_BYTES
 from rattanvalve.counters import Metrics
-from rattanvalve.errors import StoreConflictError, StoreError
+from rattanvalve.entry_status import collect_status, status_handler
+from rattanvalve.errors import PeerError, StoreConflictError, StoreError
 from rattanvalve.keys import key_digest
+from rattanvalve.messages import Member, View
+from rattanvalve.views import ROLE_ENTRY
 from tests.samples import sample_catalog, sample_document
 
 OPERATOR_KEYS = {'editor': 'rv-op-editor', 'viewer': 'rv-op-viewer'}
@@ -30,6 +33,8 @@
         self.records = {}
         self.is_down = False
         self.is_malformed = False
+        self.unreachable = ()
+        self.generation_at_b = blackboard.catalog.generation
 
     async def apply(self, config, expected, author, change_id):
         await asyncio.sleep(0)
@@ -45,6 +50,44 @@
         await asyncio.sleep(0)
         self.blackboard.catalog = self.newest
 
+    async def status_of_all(self):
+        """Ask two entries; the second one lags until it is asked again."""
+        view = View(
+            epoch=1,
+            members=tuple(
+                Member(name=name, role=ROLE_ENTRY, host=name)
+                for name in ('a', 'b', *self.unreachable)
+            ),
+        )
+
+        async def call(address, message, timeout_s):
+            answers = []
+
+            async def send(answer):
+                answers.append(answer)
+
+            if address.host in self.unreachable:
+                raise PeerError('no answer')
+            await status_handler(lambda: self.status('b'))(message, send)
+            self.generation_at_b = self.newest.generation
+            return answers[0]
+
+        return await collect_status(view, 'a', lambda: self.status('a'), call)
+
+    def status(self, name):
+        """Describe an entry."""
+        generation = self.newest.generation
+        return {
+            'name': name,
+            'zone': 'z',
+            'epoch': 1,
+            'generation': self.generation_at_b if name == 'b' else generation,
+            'act_mode': 'full',
+            'endpoints': [{'endpoint': 's-1', 'state': 'ready'}],
+            'counters': {'refused.rate_exceeded': 7, 'requests': 9},
+            'problems': ['the store cannot be reached'],
+        }
+
     async def record(self, generation, entry):
         self.records[generation] = entry
 
@@ -68,6 +111,7 @@
             refresh=context.store.refresh,
             begin_repair=lambda: context.store.is_malformed,
             status=dict,
+            status_of_all=context.store.status_of_all,
             explain=None,
             record=context.store.record,
             audit=context.store.audit,
@@ -265,3 +309,8 @@
 def step_malformed(context):
     context.store.is_malformed = True
     context.body = context.run(put_config(context, sample_document()))
+
+
+@given('entry c of the cell does not answer')
+def step_unreachable(context):
+    context.store.unreachable = ('c',)
--- a/tests/steps/ctl_main_steps.py
+++ b/tests/steps/ctl_main_steps.py
@@ -56,3 +56,8 @@
 def step_exit(context, exit_code, text):
     assert context.done.exit_code == exit_code, context.done.output
     assert text in context.done.output, context.done.output
+
+
+@then('it does not exit with {exit_code:d}')
+def step_other_exit(context, exit_code):
+    assert context.done.exit_code != exit_code, context.done.output
