Serve TLS by settings and exchange secrets without a restart

Cause: keys of callers and operators passed in clear to the entry, and a new peer secret needed a stop of the whole cell. A peer secret above 64 bytes was accepted by the settings and failed at the first connection.

Change: caller_tls and admin_tls name certificate and key files. These, the peer secret and more_peer_secrets are read again on SIGHUP and when a file changes. The accepting side answers with the secret that the first frame proves. rattanvalvectl takes --ca-file. A secret has 32 to 64 printable characters.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -44,6 +44,8 @@
     CACHE_RELEASED = 'cache.released'
     CACHE_EXPIRED = 'cache.expired'
     FRAME_REJECTED = 'frame.rejected'
+    RELOADED = 'settings.reloaded'
+    RELOAD_FAILED = 'settings.reload_failed'
     INVARIANT_VIOLATED = 'invariant.violated'
 
 
--- a/rattanvalve/ctl_client.py
+++ b/rattanvalve/ctl_client.py
@@ -1,6 +1,7 @@
 """Client of the administration HTTP API, as ``rattanvalvectl`` uses it."""
 
 import asyncio
+import ssl
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -36,16 +37,20 @@
     base_url: str,
     key: str,
     request: AdminRequest,
+    ca_path: str | None = None,
 ) -> Result[dict[str, Any], AdminFailure]:
     """Send a request and wait for its response.
 
     :param base_url: address of the administration API.
     :param key: operator key.
     :param request: request to send.
+    :param ca_path: PEM file of the authorities to trust, instead of those of
+        the system.
     :returns: the JSON body, or why the request failed.
     """
     try:
-        return asyncio.run(_send(base_url, key, request))
+        tls = ssl.create_default_context(cafile=ca_path)
+        return asyncio.run(_send(base_url, key, request, tls))
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Err(AdminFailure(0, f'no response from {base_url}: {error}'))
 
@@ -54,6 +59,7 @@
     base_url: str,
     key: str,
     request: AdminRequest,
+    tls: ssl.SSLContext,
 ) -> Result[dict[str, Any], AdminFailure]:
     async with (
         aiohttp.ClientSession(
@@ -65,6 +71,7 @@
             params=request.params,
             headers={'Authorization': f'Bearer {key}', **request.headers},
             json=request.body,
+            ssl=tls,
         ) as response,
     ):
         body = await response.json()
--- a/rattanvalve/ctl_main.py
+++ b/rattanvalve/ctl_main.py
@@ -3,6 +3,7 @@
 import json
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -41,8 +42,15 @@
 class _Connection:
     """Where to send requests and how to print responses."""
 
-    def __init__(self, url: str, key: str, output: str) -> None:
+    def __init__(
+        self,
+        url: str,
+        key: str,
+        output: str,
+        ca_path: str | None,
+    ) -> None:
         self.url = url
+        self.ca_path = ca_path
         self.key = key
         self.is_json = output == 'json'
 
@@ -55,7 +63,7 @@
         :returns: JSON body of the response.
         """
         request = AdminRequest(method=method, path=path, **parts)
-        answer = send(self.url, self.key, request)
+        answer = send(self.url, self.key, request, self.ca_path)
         if answer.is_err():
             _fail(answer.unwrap_err())
         return answer.unwrap()
@@ -135,21 +143,38 @@
     return text if len(text) <= most else f'{text[: most - 1]}…'
 
 
+_CONNECTION_OPTIONS = (
+    click.option(
+        '--url',
+        envvar='RATTANVALVE_ADMIN_URL',
+        default='http://127.0.0.1:8081',
+        show_default=True,
+        help='Administration API of any entry process.',
+    ),
+    click.option(
+        '--key-file',
+        envvar='RATTANVALVE_ADMIN_KEY_FILE',
+        type=_existing_file,
+        help='File that holds the operator key.',
+    ),
+    click.option(
+        '--ca-file',
+        envvar='RATTANVALVE_ADMIN_CA_FILE',
+        type=_existing_file,
+        help='PEM file of the authorities to trust for https.',
+    ),
+)
+
+
+def _connection_options(command: Callable) -> Callable:
+    for option in reversed(_CONNECTION_OPTIONS):
+        command = option(command)
+    return command
+
+
 @click.group()
 @click.version_option(__version__, prog_name='rattanvalvectl')
-@click.option(
-    '--url',
-    envvar='RATTANVALVE_ADMIN_URL',
-    default='http://127.0.0.1:8081',
-    show_default=True,
-    help='Administration API of any entry process.',
-)
-@click.option(
-    '--key-file',
-    envvar='RATTANVALVE_ADMIN_KEY_FILE',
-    type=_existing_file,
-    help='File that holds the operator key.',
-)
+@_connection_options
 @click.option(
     '--output',
     type=click.Choice(('table', 'json')),
@@ -161,11 +186,13 @@
     context: click.Context,
     url: str,
     key_file: Path | None,
+    ca_file: Path | None,
     output: str,
 ) -> None:
     """Edit the configuration and look at the state of rattanvalve."""
     key = key_file.read_text().strip() if key_file else ''
-    context.obj = _Connection(url, key, output)
+    ca_path = str(ca_file) if ca_file else None
+    context.obj = _Connection(url, key, output, ca_path)
 
 
 @main.command()
--- a/rattanvalve/endpoint_main.py
+++ b/rattanvalve/endpoint_main.py
@@ -1,6 +1,7 @@
 """Program ``rattanvalve-endpoint``: the process beside one server."""
 
 import sys
+from functools import partial
 from pathlib import Path
 
 import aiomisc
@@ -11,6 +12,7 @@
 from rattanvalve.endpoint_process import EndpointProcess, stop_limit_s
 from rattanvalve.errors import SettingsError
 from rattanvalve.logs import LogPart, configure_logging, part_logger
+from rattanvalve.reloading import SettingsSource
 from rattanvalve.settings import (
     SETTINGS_EXIT_CODE,
     EndpointSettings,
@@ -40,8 +42,12 @@
         click.echo(f'{_PROGRAM}: {error}', err=True)
         sys.exit(SETTINGS_EXIT_CODE)
     configure_logging(settings.log_level, settings.name)
+    source = SettingsSource(
+        settings_path,
+        partial(load_settings, settings_path, EndpointSettings),
+    )
     with aiomisc.entrypoint(
-        EndpointProcess(settings),
+        EndpointProcess(settings, source),
         loop_factory=uvloop.new_event_loop,
         log_config=False,
         shutdown_timeout=stop_limit_s(settings),
--- a/rattanvalve/endpoint_process.py
+++ b/rattanvalve/endpoint_process.py
@@ -19,6 +19,7 @@
 from rattanvalve.messages import Announce, Member
 from rattanvalve.peers import Address, PeerPool, PeerServer
 from rattanvalve.records import RecordBook
+from rattanvalve.reloading import Reloading, SettingsSource, secrets_of
 from rattanvalve.runqueue import RunQueue
 from rattanvalve.server_session import open_session
 from rattanvalve.service_client import ServiceClient
@@ -51,24 +52,30 @@
     """Lifecycle of an endpoint process.
 
     :param settings: settings of the process.
+    :param source: where the secrets are read again.
     """
 
-    def __init__(self, settings: EndpointSettings) -> None:
+    def __init__(
+        self,
+        settings: EndpointSettings,
+        source: SettingsSource,
+    ) -> None:
         super().__init__()
+        self._source = source
         self._settings = settings
-        self._secret = settings.peer_secret.encode()
+        self._secrets = secrets_of(settings)
         self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
         """Listen, announce and serve."""
         settings = self._settings
-        self._pool = PeerPool(self._secret)
+        self._pool = PeerPool(self._secrets)
         self._session = open_session(settings.capacity_count)
         self._parts = self._build_parts()
         self._service = EndpointService(self._parts)
         self._server = PeerServer(
-            self._secret,
+            self._secrets,
             self._service.handlers(),
             self._parts.metrics,
         )
@@ -80,6 +87,7 @@
             self._parts.keeper.run(),
             self._announcer.run(),
             self._watch_health(),
+            self._reloading().run(settings),
         ):
             self._tasks.append(asyncio.ensure_future(work))
         _log.info('listening on %s:%s', address.host, address.port)
@@ -173,6 +181,13 @@
             capacity_count=self._settings.capacity_count,
         )
 
+    def _reloading(self) -> Reloading:
+        return Reloading(
+            self._source,
+            lambda settings: self._secrets.follow(secrets_of(settings)),
+            self._parts.metrics,
+        )
+
     async def _watch_health(self) -> None:
         """Check the server; it takes work once its caches are released."""
         while True:
--- a/rattanvalve/entry_admin.py
+++ b/rattanvalve/entry_admin.py
@@ -24,17 +24,18 @@
 def make_admin_context(
     settings: EntrySettings,
     parts: EntryParts,
+    status: EntryStatus,
 ) -> AdminContext:
     """Build the context of the administration API.
 
     :param settings: settings of the process.
     :param parts: its parts.
+    :param status: describes the process.
     :returns: the context.
     """
     shared = parts.shared
     store = shared.store
     inspector = _Inspector(settings, parts)
-    status = EntryStatus(settings, parts)
     return AdminContext(
         blackboard=shared.blackboard,
         metrics=shared.metrics,
--- a/rattanvalve/entry_main.py
+++ b/rattanvalve/entry_main.py
@@ -1,6 +1,7 @@
 """Program ``rattanvalve-entry``: command line and event loop."""
 
 import sys
+from functools import partial
 from pathlib import Path
 
 import aiomisc
@@ -10,6 +11,7 @@
 from rattanvalve import __version__
 from rattanvalve.errors import SettingsError
 from rattanvalve.logs import configure_logging
+from rattanvalve.reloading import SettingsSource
 from rattanvalve.settings import (
     SETTINGS_EXIT_CODE,
     EntrySettings,
@@ -46,8 +48,17 @@
     # --version need not wait for.
     from rattanvalve.entry_process import EntryProcess
 
+    source = SettingsSource(
+        settings_path,
+        partial(_read_settings, settings_path),
+    )
+    try:
+        process = EntryProcess(settings, source)
+    except SettingsError as error:
+        click.echo(' '.join(str(error).split()), err=True)
+        sys.exit(SETTINGS_EXIT_CODE)
     run_service(
-        EntryProcess(settings),
+        process,
         settings.drain_grace_s + settings.stop_timeout_s + _CLOSE_GRACE_S,
     )
 
--- a/rattanvalve/entry_process.py
+++ b/rattanvalve/entry_process.py
@@ -24,10 +24,12 @@
 from rattanvalve.ingress import IngressParts, build_ingress
 from rattanvalve.messages import Member, View
 from rattanvalve.peers import Address, Handler, PeerPool, PeerServer
-from rattanvalve.settings import EntrySettings, Listen
+from rattanvalve.reloading import Reloading, SettingsSource, secrets_of
+from rattanvalve.settings import EntrySettings
 from rattanvalve.shutdown import Shutdown
 from rattanvalve.store import StoreClient
 from rattanvalve.streams import OpenRequests
+from rattanvalve.tls import TLS_FIELDS, make_tls_context, reload_tls_context
 from rattanvalve.vm_controller import vm_fetcher
 
 __all__ = ('EntryProcess',)
@@ -37,10 +39,21 @@
     """The entry process.
 
     :param settings: validated settings.
+    :param source: where secrets and certificates are read again.
     """
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        source: SettingsSource,
+    ) -> None:
         super().__init__()
+        self._source = source
+        self._secrets = secrets_of(settings)
+        self._tls = {
+            name: make_tls_context(getattr(settings, name))
+            for name in TLS_FIELDS
+        }
         self._settings = settings
         self._blackboard = Blackboard()
         self._metrics = Metrics(
@@ -48,11 +61,11 @@
             settings.statsd.port,
             'entry',
         )
-        self._pool = PeerPool(settings.peer_secret.encode())
+        self._pool = PeerPool(self._secrets)
         self._open_requests = OpenRequests(self._metrics)
         self._handlers: dict[type, Handler] = {}
         self._peer_server = PeerServer(
-            settings.peer_secret.encode(),
+            self._secrets,
             self._handlers,
             self._metrics,
         )
@@ -81,9 +94,18 @@
                 else None
             ),
         )
+        self._reloading = Reloading(
+            self._source,
+            self._reload,
+            self._metrics,
+        )
         member = make_member(self._settings, address.port)
         self._parts = EntryParts(member, self._settings, shared)
-        status = EntryStatus(self._settings, self._parts)
+        status = EntryStatus(
+            self._settings,
+            self._parts,
+            lambda: [self._reloading.problem],
+        )
         self._handlers.update(
             self._parts.handlers(
                 {PULL_STATUS: status_handler(status.describe)},
@@ -94,10 +116,11 @@
             for work in (
                 *self._parts.work(),
                 self._open_requests.watch(self._blackboard),
+                self._reloading.run(self._settings),
             )
         )
-        await self._listen(self._caller_app(), self._settings.caller_listen)
-        await self._listen(self._admin_app(), self._settings.admin_listen)
+        await self._listen(self._caller_app(), 'caller')
+        await self._listen(self._admin_app(status), 'admin')
         self._blackboard.readiness.is_started = True
         self._blackboard.publish()
 
@@ -141,15 +164,28 @@
         )
         return build_caller_app(build_ingress(parts, limits))
 
-    def _admin_app(self) -> web.Application:
-        context = make_admin_context(self._settings, self._parts)
+    def _admin_app(self, status: EntryStatus) -> web.Application:
+        context = make_admin_context(self._settings, self._parts, status)
         return admin_api.build_admin_app(context)
 
-    async def _listen(self, app: web.Application, listen: Listen) -> None:
+    def _reload(self, settings: EntrySettings) -> None:
+        for name, context in self._tls.items():
+            tls = getattr(settings, name)
+            if context and tls:
+                reload_tls_context(context, tls)
+        self._secrets.follow(secrets_of(settings))
+
+    async def _listen(self, app: web.Application, name: str) -> None:
+        listen = getattr(self._settings, f'{name}_listen')
         runner = web.AppRunner(app, access_log=None, **RUNNER_OPTIONS)
         await runner.setup()
         self._runners.append(runner)
-        await web.TCPSite(runner, listen.host, listen.port).start()
+        await web.TCPSite(
+            runner,
+            listen.host,
+            listen.port,
+            ssl_context=self._tls[f'{name}_tls'],
+        ).start()
 
     async def _stop_listening(self) -> None:
         for runner in self._runners:
--- a/rattanvalve/entry_status.py
+++ b/rattanvalve/entry_status.py
@@ -30,6 +30,7 @@
 
     settings: EntrySettings
     parts: EntryParts
+    more_problems: Callable[[], list[str]] = list
 
     def describe(self) -> dict[str, Any]:
         """Describe the process and its cell.
@@ -91,6 +92,7 @@
             self.parts.config_controller.problem,
             self.parts.view_controller.repair.problem,
             self.parts.vm_controller.problem,
+            *self.more_problems(),
         )
         return [
             *(text for applies, text in checks if applies),
--- a/rattanvalve/peers.py
+++ b/rattanvalve/peers.py
@@ -18,6 +18,7 @@
 from rattanvalve.errors import FrameError, InvariantError, PeerError
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import End, Refusal
+from rattanvalve.peersecrets import AcceptingSealer, PeerSecrets
 
 __all__ = ('Address', 'Channel', 'Handler', 'PeerPool', 'PeerServer', 'Send')
 
@@ -49,15 +50,18 @@
     :param writer: stream to write frames to.
     :param outgoing: authenticates our frames.
     :param incoming: checks the frames of the other side.
+    :param secret: secret of our frames on the connecting side.
     """
 
     def __init__(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        outgoing: wire.FrameSealer,
-        incoming: wire.FrameSealer,
+        outgoing: wire.FrameSealer | AcceptingSealer,
+        incoming: wire.FrameSealer | AcceptingSealer,
+        secret: bytes = b'',
     ) -> None:
+        self.secret = secret
         self._reader = reader
         self._writer = writer
         self._outgoing = outgoing
@@ -117,11 +121,11 @@
 class PeerPool:
     """Client side: idle connections by address.
 
-    :param secret: shared secret of the processes.
+    :param peer_secrets: shared secrets of the processes.
     """
 
-    def __init__(self, secret: bytes) -> None:
-        self._secret = secret
+    def __init__(self, peer_secrets: PeerSecrets | bytes) -> None:
+        self._secrets = PeerSecrets.of(peer_secrets)
         self._idle: dict[Address, list[Channel]] = defaultdict(list)
 
     async def call(
@@ -210,18 +214,21 @@
         idle = self._idle[address]
         while idle:
             channel = idle.pop()
-            if channel.is_open():
+            if self._is_usable(channel):
                 return channel
             channel.close()
         return None
 
     def _release(self, address: Address, channel: Channel) -> None:
         idle = self._idle[address]
-        if channel.is_open() and len(idle) < MAX_IDLE_PER_PEER:
+        if self._is_usable(channel) and len(idle) < MAX_IDLE_PER_PEER:
             idle.append(channel)
         else:
             channel.close()
 
+    def _is_usable(self, channel: Channel) -> bool:
+        return channel.is_open() and channel.secret == self._secrets.first
+
     async def _connect(self, address: Address) -> Channel:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(
@@ -236,11 +243,13 @@
                 if isinstance(error, asyncio.IncompleteReadError):
                     raise PeerError('peer closed at handshake') from error
                 raise
+        secret = self._secrets.first
         return Channel(
             reader,
             writer,
-            wire.FrameSealer(self._secret, nonce, b'c'),
-            wire.FrameSealer(self._secret, nonce, b's'),
+            wire.FrameSealer(secret, nonce, b'c'),
+            wire.FrameSealer(secret, nonce, b's'),
+            secret,
         )
 
 
@@ -265,18 +274,18 @@
 class PeerServer:
     """Server side: dispatches each message to the handler of its class.
 
-    :param secret: shared secret of the processes.
+    :param peer_secrets: shared secrets of the processes.
     :param handlers: handler of each message class.
     :param metrics: counters.
     """
 
     def __init__(
         self,
-        secret: bytes,
+        peer_secrets: PeerSecrets | bytes,
         handlers: dict[type, Handler],
         metrics: Metrics,
     ) -> None:
-        self._secret = secret
+        self._secrets = PeerSecrets.of(peer_secrets)
         self._handlers = handlers
         self._metrics = metrics
         self._server: asyncio.Server | None = None
@@ -312,12 +321,8 @@
     ) -> None:
         self._writers.add(writer)
         nonce = secrets.token_bytes(wire.NONCE_BYTES)
-        channel = Channel(
-            reader,
-            writer,
-            wire.FrameSealer(self._secret, nonce, b's'),
-            wire.FrameSealer(self._secret, nonce, b'c'),
-        )
+        sealer = AcceptingSealer(self._secrets, nonce)
+        channel = Channel(reader, writer, sealer, sealer)
         try:
             writer.write(nonce)
             await self._serve_messages(channel)
--- a/rattanvalve/settings.py
+++ b/rattanvalve/settings.py
@@ -13,6 +13,7 @@
     'EndpointSettings',
     'EntrySettings',
     'Listen',
+    'Tls',
     'load_settings',
 )
 
@@ -21,7 +22,11 @@
 
 Port = Annotated[int, Meta(ge=0, le=65_535)]
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
-Secret = Annotated[str, Meta(min_length=32)]
+#: The MAC takes keys of up to 64 bytes.
+Secret = Annotated[
+    str,
+    Meta(min_length=32, max_length=64, pattern='^[!-~]+$'),
+]
 Seconds = Annotated[float, Meta(ge=0)]
 Url = Annotated[str, Meta(pattern='^https?://')]
 
@@ -44,6 +49,13 @@
     port: Port = 8125
 
 
+class Tls(_Model):
+    """Certificate chain and private key of a listener, as PEM files."""
+
+    certificate_path: str
+    key_path: str
+
+
 class _ProcessSettings(_Model, kw_only=True):
     """Settings that entry and endpoint processes share."""
 
@@ -52,6 +64,7 @@
     zone: Name
     peer_listen: Listen
     peer_secret: Secret
+    more_peer_secrets: tuple[Secret, ...] = ()
     seed_peers: tuple[Listen, ...] = ()
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
     statsd: Statsd = Statsd()
@@ -64,6 +77,8 @@
 
     caller_listen: Listen
     admin_listen: Listen
+    caller_tls: Tls | None = None
+    admin_tls: Tls | None = None
     admin_key_digests: dict[str, str] = {}
     admin_viewers: tuple[str, ...] = ()
     store_url: Url
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -15,6 +15,7 @@
     configholder,
     confirmations,
     ctl_main,
+    tls,
     viewrepair,
 )
 from rattanvalve import loads as endpoint_loads
@@ -26,6 +27,7 @@
 from rattanvalve.configtables import ConfigTables, tables_of
 from rattanvalve.confirmations import Confirmation
 from rattanvalve.loads import EndpointLoads
+from rattanvalve.peersecrets import AcceptingSealer, PeerSecrets
 from rattanvalve.viewstate import ViewState
 from tests import configfaults
 from tests.cellsim import LEASE_S, FakeStore
@@ -34,6 +36,7 @@
 _put = FakeStore.put
 _revise_catalog = revise_catalog
 _tables_of = tables_of
+_first = AcceptingSealer._open_first
 _entries_behind = ctl_main.entries_behind
 _candidates = EndpointLoads.candidates
 
@@ -85,7 +88,32 @@
     return _entries_behind(body | {'unreachable': []}, generation)
 
 
+def open_without_check(self, body):
+    """Ignore that the secret of the connection is not accepted any more."""
+    return self._incoming.open(body) if self._incoming else _first(self, body)
+
+
+def follow_nothing(self, secrets):
+    """Keep the secret that was the first one."""
+    self.accepted = (self.first,)
+
+
 BREAKS = {
+    'connections outlive their secret': (
+        AcceptingSealer,
+        'open',
+        open_without_check,
+    ),
+    'only the first secret is tried': (
+        PeerSecrets,
+        'follow',
+        follow_nothing,
+    ),
+    'broken certificates are taken': (
+        tls,
+        'make_tls_context',
+        lambda settings: None,
+    ),
     'entries without an answer are passed over': (
         ctl_main,
         'entries_behind',
--- a/tests/config_cell_bench.py
+++ b/tests/config_cell_bench.py
@@ -117,9 +117,8 @@
 
 
 def _rows(name, times):
-    for what, samples in zip(
-        ('accepted', 'in force'), zip(*times), strict=True
-    ):
+    accepted, in_force = zip(*times, strict=True)
+    for what, samples in (('accepted', accepted), ('in force', in_force)):
         cells = (
             f'{value:.3f}'
             for value in (
--- a/tests/peers.feature
+++ b/tests/peers.feature
@@ -20,3 +20,37 @@
     When a stranger sends malformed bytes
     Then the stranger is disconnected and counted
     And a call still gets its answer
+
+  Scenario Outline: a secret is exchanged without a restart
+    Given a peer server that accepts <accepted>
+    When a client that sends with <sent> calls
+    Then the call is <outcome>
+
+    Examples:
+      | accepted | sent | outcome  |
+      | old      | old  | answered |
+      | old, new | old  | answered |
+      | old, new | new  | answered |
+      | new, old | old  | answered |
+      | new      | new  | answered |
+      | new      | old  | refused  |
+      | old      | new  | refused  |
+
+  Scenario: connections are exchanged with the secret
+    Given a peer server that accepts old, new
+    When a client that sends with old calls
+    And the client changes to new and the server to new
+    Then the call is answered
+    And a call on a connection with old is refused
+
+  Scenario Outline: the checks notice a broken exchange of secrets
+    Given a break: <break>
+    And a peer server that accepts old, new
+    When a client that sends with old calls
+    And the client changes to new and the server to new
+    Then the exchange did not work
+
+    Examples:
+      | break                            |
+      | connections outlive their secret |
+      | only the first secret is tried   |
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -6,7 +6,9 @@
 
 from rattanvalve import messages
 from rattanvalve.counters import Counter, Metrics
+from rattanvalve.errors import PeerError
 from rattanvalve.peers import Address, PeerPool, PeerServer
+from rattanvalve.peersecrets import PeerSecrets
 
 SECRET = b's' * 32
 CHUNK_COUNT = 20
@@ -141,3 +143,61 @@
         ),
     )
     assert answer.number == 'later'
+
+
+def secrets_of(text):
+    """Give the secrets that a list of names stands for."""
+    first, *more = (name.ljust(32, '-').encode() for name in text.split(', '))
+    return PeerSecrets(first, tuple(more))
+
+
+def call_once(context, pool):
+    """Tell whether a call gets its answer."""
+    message = messages.Settle(number='n')
+    try:
+        context.run(pool.call(context.address, message, TIMEOUT_S))
+    except PeerError:
+        return False
+    return True
+
+
+@given('a peer server that accepts {names}')
+def step_accepts(context, names):
+    context.secrets = secrets_of(names)
+    handlers = {messages.Settle: answer_settle}
+    server = PeerServer(context.secrets, handlers, Metrics())
+    context.address = context.run(server.start(Address('127.0.0.1', 0)))
+    context.closers.append(server.stop)
+
+
+@when('a client that sends with {name} calls')
+def step_client_calls(context, name):
+    context.client_secrets = secrets_of(name)
+    context.pool = PeerPool(context.client_secrets)
+    # Another client, which keeps its secret.
+    context.late_pool = PeerPool(secrets_of(name))
+    context.closers.extend((context.pool.close, context.late_pool.close))
+    call_once(context, context.late_pool)
+    context.is_answered = call_once(context, context.pool)
+
+
+@when('the client changes to {client} and the server to {server}')
+def step_change(context, client, server):
+    context.client_secrets.follow(secrets_of(client))
+    context.secrets.follow(secrets_of(server))
+    context.is_answered = call_once(context, context.pool)
+
+
+@then('the call is {outcome}')
+def step_outcome(context, outcome):
+    assert context.is_answered == (outcome == 'answered')
+
+
+@then('a call on a connection with old is refused')
+def step_late(context):
+    assert not call_once(context, context.late_pool)
+
+
+@then('the exchange did not work')
+def step_no_exchange(context):
+    assert not context.is_answered or call_once(context, context.late_pool)
