Forget the shards of an owner that was removed while it was paused

Cause: an owner that saw only the view in which it was listed again, with a new incarnation, kept calls as running that had ended at the owner in between. Change: a takeover whose view lists this process with another incarnation than the last one releases all shards, which are then rebuilt by Seal. Conclusion: ticket numbers stay unique and no state from before the pause is used.

--- a/rattanvalve/takeover.py
+++ b/rattanvalve/takeover.py
@@ -83,8 +83,9 @@
         :param old_view: view before the change; epoch 0 at the start.
         :param new_view: view after the change.
         """
+        earlier = self.chain.newest()
         if self.chain.see(old_view, new_view, self._ports.clock()):
-            self._release_moved(new_view)
+            self._release_moved(earlier, new_view)
         async with self._lock:
             if not self.chain.is_settled():
                 await self._settle_chain()
@@ -132,15 +133,28 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _release_moved(self, new_view: View) -> None:
-        """Forget the shards that a view gives to others."""
+    def _release_moved(self, old_view: View, new_view: View) -> None:
+        """Forget the shards that a view gives or had given to others."""
+        is_rejoined = self._is_rejoined(old_view, new_view)
         for name in tuple(self._owner.table.shards):
-            if not self.chain.is_mine(new_view, name):
+            if is_rejoined or not self.chain.is_mine(new_view, name):
                 self._owner.table.release(*name)
                 self.chain.imported.pop(name, None)
         self._owner.table.drop_parts()
         self.publish()
 
+    def _is_rejoined(self, old_view: View, new_view: View) -> bool:
+        """Tell whether this process was removed in a view that it skipped.
+
+        What it knows of its shards is then from before other owners acted.
+        """
+        incarnations = {
+            member.incarnation
+            for view in (old_view, new_view)
+            if (member := self._ports.lookups.member_of(view, self._owner.name))
+        }
+        return len(incarnations) > 1
+
     async def _settle_chain(self) -> None:
         if self.chain.needs_seal():
             sealing = await self._sealer.seal_all(self.chain)
--- a/tests/owner_service.feature
+++ b/tests/owner_service.feature
@@ -31,6 +31,16 @@
     When its owner leaves with a handover
     Then the next owner continues without records
 
+  Scenario Outline: an owner that rejoins after a pause uses no old state
+    Given a running call whose owner is removed while it is paused
+    When the next owner ends it, runs another one and the first owner rejoins, which sees <views>
+    Then the first owner knows both calls and admits a third with a new number
+
+    Examples:
+      | views         |
+      | each view     |
+      | the last view |
+
   Scenario: an outdated handover is refused
     Then a handover of an older epoch is refused
 
@@ -50,6 +60,7 @@
       | subject      | fault                  |
       | order        | waiting without order  |
       | gate         | serving without seal   |
+      | rejoin       | old state kept         |
       | careful heir | no careful refusal     |
       | careful heir | late records ignored   |
       | handover     | handover dropped       |
--- a/tests/steps/owner_service_steps.py
+++ b/tests/steps/owner_service_steps.py
@@ -278,6 +278,64 @@
     assert third.endpoint == context.second.endpoint
 
 
+@given('a running call whose owner is removed while it is paused')
+def step_paused(context):
+    world = context.world = World()
+    context.run(world.time.drive(world.change_view()))
+    context.paused = world.owner()
+    context.tickets = [admit_keyed(context, context.paused, 'first')]
+    world.entries.pop(context.paused.name)
+    context.run(world.time.drive(world.change_view()))
+    context.removed = world.view
+
+
+def admit_keyed(context, entry, key):
+    """Admit and run a call of one program with an idempotency key."""
+    world = context.world
+    begin = new_begin(idempotency_key=key)
+    ticket = context.run(world.time.drive(entry.service.begin(begin)))
+    assert isinstance(ticket, Ticket), ticket
+    assert world.endpoint(ticket).run(ticket)
+    return ticket
+
+
+@when(
+    'the next owner ends it, runs another one and the first owner rejoins, '
+    'which sees {views}',
+)
+def step_rejoins(context, views):
+    world, paused = context.world, context.paused
+    for key in ('second', ''):
+        ticket = context.tickets[-1]
+        world.endpoint(ticket).complete(ticket.number, Usage())
+        finish = world.owner().service.finish(finish_of(ticket))
+        context.run(world.time.drive(finish))
+        if key:
+            admitted = admit_keyed(context, world.owner(), key)
+            context.tickets.append(admitted)
+    if views == 'each view':
+        context.run(world.time.drive(paused.see(context.removed)))
+    paused.incarnation = '2'
+    world.entries[paused.name] = paused
+    context.run(world.time.drive(world.change_view()))
+
+
+@then('the first owner knows both calls and admits a third with a new number')
+def step_rejoined(context):
+    world = context.world
+    for key, ticket in zip(('first', 'second'), context.tickets, strict=True):
+        begin = new_begin(idempotency_key=key)
+        known = context.paused.owner.known(begin, world.time.now_s)
+        assert (known.number, known.outcome) == (ticket.number, 'answered')
+    began_s = world.time.now_s
+    third = admit_keyed(context, context.paused, 'third')
+    # A stale running call would make it wait for its time limit.
+    assert world.time.now_s - began_s < 2
+    numbers = {ticket.number for ticket in (*context.tickets, third)}
+    assert len(numbers) == 3
+    assert third.turn == 3
+
+
 @then('a handover of an older epoch is refused')
 def step_old_handover(context):
     world = start_world(context)
@@ -413,6 +471,13 @@
     return IMPORT_PARTS(parts[:1], now_s)
 
 
+def check_rejoin(context):
+    """Check an owner that did not see the view without it."""
+    step_paused(context)
+    step_rejoins(context, 'the last view')
+    step_rejoined(context)
+
+
 IMPORT_PARTS = shardtable.import_parts
 CHECKS = {
     'rebuild': step_rebuilt,
@@ -422,6 +487,7 @@
     'careful heir': check_heir,
     'handover': check_leaving,
     'epoch': step_old_handover,
+    'rejoin': check_rejoin,
 }
 
 
@@ -441,6 +507,7 @@
     'serving without seal': (Takeover, 'is_serving', lambda *given: True),
     'no careful refusal': (ownership, '_unknowable', lambda *given: None),
     'late records ignored': (ShardTable, 'adopt', lambda *given: 0),
+    'old state kept': (Takeover, '_is_rejoined', lambda *given: False),
     'handover dropped': (Handovers, '_send_parts', drop_parts),
     'epoch ignored': (Handovers, 'receive', import_any),
 }
