Send engine commands under the epoch of the adopted view

Cause: commands to an engine carried the token of the newest run. An engine that checks tokens answered 409 to each try, the process never became healthy, and after a rolling restart no engine took requests any more.

Ruled out: membership (all endpoints were in the view, plain services became healthy).

Change: the endpoint service passes each adopted epoch to the engine client.

After: it passes with the other 10.

--- a/rattanvalve/endpoint_service.py
+++ b/rattanvalve/endpoint_service.py
@@ -68,6 +68,7 @@
         :param view: view from a peer.
         """
         self._parts.records.observe_epoch(view.epoch)
+        self._parts.client.observe_epoch(view.epoch)
         if view.epoch > self._parts.board.view.epoch:
             self._parts.board.view = view
             self._parts.board.publish()
--- a/rattanvalve/engine_client.py
+++ b/rattanvalve/engine_client.py
@@ -54,6 +54,16 @@
         self._session = session
         self._checks_fencing = checks_fencing
 
+    def observe_epoch(self, epoch: int) -> None:
+        """Send later commands under a newer token.
+
+        A restarted process has run nothing yet, but its engine refuses
+        commands with a token older than those of the earlier process.
+
+        :param epoch: epoch of a view; an older one is ignored.
+        """
+        self.gate.check(epoch)
+
     async def run(
         self,
         run: Run,
--- a/rattanvalve/service_client.py
+++ b/rattanvalve/service_client.py
@@ -32,6 +32,12 @@
         self._base_url = base_url.rstrip('/')
         self._session = session
 
+    def observe_epoch(self, epoch: int) -> None:
+        """Do nothing, as a plain service takes no fencing tokens.
+
+        :param epoch: epoch of a view.
+        """
+
     async def run(
         self,
         run: Run,
--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -50,3 +50,8 @@
       | answers         | count |
       | Ack             | 1     |
       | Refusal Ack     | 2     |
+
+  Scenario: commands of a restarted process carry the epoch of its view
+    Given an endpoint process beside an engine
+    When it adopts a view of epoch 7 before its first run and releases caches
+    Then the server saw the release with fencing token 7
--- a/tests/steps/endpoint_service_steps.py
+++ b/tests/steps/endpoint_service_steps.py
@@ -22,6 +22,7 @@
     Settle,
     Ticket,
     Usage,
+    View,
 )
 from rattanvalve.peers import Address, PeerPool, PeerServer
 from rattanvalve.records import RecordBook
@@ -47,6 +48,7 @@
     client = ServiceClient(url, session)
     if kind == 'engine':
         client = EngineClient(url, session, checks_fencing=False)
+    context.client = client
     context.confirmation = mock.Mock(age_s=lambda now_s: 0)
     context.pool = PeerPool(SECRET)
     board = Blackboard()
@@ -253,3 +255,16 @@
     assert context.received[-1].outcome == outcomes.ANSWERED
     assert context.late == [Refusal(code=ResultCode.ENDPOINT_LEAVING)]
     assert context.copy == [Refusal(code=ResultCode.DUPLICATE_TICKET)]
+
+
+@when('it adopts a view of epoch 7 before its first run and releases caches')
+def step_adopt(context):
+    context.service.adopt_view(View(cell='c', epoch=7))
+    context.run(context.client.release_all())
+
+
+@then('the server saw the release with fencing token 7')
+def step_token(context):
+    (method, path, headers) = context.server.journal[-1]
+    assert (method, path) == ('DELETE', '/v1/cache')
+    assert headers['X-Fencing-Token'] == '7', headers
