Add runs under seeded faults with a proxy in every link

Cause: real processes were tested with one killed entry only.

Change: a TCP proxy that cuts, stalls and delays connections in one or both directions; a fleet option that routes peer, store and server addresses through it, with the setting peer_address for the advertised address; seeded schedules of 23 kinds of faults; the command rattanvalve-load faults; checks for planned stops, configuration, unknown outcomes, leaving endpoints and recovery, each with forged histories that violate it.

--- a/rattanvalve/child_processes.py
+++ b/rattanvalve/child_processes.py
@@ -30,6 +30,7 @@
 
     log_folder: Path
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
+    commands: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def start(self, name: str, module: str, *arguments: str) -> None:
         """Start a program of this package.
@@ -41,6 +42,7 @@
         python_path = os.pathsep.join(
             filter(None, (str(_ROOT), os.environ.get('PYTHONPATH', ''))),
         )
+        self.commands[name] = (module, *arguments)
         with (self.log_folder / f'{name}.log').open('ab') as log:
             self.running[name] = subprocess.Popen(
                 (sys.executable, '-m', module, *arguments),
@@ -53,6 +55,21 @@
                 start_new_session=True,
             )
 
+    def restart(self, name: str) -> None:
+        """Start a child that has ended, with the same command.
+
+        :param name: name of the child.
+        """
+        self.start(name, *self.commands[name])
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a child.
+
+        :param name: name of the child.
+        :param number: signal, for instance SIGSTOP.
+        """
+        self.running[name].send_signal(number)
+
     def kill(self, name: str) -> None:
         """End a child with SIGKILL.
 
@@ -97,6 +114,8 @@
         for child in self.running.values():
             with suppress(ProcessLookupError):
                 child.send_signal(signal.SIGTERM)
+                # A paused child handles SIGTERM only after SIGCONT.
+                child.send_signal(signal.SIGCONT)
 
     def alive(self) -> list[str]:
         """List the children that have not ended.
--- a/rattanvalve/client_records.py
+++ b/rattanvalve/client_records.py
@@ -8,6 +8,8 @@
 __all__ = (
     'Attempt',
     'CallRecord',
+    'FaultRecord',
+    'GenerationSeen',
     'ProgramOutcome',
     'ProgramRecord',
     'RateInForce',
@@ -104,6 +106,23 @@
     burst: int
 
 
+class FaultRecord(msgspec.Struct, kw_only=True):
+    """A fault that was in force between two monotonic times."""
+
+    kind: str
+    targets: tuple[str, ...]
+    began_s: float
+    ended_s: float = 0
+    is_planned: bool = False
+
+
+class GenerationSeen(msgspec.Struct, kw_only=True):
+    """Configuration generation that an entry process stated."""
+
+    asked_s: float
+    generation: int
+
+
 class RunRecord(msgspec.Struct, kw_only=True):
     """All records of one run.
 
@@ -111,6 +130,11 @@
     confirmed, by key name; ``drained_s`` that of a drain, by endpoint name.
     ``is_direct`` marks a run without the product, in
     which nobody enforces rates or releases engine memory.
+
+    ``left_s`` gives, by endpoint name, the times of each planned stop and of
+    the restart after it; ``generations`` what each entry process stated.
+    Programs that were to start after ``recovered_s`` met no fault; it is 0 in
+    a run without faults.
     """
 
     scenario: str = ''
@@ -121,6 +145,10 @@
     withdrawn_s: dict[str, float] = {}
     drained_s: dict[str, float] = {}
     is_direct: bool = False
+    faults: list[FaultRecord] = []
+    left_s: dict[str, list[tuple[float, float]]] = {}
+    generations: dict[str, list[GenerationSeen]] = {}
+    recovered_s: float = 0
 
 
 def write_run(path: Path, run: RunRecord) -> None:
--- a/rattanvalve/endpoint_process.py
+++ b/rattanvalve/endpoint_process.py
@@ -143,11 +143,13 @@
 
     def _build_announcer(self, address: Address) -> Announcer:
         settings = self._settings
+        # Peers may reach this process at another address than it listens on.
+        reached = settings.peer_address or address
         member = Member(
             name=settings.name,
             role=ROLE_ENDPOINT,
-            host=address.host,
-            port=address.port,
+            host=reached.host,
+            port=reached.port,
             zone=settings.zone,
             service_name=settings.service,
             incarnation=self._incarnation,
--- a/rattanvalve/entry_parts.py
+++ b/rattanvalve/entry_parts.py
@@ -23,7 +23,7 @@
 from rattanvalve.ownership import Owner
 from rattanvalve.peers import Address, Handler, PeerPool
 from rattanvalve.pull_dispatch import pull_handler
-from rattanvalve.settings import EntrySettings
+from rattanvalve.settings import EntrySettings, Listen
 from rattanvalve.store import StoreClient
 from rattanvalve.view_controller import ViewController
 
@@ -184,11 +184,16 @@
     :param peer_port: port that the process listens on for peers.
     :returns: member for the view.
     """
+    # Peers may reach this process at another address than it listens on.
+    address = settings.peer_address or Listen(
+        settings.peer_listen.host,
+        peer_port,
+    )
     return Member(
         name=settings.name,
         role=views.ROLE_ENTRY,
-        host=settings.peer_listen.host,
-        port=peer_port,
+        host=address.host,
+        port=address.port,
         zone=settings.zone,
         incarnation=secrets.token_hex(_INCARNATION_BYTES),
     )
--- a/rattanvalve/experiment.py
+++ b/rattanvalve/experiment.py
@@ -22,7 +22,13 @@
     run_events,
 )
 
-__all__ = ('DIRECT_POLICY', 'Experiment', 'run_experiment')
+__all__ = (
+    'DIRECT_POLICY',
+    'Experiment',
+    'collect',
+    'run_experiment',
+    'wait_cache_released',
+)
 
 #: Name of the comparison without the product.
 DIRECT_POLICY = 'direct'
@@ -74,10 +80,10 @@
         experiment.report('running programs')
         await _run_load(experiment, fleet, run, is_direct=is_direct)
         if not is_direct:
-            await _wait_cache_released(fleet)
+            await wait_cache_released(fleet)
         keys = [*fleet.keys.values(), fleet.admin_key]
         experiment.report('stopping processes')
-    return _collect(experiment.folder, run, keys)
+    return collect(experiment.folder, run, keys)
 
 
 async def _run_load(
@@ -111,7 +117,11 @@
             group.create_task(run_programs(load, plans))
 
 
-async def _wait_cache_released(fleet: Fleet) -> None:
+async def wait_cache_released(fleet: Fleet) -> None:
+    """Wait until no engine holds cache, but not for ever.
+
+    :param fleet: fleet whose programs have ended.
+    """
     deadline_s = time.monotonic() + _CACHE_TIMEOUT_S
     async with aiohttp.ClientSession() as session:
         while time.monotonic() < deadline_s:
@@ -130,7 +140,14 @@
         return (await response.json())['cache_keys']
 
 
-def _collect(folder: Path, run: RunRecord, keys: list[str]) -> Evidence:
+def collect(folder: Path, run: RunRecord, keys: list[str]) -> Evidence:
+    """Store the records of a run and read the evidence.
+
+    :param folder: folder of the run.
+    :param run: records of the clients.
+    :param keys: keys of callers and operators.
+    :returns: evidence for the history check.
+    """
     write_run(folder / 'run.json', run)
     (folder / 'keys.json').write_text(json.dumps(keys))
     return read_evidence(run, folder, tuple(keys))
--- a/rattanvalve/fleet.py
+++ b/rattanvalve/fleet.py
@@ -11,12 +11,14 @@
 import aiohttp
 
 from rattanvalve.child_processes import Children
+from rattanvalve.fault_proxy import FaultProxy
 from rattanvalve.fleet_settings import (
     Address,
     EndpointPlan,
     FleetPlan,
     plan_fleet,
     server_name,
+    with_proxies,
 )
 from rattanvalve.keys import generate_key, key_digest
 from rattanvalve.loadrun import Targets, direct_targets, product_targets
@@ -35,7 +37,8 @@
     """Processes of one scenario.
 
     ``folder`` receives settings, journals and logs. ``keys`` holds the keys
-    of callers by key name, ``admin_key`` is the operator's.
+    of callers by key name, ``admin_key`` is the operator's. ``proxies`` holds
+    the proxy of each link of a fleet that runs with proxies.
     """
 
     scenario: Scenario
@@ -44,6 +47,7 @@
     children: Children
     keys: dict[str, str] = field(default_factory=dict)
     admin_key: str = field(default_factory=generate_key)
+    proxies: dict[str, FaultProxy] = field(default_factory=dict)
 
     def product_targets(self) -> Targets:
         """Address the entry processes.
@@ -84,6 +88,7 @@
     policy: tuple[str, str] = ('affinity', 'program_fair'),
     *,
     is_direct: bool = False,
+    is_proxied: bool = False,
 ) -> AsyncIterator[Fleet]:
     """Run the processes of a scenario.
 
@@ -91,20 +96,23 @@
     :param folder: empty folder for settings, journals and logs.
     :param policy: placement policy and queue policy.
     :param is_direct: start only the stand-ins, without the product.
+    :param is_proxied: put a fault proxy into every link between processes.
     :returns: fleet that is ready; all its processes have ended afterwards,
         also after an exception or a cancellation.
     :raises ChildError: if a process ends or does not become ready.
     """
     for folder_name in ('settings', 'journals', 'logs'):
         (folder / folder_name).mkdir(parents=True)
+    plan = plan_fleet(scenario)
     fleet = Fleet(
         scenario,
         folder,
-        plan_fleet(scenario),
+        with_proxies(plan) if is_proxied else plan,
         Children(folder / 'logs'),
         {name: generate_key() for name in scenario.initial_keys()},
     )
     try:
+        await _start_proxies(fleet)
         async with aiohttp.ClientSession() as session:
             await _start_standins(fleet, session)
             if not is_direct:
@@ -113,6 +121,15 @@
         await _stop_gently(fleet)
     finally:
         fleet.children.stop_all(_STOP_GRACE_S)
+        for proxy in fleet.proxies.values():
+            proxy.stop()
+
+
+async def _start_proxies(fleet: Fleet) -> None:
+    targets = fleet.plan.links()
+    for link, listen in fleet.plan.routes.items():
+        fleet.proxies[link] = FaultProxy(listen, targets[link])
+        await fleet.proxies[link].start()
 
 
 async def _stop_gently(fleet: Fleet) -> None:
--- a/rattanvalve/fleet_settings.py
+++ b/rattanvalve/fleet_settings.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Iterator
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from itertools import cycle
 
 from rattanvalve.errors import SettingsError
@@ -15,8 +15,12 @@
     'EndpointPlan',
     'EntryPlan',
     'FleetPlan',
+    'peer_link',
     'plan_fleet',
+    'server_link',
     'server_name',
+    'store_link',
+    'with_proxies',
 )
 
 HOST = '127.0.0.1'
@@ -72,7 +76,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetPlan:
-    """All processes of a scenario. ``peer_secret`` is random."""
+    """All processes of a scenario. ``peer_secret`` is random.
+
+    ``routes`` gives the address of the proxy by link; it is empty in a fleet
+    whose processes reach each other directly.
+    """
 
     cell: str
     store: Address
@@ -80,6 +88,7 @@
     entries: tuple[EntryPlan, ...]
     endpoints: tuple[EndpointPlan, ...]
     peer_secret: str
+    routes: dict[str, Address] = field(default_factory=dict)
 
     def entry_settings(self, entry: EntryPlan, admin_digest: str) -> dict:
         """Build the settings of an entry process.
@@ -93,7 +102,7 @@
             'caller_listen': entry.caller.listen(),
             'admin_listen': entry.admin.listen(),
             'admin_key_digests': {'operator': admin_digest},
-            'store_url': self.store.url,
+            'store_url': self.via(store_link(entry.name), self.store).url,
             'vm_list_url': self.vms.url,
         }
 
@@ -103,23 +112,52 @@
         :param endpoint: endpoint process.
         :returns: fields of ``EndpointSettings``.
         """
+        server = self.via(server_link(endpoint.name), endpoint.server)
         return {
             **self._shared(endpoint.name, endpoint.zone, endpoint.peer),
             'service': endpoint.service.name,
             'kind': endpoint.service.kind,
-            'server_url': endpoint.server.url,
+            'server_url': server.url,
             'capacity_count': endpoint.service.capacity_count,
             'checks_fencing': endpoint.service.checks_fencing,
         }
 
+    def links(self) -> dict[str, Address]:
+        """List the links that a proxy can stand in.
+
+        :returns: address of the process behind the link, by link.
+        """
+        found = {
+            peer_link(planned.name): planned.peer
+            for planned in (*self.entries, *self.endpoints)
+        }
+        for entry in self.entries:
+            found[store_link(entry.name)] = self.store
+        for endpoint in self.endpoints:
+            found[server_link(endpoint.name)] = endpoint.server
+        return found
+
+    def via(self, link: str, address: Address) -> Address:
+        """Give the address at which a process is reached.
+
+        :param link: link to the process.
+        :param address: where the process listens.
+        :returns: address of the proxy, or the process's own.
+        """
+        return self.routes.get(link, address)
+
     def _shared(self, name: str, zone: str, peer: Address) -> dict:
         return {
             'name': name,
             'cell': self.cell,
             'zone': zone,
             'peer_listen': peer.listen(),
+            'peer_address': self.via(peer_link(name), peer).listen(),
             'peer_secret': self.peer_secret,
-            'seed_peers': [entry.peer.listen() for entry in self.entries],
+            'seed_peers': [
+                self.via(peer_link(entry.name), entry.peer).listen()
+                for entry in self.entries
+            ],
             'drain_grace_s': _DRAIN_GRACE_S,
             'stop_timeout_s': _STOP_TIMEOUT_S,
         }
@@ -134,6 +172,52 @@
     return f'{endpoint}-server'
 
 
+def peer_link(name: str) -> str:
+    """Name the link from all peers to a process.
+
+    :param name: entry or endpoint process.
+    :returns: name of the link.
+    """
+    return f'peer:{name}'
+
+
+def store_link(entry: str) -> str:
+    """Name the link from an entry process to the object store.
+
+    :param entry: name of the entry process.
+    :returns: name of the link.
+    """
+    return f'store:{entry}'
+
+
+def server_link(endpoint: str) -> str:
+    """Name the link from an endpoint process to its server.
+
+    :param endpoint: name of the endpoint process.
+    :returns: name of the link.
+    """
+    return f'server:{endpoint}'
+
+
+def with_proxies(plan: FleetPlan) -> FleetPlan:
+    """Choose an address for a proxy in every link.
+
+    :param plan: plan of a fleet.
+    :returns: plan whose processes reach each other through the proxies.
+    """
+    links = plan.links()
+    taken = {plan.store.port, plan.vms.port}
+    taken.update(address.port for address in links.values())
+    for entry in plan.entries:
+        taken.update((entry.caller.port, entry.admin.port))
+    ports = _free_ports(len(links) + len(taken))
+    free = (port for port in ports if port not in taken)
+    return replace(
+        plan,
+        routes={link: Address(next(free)) for link in links},
+    )
+
+
 def plan_fleet(scenario: Scenario) -> FleetPlan:
     """Choose addresses for all processes of a scenario.
 
--- a/rattanvalve/load_main.py
+++ b/rattanvalve/load_main.py
@@ -14,10 +14,10 @@
 from rattanvalve.client_records import read_run
 from rattanvalve.errors import RattanvalveError, SettingsError
 from rattanvalve.experiment import Experiment, run_experiment
-from rattanvalve.history_check import check_history
-from rattanvalve.history_evidence import Evidence, read_evidence
+from rattanvalve.fault_main import faults, show_verdicts
+from rattanvalve.history_evidence import read_evidence
 from rattanvalve.main_task import cancel_on_signals
-from rattanvalve.report import Measures, format_table, measure, verdict_table
+from rattanvalve.report import Measures, format_table, measure
 from rattanvalve.scenario import Scenario, bundled_scenarios, load_scenario
 from rattanvalve.standin_batch import EngineCosts
 
@@ -32,6 +32,9 @@
     """Drive agent programs and check what happened."""
 
 
+main.add_command(faults)
+
+
 @main.command()
 @click.option(
     '--scenario',
@@ -88,7 +91,7 @@
         folder,
         tuple(keys),
     )
-    sys.exit(0 if _show_verdicts(evidence) else 1)
+    sys.exit(0 if show_verdicts(evidence) else 1)
 
 
 def _run_all(
@@ -111,19 +114,13 @@
         )
         evidence = uvloop.run(cancel_on_signals(run_experiment(experiment)))
         click.echo(f'\n{policy}')
-        is_good = _show_verdicts(evidence) and is_good
+        is_good = show_verdicts(evidence) and is_good
         costs = _costs_of(scenario)
         measured[policy].append(measure(evidence.run, costs))
     click.echo(f'\n{_comparison(measured)}')
     return is_good
 
 
-def _show_verdicts(evidence: Evidence) -> bool:
-    verdicts = check_history(evidence)
-    click.echo(verdict_table(verdicts))
-    return not any(verdict.violations for verdict in verdicts)
-
-
 def _costs_of(scenario: Scenario) -> EngineCosts:
     behaviour = scenario.engine_service().behaviour
     names = EngineCosts.__dataclass_fields__
--- a/rattanvalve/loadrun.py
+++ b/rattanvalve/loadrun.py
@@ -42,7 +42,7 @@
 
     ``keys`` gives the key by key name and may grow while the run goes on;
     ``programs`` receives the records. ``began_s`` is the monotonic time from
-    which intended starts count.
+    which intended starts count. After ``closed`` is set, no program starts.
     """
 
     scenario: Scenario
@@ -52,6 +52,7 @@
     began_s: float = 0
     programs: list[ProgramRecord] = field(default_factory=list)
     on_program_end: Callable[[ProgramRecord], None] = ignore
+    closed: asyncio.Event | None = None
 
 
 @dataclass(slots=True)
@@ -126,10 +127,24 @@
     plan: ProgramPlan,
 ) -> None:
     intended_s = run.began_s + plan.start_s
-    await asyncio.sleep(intended_s - time.monotonic())
+    if await _is_closed_before(run, intended_s):
+        return
     await _run_program(run, session, plan, intended_s, '')
 
 
+async def _is_closed_before(run: LoadRun, intended_s: float) -> bool:
+    wait_s = intended_s - time.monotonic()
+    if run.closed is None:
+        await asyncio.sleep(wait_s)
+        return False
+    try:
+        async with asyncio.timeout(wait_s):
+            await run.closed.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 async def _run_program(
     run: LoadRun,
     session: aiohttp.ClientSession,
--- a/rattanvalve/settings.py
+++ b/rattanvalve/settings.py
@@ -51,6 +51,7 @@
     cell: Name
     zone: Name
     peer_listen: Listen
+    peer_address: Listen | None = None
     peer_secret: Secret
     seed_peers: tuple[Listen, ...] = ()
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
--- a/tests/history_check.feature
+++ b/tests/history_check.feature
@@ -31,9 +31,30 @@
       | the key was withdrawn long before the order's end    | withdrawn keys stop      |
       | the engine was drained long before the last chat     | drained endpoints idle   |
 
+  Scenario Outline: each check of a run with faults can fail
+    Given a correct history
+    When the history is forged: <forgery>
+    Then exactly "<check>" is violated
+
+    Examples:
+      | forgery                                            | check                           |
+      | a stream breaks during a planned stop              | planned stops interrupt nothing |
+      | an order is unknown during a planned stop          | planned stops interrupt nothing |
+      | an entry states an older generation                | configuration never reverts     |
+      | an entry keeps an older generation to the end      | configuration never reverts     |
+      | an order is unknown although nothing failed        | unknown outcomes rare           |
+      | many orders are unknown after a kill               | unknown outcomes rare           |
+      | an endpoint gets work 4 s after its planned stop   | leaving endpoints idle          |
+      | a program is refused after the last fault          | service resumes                 |
+      | no program starts after the last fault             | service resumes                 |
+      | a quiet withdrawal takes 3 s                       | withdrawn keys stop             |
+      | an engine was killed before it cached a program    | cache released                  |
+
   Scenario: honest histories are not accused
     Given a correct history
     Then a refusal after an unanswered attempt accuses nobody
     And a burst that queueing caused accuses nobody
     And a raised rate counts from its change
     And an incomplete last journal line is passed over
+    And a break during a kill or a refused connection accuses no planned stop
+    And a cache lost with its engine accuses nobody
