Check the caller's key again at the owner

Cause: only the ingress compared the key with the configuration. An entry that was paused beyond a withdrawal admitted a waiting request under its old configuration, and the owner, which knew better, issued a ticket.

Ruled out: late cancellation (the run started after the limit) and a slow spread (all other entries had the new generation).

Before: 3 of the 5 rows of the new outline in ownership.feature fail without the check. After: all pass.

--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -49,6 +49,7 @@
   14: bool is_program_end
   15: i64 epoch
   16: i64 timeout_ms
+  17: i64 config_generation
 }
 
 struct Ticket {
--- a/rattanvalve/call_headers.py
+++ b/rattanvalve/call_headers.py
@@ -120,6 +120,7 @@
             priority=priority.unwrap(),
             idempotency_key=idempotency_key,
             is_program_end=_is_true(headers.get(PROGRAM_END_HEADER, '')),
+            config_generation=catalog.generation,
         ),
     )
 
--- a/rattanvalve/messages.py
+++ b/rattanvalve/messages.py
@@ -81,7 +81,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Begin:
-    """Ask the owner of a workspace shard to admit a request."""
+    """Ask the owner of a workspace shard to admit a request.
+
+    ``config_generation`` is the generation in which the ingress found the key.
+    """
 
     request_id: str = ''
     workspace: str = ''
@@ -99,6 +102,7 @@
     is_program_end: bool = False
     epoch: int = 0
     timeout_ms: int = 0
+    config_generation: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/rattanvalve/ownercontext.py
+++ b/rattanvalve/ownercontext.py
@@ -6,7 +6,7 @@
 
 from rattanvalve.actmode import ActMode
 from rattanvalve.catalog import Catalog
-from rattanvalve.messages import Member, Refusal, View
+from rattanvalve.messages import Begin, Member, Refusal, View
 from rattanvalve.ratelimit import RATE_WAIT_MAX_S, Bucket
 from rattanvalve.resultcodes import ResultCode
 
@@ -14,6 +14,7 @@
     'OwnerContext',
     'PlacementQuery',
     'Wait',
+    'is_key_withdrawn',
     'may_act',
     'refuse',
     'wait_for_rate',
@@ -73,6 +74,23 @@
     return mode is ActMode.FULL or (mode is ActMode.HALF and is_repeatable)
 
 
+def is_key_withdrawn(begin: Begin, catalog: Catalog) -> bool:
+    """Check the key again that the ingress has found.
+
+    An ingress that was paused may still hold an old configuration. An owner
+    with an older one than the ingress cannot judge: the key may be new.
+
+    :param begin: request; without a key on an open route.
+    :param catalog: newest configuration of the owner.
+    :returns: whether the key does not belong to the workspace any more.
+    """
+    can_judge = catalog.generation >= begin.config_generation
+    workspace = catalog.workspace_of_key(begin.key_digest)
+    return (
+        bool(begin.key_digest) and can_judge and (workspace != begin.workspace)
+    )
+
+
 def wait_for_rate(
     bucket: Bucket,
     context: OwnerContext,
--- a/rattanvalve/ownership.py
+++ b/rattanvalve/ownership.py
@@ -20,7 +20,13 @@
     Resolve,
     Ticket,
 )
-from rattanvalve.ownercontext import OwnerContext, Wait, may_act, refuse
+from rattanvalve.ownercontext import (
+    OwnerContext,
+    Wait,
+    is_key_withdrawn,
+    may_act,
+    refuse,
+)
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.shardstate import SealState
 from rattanvalve.shardtable import ShardTable
@@ -88,9 +94,7 @@
         :returns: ticket, place of an earlier record, refusal ("not run"), or
             what to wait for.
         """
-        if not self._is_owner(begin.workspace, begin.shard, context):
-            return refuse(ResultCode.NOT_OWNER, epoch=context.view.epoch)
-        found = self.known(begin, now_s)
+        found = self._not_served(begin, context) or self.known(begin, now_s)
         if found is not None:
             return found
         if not may_act(context.mode, begin.is_repeatable):
@@ -241,6 +245,17 @@
             'missing_endpoints': sorted(state.seal.missing),
         }
 
+    def _not_served(
+        self,
+        begin: Begin,
+        context: OwnerContext,
+    ) -> Refusal | None:
+        if not self._is_owner(begin.workspace, begin.shard, context):
+            return refuse(ResultCode.NOT_OWNER, epoch=context.view.epoch)
+        if is_key_withdrawn(begin, context.catalog):
+            return refuse(ResultCode.KEY_UNKNOWN, retry_after_ms=0)
+        return None
+
     def _is_owner(
         self,
         workspace: str,
--- a/rattanvalve/wire_gen/ttypes.py
+++ b/rattanvalve/wire_gen/ttypes.py
@@ -404,11 +404,12 @@
      - is_program_end
      - epoch
      - timeout_ms
+     - config_generation
 
     """
 
 
-    def __init__(self, request_id=None, workspace=None, shard=None, key_digest=None, program_id=None, parent_program_id=None, priority=None, idempotency_key=None, service_name=None, is_repeatable=None, prompt_tokens=None, max_tokens=None, history_digests=None, is_program_end=None, epoch=None, timeout_ms=None,):
+    def __init__(self, request_id=None, workspace=None, shard=None, key_digest=None, program_id=None, parent_program_id=None, priority=None, idempotency_key=None, service_name=None, is_repeatable=None, prompt_tokens=None, max_tokens=None, history_digests=None, is_program_end=None, epoch=None, timeout_ms=None, config_generation=None,):
         self.request_id = request_id
         self.workspace = workspace
         self.shard = shard
@@ -425,6 +426,7 @@
         self.is_program_end = is_program_end
         self.epoch = epoch
         self.timeout_ms = timeout_ms
+        self.config_generation = config_generation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -520,6 +522,11 @@
                     self.timeout_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.config_generation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -597,6 +604,10 @@
             oprot.writeFieldBegin('timeout_ms', TType.I64, 16)
             oprot.writeI64(self.timeout_ms)
             oprot.writeFieldEnd()
+        if self.config_generation is not None:
+            oprot.writeFieldBegin('config_generation', TType.I64, 17)
+            oprot.writeI64(self.config_generation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3008,6 +3019,7 @@
     (14, TType.BOOL, 'is_program_end', None, None, ),  # 14
     (15, TType.I64, 'epoch', None, None, ),  # 15
     (16, TType.I64, 'timeout_ms', None, None, ),  # 16
+    (17, TType.I64, 'config_generation', None, None, ),  # 17
 )
 all_structs.append(Ticket)
 Ticket.thrift_spec = (
--- a/tests/ownership.feature
+++ b/tests/ownership.feature
@@ -47,3 +47,14 @@
       | HALF | non-repeatable | NOT_CONFIRMED |
       | HALF | repeatable     | Ticket        |
       | NONE | repeatable     | NOT_CONFIRMED |
+
+  Scenario Outline: the owner checks the key again
+    Then a key found in generation <found> is <verdict> if generation 3 of the owner <state>
+
+    Examples:
+      | found | state                   | verdict  |
+      | 2     | has it                  | admitted |
+      | 2     | lacks it                | refused  |
+      | 3     | lacks it                | refused  |
+      | 4     | lacks it                | admitted |
+      | 2     | has it for another user | refused  |
--- a/tests/steps/ownership_steps.py
+++ b/tests/steps/ownership_steps.py
@@ -330,3 +330,27 @@
         assert ResultCode(given_answer.code).name == answer
     else:
         assert type(given_answer).__name__ == answer
+
+
+@then(
+    'a key found in generation {found:d} is {verdict} '
+    'if generation 3 of the owner {state}',
+)
+def step_key(context, found, verdict, state):
+    _, entry = single_owner(context)
+    own_keys = {
+        'has it': {'digest': 'north'},
+        'lacks it': {},
+        'has it for another user': {'digest': 'south'},
+    }
+    entry.blackboard.catalog = replace(
+        entry.blackboard.catalog,
+        generation=3,
+        key_workspaces=own_keys[state],
+    )
+    begin = new_begin(key_digest='digest', config_generation=found)
+    answer = decide(entry, begin, 1001)
+    if verdict == 'admitted':
+        assert isinstance(answer, Ticket), answer
+    else:
+        assert answer.code == ResultCode.KEY_UNKNOWN, answer
