Tell runs that were never sent from runs with an unknown outcome

Cause: three paths ended with OUTCOME_UNKNOWN, which callers may not repeat, although nothing ran. (1) The endpoint process could not be reached, so no byte of the run left the ingress. (2) An endpoint process refused the ticket of a former owner, and the new owner did not know that ticket. (3) The owner gave up settling after two tries within milliseconds when connections were reset.

Ruled out: lost records (the records of the endpoint processes were never asked), late responses (attempts ended after 1 to 15 ms).

Change: PeerPool.stream raises NotSentError before it sends anything; the ingress reports it and the owner places the request elsewhere; an ingress whose tickets were all refused begins again at a new owner; settling goes on for 5 s.

--- a/rattanvalve/errors.py
+++ b/rattanvalve/errors.py
@@ -9,6 +9,7 @@
     'FencedError',
     'FrameError',
     'InvariantError',
+    'NotSentError',
     'PeerError',
     'RattanvalveError',
     'SettingsError',
@@ -33,6 +34,10 @@
     """A peer closed the connection or did not answer in time."""
 
 
+class NotSentError(PeerError):
+    """There was no connection to a peer, so nothing of a message was sent."""
+
+
 class StoreError(RattanvalveError):
     """The object store did not answer or answered with a failure."""
 
--- a/rattanvalve/outcomes.py
+++ b/rattanvalve/outcomes.py
@@ -1,6 +1,13 @@
 """Names of the outcome of a request."""
 
-__all__ = ('ANSWERED', 'LOOKUP_REASON', 'NOT_RUN', 'RUNNING', 'UNKNOWN')
+__all__ = (
+    'ANSWERED',
+    'LOOKUP_REASON',
+    'NOT_RUN',
+    'NOT_SENT_REASON',
+    'RUNNING',
+    'UNKNOWN',
+)
 
 #: The request ran and its response is recorded.
 ANSWERED = 'answered'
@@ -14,3 +21,5 @@
 #: ``reason`` of a ``Resolve`` that only looks an idempotency key up. The
 #: message holds the key in ``request_id`` and no ticket number.
 LOOKUP_REASON = 'lookup'
+#: ``reason`` of a ``Resolve`` for a ticket that never left the ingress.
+NOT_SENT_REASON = 'not sent'
--- a/rattanvalve/owner_service.py
+++ b/rattanvalve/owner_service.py
@@ -129,7 +129,7 @@
         attempt = self._owner.attempt_of(*name, resolve.number)
         settled = outcomes.UNKNOWN
         if attempt is not None and attempt.ticket.number == resolve.number:
-            settled = await self._settler.settle(attempt)
+            settled = await self._settle(attempt, resolve)
         answer = self._owner.resolve(
             resolve,
             settled,
@@ -138,7 +138,7 @@
         )
         self._releases.send(name)
         if settled != outcomes.RUNNING:
-            self._end(attempt, settled)
+            self._end(attempt, settled, resolve.reason)
         if isinstance(answer, Ticket):
             self._ports.started(answer.endpoint)
         else:
@@ -188,10 +188,25 @@
             body=msgspec.json.encode(found),
         )
 
-    def _end(self, attempt: Attempt | None, outcome: str) -> None:
+    async def _settle(self, attempt: Attempt, resolve: Resolve) -> str:
+        """Find the outcome of the newest ticket of an attempt."""
+        if resolve.reason == outcomes.NOT_SENT_REASON:
+            # Only the ingress that asks has the ticket.
+            return outcomes.NOT_RUN
+        return await self._settler.settle(attempt)
+
+    def _end(
+        self,
+        attempt: Attempt | None,
+        outcome: str,
+        reason: str = '',
+    ) -> None:
         """Report the end of a ticket to the loads of the endpoints."""
         if attempt is not None:
-            is_failure = outcome == outcomes.UNKNOWN
+            is_failure = (
+                outcome == outcomes.UNKNOWN
+                or reason == outcomes.NOT_SENT_REASON
+            )
             self._ports.ended(attempt.ticket.endpoint, is_failure)
 
 
--- a/rattanvalve/peers.py
+++ b/rattanvalve/peers.py
@@ -15,7 +15,12 @@
 
 from rattanvalve import wire
 from rattanvalve.counters import Counter, Metrics
-from rattanvalve.errors import FrameError, InvariantError, PeerError
+from rattanvalve.errors import (
+    FrameError,
+    InvariantError,
+    NotSentError,
+    PeerError,
+)
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import End, Refusal
 
@@ -161,14 +166,18 @@
         :param address: peer to ask.
         :param message: request.
         :returns: iterator that ends after ``End`` or ``Refusal``.
-        :raises PeerError: if the peer cannot be reached or breaks off.
+        :raises NotSentError: if the peer cannot be reached.
+        :raises PeerError: if the peer breaks off.
         """
+        name = f'{address.host}:{address.port}'
         try:
-            channel = await self._send_on_channel(address, message)
+            channel = await self._open_channel(address)
+        except (OSError, TimeoutError, PeerError) as error:
+            raise NotSentError(f'cannot reach {name}') from error
+        try:
+            await _send(channel, message)
         except (OSError, TimeoutError, FrameError) as error:
-            raise PeerError(
-                f'cannot reach {address.host}:{address.port}',
-            ) from error
+            raise PeerError(f'cannot send to {name}') from error
         state = _StreamState()
         try:
             yield _read_stream(channel, state)
@@ -186,7 +195,8 @@
         self._idle.clear()
 
     async def _call_once(self, address: Address, message: Any) -> Any:
-        channel = await self._send_on_channel(address, message)
+        channel = await self._open_channel(address)
+        await _send(channel, message)
         try:
             answer = await channel.receive()
         except BaseException:
@@ -195,16 +205,8 @@
         self._release(address, channel)
         return answer
 
-    async def _send_on_channel(self, address: Address, message: Any) -> Channel:
-        channel = self._take_idle(address)
-        if channel is None:
-            channel = await self._connect(address)
-        try:
-            await channel.send(message)
-        except BaseException:
-            channel.close()
-            raise
-        return channel
+    async def _open_channel(self, address: Address) -> Channel:
+        return self._take_idle(address) or await self._connect(address)
 
     def _take_idle(self, address: Address) -> Channel | None:
         idle = self._idle[address]
@@ -244,6 +246,14 @@
         )
 
 
+async def _send(channel: Channel, message: Any) -> None:
+    try:
+        await channel.send(message)
+    except BaseException:
+        channel.close()
+        raise
+
+
 @dataclass(slots=True)
 class _StreamState:
     is_complete: bool = False
--- a/rattanvalve/relay.py
+++ b/rattanvalve/relay.py
@@ -6,7 +6,7 @@
 from rattanvalve import outcomes
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.delivery import Delivery
-from rattanvalve.errors import InvariantError, PeerError
+from rattanvalve.errors import InvariantError, NotSentError, PeerError
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import (
     Outcome,
@@ -127,8 +127,11 @@
         for _ in range(MAX_DECISIONS):
             try:
                 return await self._follow(decision, progress)
+            except NotSentError:
+                progress.note_not_sent()
             except PeerError as error:
                 progress.refusal = getattr(error, 'refusal', None)
+                progress.is_sent = True
             if progress.delivery.is_complete:
                 # Only the report of the endpoint process was lost.
                 return await progress.delivery.end()
@@ -173,7 +176,7 @@
 
     async def _resolve(self, progress: Progress) -> OwnerDecision:
         """Ask the owner what to do after a broken run."""
-        request, refusal = progress.request, progress.refusal
+        request = progress.request
         begin = request.begin
         decision = await self._owner_client.ask(
             Resolve(
@@ -182,13 +185,21 @@
                 workspace=begin.workspace,
                 shard=begin.shard,
                 program_id=begin.program_id,
-                reason=f'refused {refusal.code}' if refusal else 'broken',
+                reason=progress.break_reason(),
                 is_relay_started=not progress.delivery.can_run_again,
             ),
             request.deadline_s,
         )
         if isinstance(decision, Ticket):
             self._note_retry(progress)
+        is_unknown = (
+            isinstance(decision, Outcome)
+            and decision.outcome == outcomes.UNKNOWN
+        )
+        if is_unknown and not progress.unsettled:
+            # A new owner does not know a ticket that no endpoint process has
+            # accepted. Nothing ran, so the request begins again.
+            return await self._begin(request)
         return decision
 
     def _note_retry(self, progress: Progress) -> None:
--- a/rattanvalve/relay_state.py
+++ b/rattanvalve/relay_state.py
@@ -60,7 +60,8 @@
     """State of one request.
 
     ``unsettled`` holds the tickets that were handed over and may have run;
-    ``refusal`` is the last refusal by an endpoint process.
+    ``refusal`` is the last refusal by an endpoint process; ``is_sent`` tells
+    whether the last ticket has left this process.
     """
 
     request: RelayRequest
@@ -68,6 +69,7 @@
     number: str = ''
     is_repeatable: bool = False
     refusal: Refusal | None = None
+    is_sent: bool = True
     unsettled: set[str] = field(default_factory=set)
 
     def hand_over(self, number: str) -> None:
@@ -76,6 +78,21 @@
         self.unsettled.add(number)
         self.request.entry.may_have_run = True
 
+    def note_not_sent(self) -> None:
+        """Note that the endpoint process of the ticket cannot be reached."""
+        self.is_sent = False
+        self.refusal = Refusal(code=ResultCode.NO_ENDPOINT)
+        self.note_not_run(self.number)
+
+    def break_reason(self) -> str:
+        """Say for the owner why a run brought no response.
+
+        :returns: reason of a ``Resolve``.
+        """
+        if not self.is_sent:
+            return outcomes.NOT_SENT_REASON
+        return f'refused {self.refusal.code}' if self.refusal else 'broken'
+
     def note_not_run(self, *numbers: str) -> None:
         """Note that tickets did not run and never will."""
         self.unsettled.difference_update(numbers)
--- a/rattanvalve/runs.py
+++ b/rattanvalve/runs.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-from rattanvalve.errors import PeerError
+from rattanvalve.errors import NotSentError, PeerError
 from rattanvalve.messages import End, Refusal, Run
 from rattanvalve.peers import Address, PeerPool
 from rattanvalve.responder import CallerGoneError
@@ -55,6 +55,8 @@
         try:
             async with asyncio.timeout(limit_s):
                 await self._read_all()
+        except NotSentError as error:
+            await self._put(error)
         except (PeerError, TimeoutError):
             await self._put(PeerError('the run broke off'))
 
@@ -87,6 +89,7 @@
     :param entry: the open request.
     :param open_requests: keeps runs without a caller.
     :returns: iterator that ends after ``End`` or ``Refusal``.
+    :raises NotSentError: if the run was not handed over.
     :raises PeerError: if the run broke.
     """
     if run.ticket.is_repeatable:
--- a/rattanvalve/settling.py
+++ b/rattanvalve/settling.py
@@ -1,5 +1,7 @@
 """Settling of running tickets with their endpoint processes."""
 
+from typing import Any
+
 from rattanvalve import outcomes
 from rattanvalve.errors import PeerError
 from rattanvalve.idempotency import Attempt
@@ -12,7 +14,10 @@
 __all__ = ('Settler',)
 
 SETTLE_TIMEOUT_S = 3.0
-SETTLE_TRIES = 2
+#: A network that fails for a few seconds must not leave a caller without the
+#: outcome. No new try begins after this time.
+SETTLE_LIMIT_S = 5.0
+SETTLE_PAUSE_S = 0.5
 
 
 class Settler:
@@ -52,21 +57,12 @@
             epoch=view.epoch,
             endpoint_incarnation=ticket.endpoint_incarnation,
         )
-        for _ in range(SETTLE_TRIES):
-            try:
-                answer = await self._ports.pool.call(
-                    Address(ticket.host, ticket.port),
-                    settle,
-                    SETTLE_TIMEOUT_S,
-                )
-            except PeerError:
-                continue
-            if not isinstance(answer, Settled):
-                return outcomes.UNKNOWN
-            if answer.outcome == outcomes.ANSWERED:
-                self.finish(attempt, answer)
-            return answer.outcome
-        return outcomes.UNKNOWN
+        answer = await self._ask(Address(ticket.host, ticket.port), settle)
+        if not isinstance(answer, Settled):
+            return outcomes.UNKNOWN
+        if answer.outcome == outcomes.ANSWERED:
+            self.finish(attempt, answer)
+        return answer.outcome
 
     def finish(self, attempt: Attempt, settled: Settled) -> None:
         """Note the outcome that an endpoint process stated.
@@ -85,3 +81,17 @@
             ),
             self._ports.clock(),
         )
+
+    async def _ask(self, address: Address, settle: Settle) -> Any:
+        give_up_s = self._ports.clock() + SETTLE_LIMIT_S
+        while True:
+            try:
+                return await self._ports.pool.call(
+                    address,
+                    settle,
+                    SETTLE_TIMEOUT_S,
+                )
+            except PeerError:
+                if self._ports.clock() >= give_up_s:
+                    return None
+            await self._ports.sleep(SETTLE_PAUSE_S)
--- a/tests/ingress_bench.py
+++ b/tests/ingress_bench.py
@@ -71,7 +71,10 @@
 
 
 class FakeOwner:
-    """Decides what a list of words says; ``ticket`` when it is empty."""
+    """Decides what a list of words says; ``ticket`` when it is empty.
+
+    ``nowhere`` is a ticket for an endpoint process that does not run.
+    """
 
     def __init__(self, address):
         self.address = address
@@ -95,7 +98,10 @@
         if word.isdigit():
             return messages.Refusal(code=int(word), retry_after_ms=1500)
         place = {'host': self.address.host, 'port': self.address.port}
-        if word != 'ticket':
+        if word == 'nowhere':
+            # Nobody listens on the discard port of this machine.
+            place['port'] = 9
+        elif word != 'ticket':
             return messages.Outcome(
                 number=f'owner/1/{self.ticket_count}',
                 outcome=word,
--- a/tests/ownership.feature
+++ b/tests/ownership.feature
@@ -35,6 +35,16 @@
       | non-repeatable | unknown  | unknown      |
       | repeatable     | unknown  | a new ticket |
 
+  Scenario: a ticket that was never sent needs no settlement
+    Given a running non-repeatable request
+    When its ingress could not reach the endpoint, which is down
+    Then the owner answers with a new ticket
+
+  Scenario: the outcome is known after a short break of the network
+    Given a running non-repeatable request
+    When its run broke off and the endpoint is reached after 3 s
+    Then the owner answers with answered
+
   Scenario: retries end when their budget is empty
     Then repeated breaks end with unknown
 
--- a/tests/relay.feature
+++ b/tests/relay.feature
@@ -23,6 +23,10 @@
       | plain | - | answered | - | 0 | - |
       | stream | lost | ticket | - | 1 | - |
       | plain | lost answer | ticket ticket | - | 2 | - |
+      | plain | answer | nowhere ticket | - | 1 | - |
+      | stream | answer | nowhere nowhere ticket | - | 1 | - |
+      | plain | answer | nowhere unknown ticket | - | 1 | - |
+      | plain | 1401 answer | ticket unknown ticket | - | 2 | - |
 
   Scenario Outline: a failed request claims only what is known
     Given an ingress whose endpoint does "<endpoint>" and owner "<owner>"
@@ -41,6 +45,8 @@
       | order | break1 | ticket not_run | - | 503 | 1404 | not_run |
       | order | 1502 | ticket unknown | - | 502 | 1503 | unknown |
       | order | - | unknown | - | 502 | 1503 | unknown |
+      | order | - | nowhere 1201 | - | 429 | 1201 | not_run |
+      | order | - | nowhere not_run | - | 503 | 1301 | not_run |
       | plain chat | crossed | ticket | - | 500 | 1901 | unknown |
       | plain chat | - | answered | crossed | 500 | 1901 | unknown |
       | plain chat | 1406 1406 1406 1406 1406 1406 1406 | - | - | 503 | 1406 | not_run |
--- a/tests/steps/ownership_steps.py
+++ b/tests/steps/ownership_steps.py
@@ -288,6 +288,34 @@
     )
 
 
+@when('its ingress could not reach the endpoint, which is down')
+def step_not_sent(context):
+    context.world.endpoint(context.ticket).is_up = False
+    resolve = replace(
+        resolve_of(context.ticket),
+        reason=outcomes.NOT_SENT_REASON,
+    )
+    context.answer = context.run(context.entry.service.resolve(resolve))
+
+
+@when('its run broke off and the endpoint is reached after {delay_s:d} s')
+def step_short_break(context, delay_s):
+    endpoint = context.world.endpoint(context.ticket)
+    record = [context.ticket, outcomes.ANSWERED, Usage(), 1001]
+    endpoint.records[context.ticket.number] = record
+    endpoint.is_up = False
+
+    async def resolve():
+        asking = asyncio.ensure_future(
+            context.entry.service.resolve(resolve_of(context.ticket)),
+        )
+        await context.world.time.advance(delay_s)
+        endpoint.is_up = True
+        return await context.world.time.drive(asking)
+
+    context.answer = context.run(resolve())
+
+
 @then('the owner answers with {answer}')
 def step_resolved(context, answer):
     if answer == 'a new ticket':
