--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -29,8 +29,12 @@
     HISTORY_FORK = 'history.fork'
     VIEW_CHANGED = 'view.changed'
     VIEW_CONFLICT = 'view.conflict'
+    VIEW_MALFORMED = 'view.malformed'
+    VM_LIST_ERROR = 'vms.error'
     CONFIG_ADOPTED = 'config.adopted'
     CONFIG_REJECTED_OLDER = 'config.rejected_older'
+    CONFIG_DIFFERENCES = 'config.differences'
+    CONFIG_MISMATCH = 'config.mismatch'
     STORE_ERROR = 'store.error'
     STORE_READ_BACK = 'store.read_back'
     SEALED = 'seal.done'
@@ -40,6 +44,8 @@
     CACHE_RELEASED = 'cache.released'
     CACHE_EXPIRED = 'cache.expired'
     FRAME_REJECTED = 'frame.rejected'
+    RELOADED = 'settings.reloaded'
+    RELOAD_FAILED = 'settings.reload_failed'
     INVARIANT_VIOLATED = 'invariant.violated'
 
 
--- a/rattanvalve/endpointstate.py
+++ b/rattanvalve/endpointstate.py
@@ -19,6 +19,10 @@
 SLOW_START_FIRST = 0.1
 #: How long the growing share of a slow start is taken as constant.
 SLOW_START_STEP_S = 0.1
+EJECT_FIRST_S = 5.0
+EJECT_MAX_S = 300.0
+#: An endpoint without ejection for this long starts with the first period.
+EJECT_FORGET_S = 600.0
 READY = 'ready'
 
 
@@ -84,3 +88,12 @@
             load=self.load(now_s),
             is_slow_start=now_s - self.started_at_s < SLOW_START_S,
         )
+
+    def eject(self, now_s: float) -> None:
+        """Send no new work for a period that doubles each time."""
+        if now_s - self.ejected_until_s > EJECT_FORGET_S:
+            self.ejection_count = 0
+        period_s = min(EJECT_MAX_S, EJECT_FIRST_S * 2**self.ejection_count)
+        self.ejection_count += 1
+        self.failure_count = 0
+        self.ejected_until_s = now_s + period_s
--- a/rattanvalve/load_main.py
+++ b/rattanvalve/load_main.py
@@ -15,10 +15,10 @@
 from rattanvalve.client_records import read_run
 from rattanvalve.errors import RattanvalveError, SettingsError
 from rattanvalve.experiment import Experiment, run_experiment
-from rattanvalve.history_check import check_history
-from rattanvalve.history_evidence import Evidence, read_evidence
+from rattanvalve.fault_main import faults, show_verdicts
+from rattanvalve.history_evidence import read_evidence
 from rattanvalve.main_task import cancel_on_signals
-from rattanvalve.report import Measures, format_table, measure, verdict_table
+from rattanvalve.report import Measures, format_table, measure
 from rattanvalve.scenario import Scenario, bundled_scenarios, load_scenario
 from rattanvalve.speed_command import speed
 from rattanvalve.standin_batch import EngineCosts
@@ -36,6 +36,7 @@
 
 main.add_command(capacity)
 main.add_command(speed)
+main.add_command(faults)
 
 
 @main.command()
@@ -94,7 +95,7 @@
         folder,
         tuple(keys),
     )
-    sys.exit(0 if _show_verdicts(evidence) else 1)
+    sys.exit(0 if show_verdicts(evidence) else 1)
 
 
 def _run_all(
@@ -117,19 +118,13 @@
         )
         evidence = uvloop.run(cancel_on_signals(run_experiment(experiment)))
         click.echo(f'\n{policy}')
-        is_good = _show_verdicts(evidence) and is_good
+        is_good = show_verdicts(evidence) and is_good
         costs = _costs_of(scenario)
         measured[policy].append(measure(evidence.run, costs))
     click.echo(f'\n{_comparison(measured)}')
     return is_good
 
 
-def _show_verdicts(evidence: Evidence) -> bool:
-    verdicts = check_history(evidence)
-    click.echo(verdict_table(verdicts))
-    return not any(verdict.violations for verdict in verdicts)
-
-
 def _costs_of(scenario: Scenario) -> EngineCosts:
     behaviour = scenario.engine_service().behaviour
     names = EngineCosts.__dataclass_fields__
--- a/rattanvalve/loads.py
+++ b/rattanvalve/loads.py
@@ -16,11 +16,9 @@
 
 __all__ = ('ENDPOINT_SILENT_S', 'EndpointLoad', 'EndpointLoads')
 
+#: Hints of the VM list are dropped when the list was not read for this long.
+HINT_S = 30.0
 EJECT_AFTER_COUNT = 5
-EJECT_FIRST_S = 5.0
-EJECT_MAX_S = 300.0
-#: An endpoint without ejection for this long starts with the first period.
-EJECT_FORGET_S = 600.0
 
 
 class EndpointLoads:
@@ -36,6 +34,8 @@
         self._listed: dict[str, str] | None = None
         self._listed_view: View | None = None
         self._kept: dict[str, Candidates] = {}
+        self._hinted: frozenset[str] = frozenset()
+        self._hinted_at_s = float('-inf')
 
     def set_view(self, view: View) -> None:
         """Restrict the candidates to the endpoints of a view.
@@ -54,6 +54,16 @@
             member.name: member.incarnation for member in endpoints_of(view)
         }
 
+    def hint_leaving(self, names: Collection[str], read_at_s: float) -> None:
+        """Note which endpoints the VM list calls leaving.
+
+        :param names: endpoint names; they replace those noted before.
+        :param read_at_s: moment at which the list was read.
+        """
+        self._hinted = frozenset(names)
+        self._hinted_at_s = read_at_s
+        self._kept.clear()
+
     def report(self, announce: Announce, now_s: float) -> None:
         """Note an announce.
 
@@ -77,7 +87,7 @@
         state.reported_at_s = now_s
         state.in_flight_at_report_count = state.in_flight_count
         if was_usable and state.is_usable(now_s):
-            self._update(state)
+            _update(self._kept, state)
         else:
             self._kept.pop(state.service_name, None)
 
@@ -100,7 +110,7 @@
         state = self._states.get(endpoint)
         if state is not None:
             state.in_flight_count += 1
-            self._update(state)
+            _update(self._kept, state)
 
     def finished(self, endpoint: str, is_failure: bool, now_s: float) -> None:
         """Count the end of a request; consecutive failures eject.
@@ -116,8 +126,10 @@
         state.in_flight_count = max(0, state.in_flight_count - 1)
         state.failure_count = state.failure_count + 1 if is_failure else 0
         if state.failure_count >= EJECT_AFTER_COUNT:
-            self._eject(state, now_s)
-        self._update(state)
+            state.eject(now_s)
+            self._kept.pop(state.service_name, None)
+            self._metrics.count(Counter.ENDPOINT_EJECTED)
+        _update(self._kept, state)
 
     def candidates(
         self,
@@ -133,7 +145,8 @@
         :param drained: names of endpoints that a rule drains.
         :param now_s: current time.
         :returns: endpoints without leaving, unhealthy, silent, ejected,
-            drained and unlisted ones.
+            drained and unlisted ones; without those that the VM list calls
+            leaving, unless there are no others.
         """
         kept = self._kept.get(service_name)
         if kept is None or not kept.validity.holds(drained, now_s):
@@ -159,12 +172,17 @@
         :param now_s: current time.
         :returns: JSON objects in name order.
         """
+        hinted = self._hints(now_s)
         return [
             {
                 'endpoint': name,
+                'vm': 'leaving' if name in hinted else '',
                 'service': state.announce.member.service_name,
                 'zone': state.announce.member.zone,
-                'state': self._state_of(state, now_s),
+                'state': _shown_state(
+                    state.describe(now_s),
+                    is_listed=self._is_listed(state.announce.member),
+                ),
                 'running': state.announce.running_count,
                 'queued': state.announce.queued_count,
                 'in_flight': state.in_flight_count,
@@ -180,6 +198,15 @@
         """
         return endpoint in self._states
 
+    def is_leaving(self, endpoint: str) -> bool:
+        """Tell whether the last announce of an endpoint was that it leaves.
+
+        :param endpoint: its name.
+        :returns: whether it was.
+        """
+        state = self._states.get(endpoint)
+        return state is not None and state.announce.is_leaving
+
     def _list_candidates(
         self,
         service_name: str,
@@ -191,27 +218,31 @@
             (state.usable_until_s(now_s) for state in states.values()),
             default=float('inf'),
         )
+        usable = {
+            name: state
+            for name, state in states.items()
+            if name not in drained
+            and state.is_usable(now_s)
+            and self._is_listed(state.announce.member)
+        }
+        hinted = self._hints(now_s)
+        if hinted:
+            until_s = min(until_s, self._hinted_at_s + HINT_S)
+        # The list may be wrong, so it must not leave a service without any.
+        if not usable.keys() <= hinted:
+            usable = {
+                name: state
+                for name, state in usable.items()
+                if name not in hinted
+            }
         return Candidates(
-            (
-                state.as_candidate(now_s)
-                for name, state in states.items()
-                if name not in drained
-                and state.is_usable(now_s)
-                and self._is_listed(state.announce.member)
-            ),
+            (state.as_candidate(now_s) for state in usable.values()),
             Validity(drained, now_s, until_s),
         )
 
-    def _update(self, state: EndpointState) -> None:
-        kept = self._kept.get(state.service_name)
-        if kept is not None:
-            kept.update(state.as_candidate(kept.validity.from_s))
-
-    def _state_of(self, state: EndpointState, now_s: float) -> str:
-        described = state.describe(now_s)
-        if described == READY and not self._is_listed(state.announce.member):
-            return 'unlisted'
-        return described
+    def _hints(self, now_s: float) -> frozenset[str]:
+        is_fresh = now_s - self._hinted_at_s < HINT_S
+        return self._hinted if is_fresh else frozenset()
 
     def _is_listed(self, member: Member) -> bool:
         return (
@@ -219,12 +250,13 @@
             or self._listed.get(member.name) == member.incarnation
         )
 
-    def _eject(self, state: EndpointState, now_s: float) -> None:
-        if now_s - state.ejected_until_s > EJECT_FORGET_S:
-            state.ejection_count = 0
-        period_s = min(EJECT_MAX_S, EJECT_FIRST_S * 2**state.ejection_count)
-        state.ejection_count += 1
-        state.failure_count = 0
-        state.ejected_until_s = now_s + period_s
-        self._kept.pop(state.service_name, None)
-        self._metrics.count(Counter.ENDPOINT_EJECTED)
+
+def _update(kept: dict[str, Candidates], state: EndpointState) -> None:
+    """Change the load of one endpoint in the list that is kept."""
+    found = kept.get(state.service_name)
+    if found is not None:
+        found.update(state.as_candidate(found.validity.from_s))
+
+
+def _shown_state(described: str, *, is_listed: bool) -> str:
+    return 'unlisted' if described == READY and not is_listed else described
--- a/rattanvalve/messages.py
+++ b/rattanvalve/messages.py
@@ -54,12 +54,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class View:
-    """The members of one cell at one epoch."""
+    """The members of one cell at one epoch.
+
+    ``former`` are removed endpoint processes that may still run work of an
+    isolated owner.
+    """
 
     cell: str = ''
     epoch: int = 0
     members: tuple[Member, ...] = ()
     change_id: str = ''
+    former: tuple[Member, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,7 +86,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Begin:
-    """Ask the owner of a workspace shard to admit a request."""
+    """Ask the owner of a workspace shard to admit a request.
+
+    ``config_generation`` is the generation in which the ingress found the key.
+    """
 
     request_id: str = ''
     workspace: str = ''
@@ -99,6 +107,7 @@
     is_program_end: bool = False
     epoch: int = 0
     timeout_ms: int = 0
+    config_generation: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/steps/candidates_steps.py
+++ b/tests/steps/candidates_steps.py
@@ -95,6 +95,10 @@
         now_s,
     ),
     'forget': lambda loads, message, _: loads.forget(message.member.name),
+    'hint': lambda loads, message, now_s: loads.hint_leaving(
+        {message.member.name},
+        now_s,
+    ),
     'pause': lambda _loads, _message, _now_s: None,
 }
 
