Measure a change of the configuration as operators make it

Cause: the cell measurement wrote the whole document to the store, while peers now send differences. Change: it grants keys through the administration API; the first grant, which stores the base, comes before the measurement. Conclusion: the measured cost of a change is that of a difference.

--- a/rattanvalve/capacity_cell.py
+++ b/rattanvalve/capacity_cell.py
@@ -54,7 +54,7 @@
 class CellFigures:
     """Means of the processes of one role.
 
-    A change is the pull of the whole configuration of 1,800 workspaces.
+    A change grants a key in a configuration of 1,800 workspaces.
     """
 
     bytes_per_s: float
@@ -93,6 +93,8 @@
         name = f'{size.entry_count}-{size.endpoint_count}'
         (folder / name).mkdir()
         async with running_cell(size, _SHAPE, folder / name) as cell:
+            # The first change stores the configuration as a base and a head.
+            await cell.change_config()
             await asyncio.sleep(_SETTLE_S)
             calls[size] = await _measure_cell(size, cell, measured)
     return measured, calls
@@ -212,7 +214,7 @@
 def _changes(cell: IdleCell) -> _Work:
     async def change() -> None:
         for _ in range(_CHANGE_COUNT):
-            await cell.write_config()
+            await cell.change_config()
             await asyncio.sleep(_CHANGE_S)
 
     return change
--- a/rattanvalve/capacity_fleet.py
+++ b/rattanvalve/capacity_fleet.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from rattanvalve.admin_client import AdminClient
 from rattanvalve.capacity_samples import Shape, config_document
 from rattanvalve.child_processes import Children
 from rattanvalve.fleet_settings import FleetPlan, plan_fleet
@@ -46,7 +47,7 @@
     session: aiohttp.ClientSession
     shape: Shape
     admin_key: str = field(default_factory=generate_key)
-    generation: int = 0
+    change_count: int = 0
 
     def pids(self, names: list[str]) -> list[int]:
         """Give the process ids of children.
@@ -65,28 +66,27 @@
             return await found.json()
 
     async def write_config(self) -> None:
-        """Write the next generation, which differs in one rate."""
-        version = self.generation
-        self.generation += 1
-        document = config_document(self.shape)
-        rates = document['rules']['rates']
-        rates['workspace-00000']['rate_per_s'] += self.generation
+        """Write the first generation."""
         stored = {
-            'generation': self.generation,
-            'change_id': f'change-{self.generation}',
+            'generation': 1,
+            'change_id': 'initial',
             'author': 'operator',
-            'config': document,
+            'config': config_document(self.shape),
         }
-        condition = {'If-Match': f'"{version}"'}
-        if not version:
-            condition = {'If-None-Match': '*'}
         async with self.session.put(
             f'{self.plan.store.url}/v1/objects/config',
             data=json.dumps(stored, separators=(',', ':')),
-            headers=condition,
+            headers={'If-None-Match': '*'},
         ) as response:
             response.raise_for_status()
 
+    async def change_config(self) -> None:
+        """Grant a key, as operators do."""
+        self.change_count += 1
+        urls = [entry.admin.url for entry in self.plan.entries]
+        admin = AdminClient(self.session, urls, self.admin_key)
+        await admin.grant(f'new-key-{self.change_count}', 'workspace-00000')
+
 
 @asynccontextmanager
 async def running_cell(
--- a/rattanvalve/speed_report.py
+++ b/rattanvalve/speed_report.py
@@ -71,6 +71,8 @@
     )
     ratios = (
         _ratio(_costs(found, kind, role), _costs(first, kind, role))
+        if role in found[0].processor_s
+        else '-'
         for role in ('entry', 'endpoint')
     )
     return (kind.name, name, *columns, *costs, *ratios)
