--- a/rattanvalve/capacity_child.py
+++ b/rattanvalve/capacity_child.py
@@ -15,10 +15,12 @@
 
 _LIBRARIES = (
     'aiohttp.web',
+    'aiomisc',
     'click',
     'msgspec',
     'pythonjsonlogger.json',
     'result',
+    'statsd',
     'thrift.protocol.TCompactProtocol',
     'thrift.transport.TTransport',
     'uvloop',
--- a/rattanvalve/capacity_samples.py
+++ b/rattanvalve/capacity_samples.py
@@ -32,7 +32,6 @@
 EVENT_COUNT = 302
 SERVICE = 'agent-models-7'
 _INCARNATION = '0123456789abcdef'
-_DIGEST = 'a1' * 32
 _EVENT_ID = 'chatcmpl-0123456789abcdef'
 #: One token as the published protocol streams it.
 EVENT = (
@@ -50,6 +49,10 @@
     keys_per_workspace: int = 1
 
 
+def _digest(workspace_number: int, key_number: int) -> str:
+    return f'{workspace_number:032x}{key_number:032x}'
+
+
 def _member(role: str, name: str) -> Member:
     return Member(
         name=name,
@@ -121,7 +124,7 @@
     return messages.Begin(
         request_id=f'{number:032x}',
         workspace=workspace,
-        key_digest=_DIGEST,
+        key_digest=_digest(int(workspace.rpartition('-')[2]), 0),
         program_id=f'program-{number:024x}',
         priority=1,
         idempotency_key=f'{number:036x}',
@@ -226,7 +229,7 @@
                 {
                     'name': f'{name}-key-{at}',
                     'workspace': name,
-                    'digest_sha256': f'{index:032x}{at:032x}',
+                    'digest_sha256': _digest(index, at),
                 }
                 for index, name in enumerate(names)
                 for at in range(shape.keys_per_workspace)
