--- a/rattanvalve/speed_command.py
+++ b/rattanvalve/speed_command.py
@@ -13,6 +13,7 @@
 from rattanvalve.main_task import cancel_on_signals
 from rattanvalve.report import format_table
 from rattanvalve.speed_load import BurstKind, Target, run_burst
+from rattanvalve.speed_open import OPEN_HEADER, open_rows
 from rattanvalve.speed_report import Bursts, speed_tables
 from rattanvalve.speed_steady import run_steady
 from rattanvalve.speed_targets import KINDS, running_targets
@@ -41,22 +42,44 @@
     default=0,
     help='Instead of rounds, send a steady load for so many seconds.',
 )
+@click.option(
+    '--open-streams',
+    'is_open',
+    is_flag=True,
+    help='Instead of rounds, measure the memory of open streams.',
+)
 def speed(
     rounds: int,
     against: Path | None,
     kinds: tuple[str, ...],
     steady_s: int,
+    *,
+    is_open: bool,
 ) -> None:
     """Compare the product with a direct call of the stand-in engine."""
     chosen = [kind for kind in KINDS if not kinds or kind.name in kinds]
     with tempfile.TemporaryDirectory() as folder:
-        work = _run_rounds(rounds, against, chosen, Path(folder))
-        if steady_s:
-            work.close()
-            work = _run_steadily(steady_s, Path(folder))
+        place = Path(folder)
+        if is_open:
+            work = _run_open(place)
+        elif steady_s:
+            work = _run_steadily(steady_s, place)
+        else:
+            work = _run_rounds(rounds, against, chosen, place)
         uvloop.run(cancel_on_signals(work))
 
 
+async def _run_open(folder: Path) -> None:
+    async with (
+        running_targets(None, folder) as targets,
+        aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+        ) as session,
+    ):
+        rows = await open_rows(session, targets[-1])
+    click.echo(format_table(OPEN_HEADER, rows))
+
+
 async def _run_steadily(steady_s: int, folder: Path) -> None:
     async with (
         running_targets(None, folder) as targets,
