Count HTTP requests that cannot be read

Cause: malformed HTTP and unknown method tokens got aiohttp's plain 400, which nothing counted.

Change: an access log class counts them as http.malformed.

Conclusion: such requests are visible to operators.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -46,6 +46,7 @@
     FRAME_REJECTED = 'frame.rejected'
     RELOADED = 'settings.reloaded'
     RELOAD_FAILED = 'settings.reload_failed'
+    HTTP_MALFORMED = 'http.malformed'
     INVARIANT_VIOLATED = 'invariant.violated'
 
 
--- a/rattanvalve/entry_process.py
+++ b/rattanvalve/entry_process.py
@@ -21,6 +21,7 @@
     EntryStatus,
     status_handler,
 )
+from rattanvalve.http_errors import malformed_http_counter
 from rattanvalve.ingress import IngressParts, build_ingress
 from rattanvalve.messages import Member, View
 from rattanvalve.peers import Address, Handler, PeerPool, PeerServer
@@ -177,7 +178,11 @@
 
     async def _listen(self, app: web.Application, name: str) -> None:
         listen = getattr(self._settings, f'{name}_listen')
-        runner = web.AppRunner(app, access_log=None, **RUNNER_OPTIONS)
+        runner = web.AppRunner(
+            app,
+            access_log_class=malformed_http_counter(self._metrics),
+            **RUNNER_OPTIONS,
+        )
         await runner.setup()
         self._runners.append(runner)
         await web.TCPSite(
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -15,6 +15,7 @@
     configholder,
     confirmations,
     ctl_main,
+    http_errors,
     tls,
     viewrepair,
 )
@@ -109,6 +110,11 @@
         'follow',
         follow_nothing,
     ),
+    'unreadable requests are not counted': (
+        http_errors,
+        'UNREADABLE_METHOD',
+        '',
+    ),
     'broken certificates are taken': (
         tls,
         'make_tls_context',
