--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -17,6 +17,7 @@
     ctl_main,
     http_errors,
     tls,
+    viewchanges,
     viewrepair,
 )
 from rattanvalve import loads as endpoint_loads
@@ -29,6 +30,8 @@
 from rattanvalve.confirmations import Confirmation
 from rattanvalve.loads import EndpointLoads
 from rattanvalve.peersecrets import AcceptingSealer, PeerSecrets
+from rattanvalve.viewchain import ViewChain
+from rattanvalve.views import change_members
 from rattanvalve.viewstate import ViewState
 from tests import configfaults
 from tests.cellsim import LEASE_S, FakeStore
@@ -99,6 +102,17 @@
     self.accepted = (self.first,)
 
 
+def change_and_forget(view, added, removed, change_id, ended=()):
+    """Keep no former members."""
+    return change_members(view, added, removed, change_id, removed)
+
+
+def listed_endpoints(chain):
+    """Leave former members out."""
+    for step in chain.steps:
+        yield from chain._lookups.endpoints_of(step.view)
+
+
 BREAKS = {
     'connections outlive their secret': (
         AcceptingSealer,
@@ -162,6 +176,18 @@
     'views are repaired at once': (viewrepair, 'LEASE_S', 0),
     'leases do not expire': (confirmations, 'LEASE_S', 1e9),
     'half shares do not end': (confirmations, 'HALF_S', 1e9),
+    'removed endpoints are forgotten': (
+        viewchanges,
+        'change_members',
+        change_and_forget,
+    ),
+    'former members are not sealed': (
+        ViewChain,
+        'endpoints',
+        listed_endpoints,
+    ),
+    'former members stay too short': (viewchanges, 'FORMER_S', 1),
+    'former members stay for ever': (viewchanges, 'FORMER_S', 1e9),
     'unlisted and held entries act': (Confirmation, 'mode', half_after_half),
     'new members are not held': (
         Confirmation,
