Measure what a watcher reads; ignore SIGHUP outside of reloading

Cause: the traffic of a watcher was computed and not measured. SIGHUP before the handler was installed, or during a stop, ended a process.

Change: the bench counts the bytes of 150 changes. SIGHUP is ignored at start and during a stop. Hints of the VM list moved to their own module; the name in the steps was changed, the assertion stays. Unpacked documents of peers of an earlier version are understood.

--- a/rattanvalve/configdocs.py
+++ b/rattanvalve/configdocs.py
@@ -161,7 +161,9 @@
     :returns: the envelope; the configuration itself is not checked.
     :raises StoreError: if the text is not such a document.
     """
-    return decode_stored_config(_unpack(body))
+    # A process of an earlier version sends the text as it is.
+    is_text = body.startswith(b'{')
+    return decode_stored_config(body if is_text else _unpack(body))
 
 
 def _unpack(packed: bytes) -> bytes:
--- a/rattanvalve/endpoint_main.py
+++ b/rattanvalve/endpoint_main.py
@@ -12,7 +12,7 @@
 from rattanvalve.endpoint_process import EndpointProcess, stop_limit_s
 from rattanvalve.errors import SettingsError
 from rattanvalve.logs import LogPart, configure_logging, part_logger
-from rattanvalve.reloading import SettingsSource
+from rattanvalve.reloading import SettingsSource, ignore_reload_signal
 from rattanvalve.settings import (
     SETTINGS_EXIT_CODE,
     EndpointSettings,
@@ -42,6 +42,7 @@
         click.echo(f'{_PROGRAM}: {error}', err=True)
         sys.exit(SETTINGS_EXIT_CODE)
     configure_logging(settings.log_level, settings.name)
+    ignore_reload_signal()
     source = SettingsSource(
         settings_path,
         partial(load_settings, settings_path, EndpointSettings),
--- a/rattanvalve/entry_main.py
+++ b/rattanvalve/entry_main.py
@@ -11,7 +11,7 @@
 from rattanvalve import __version__
 from rattanvalve.errors import SettingsError
 from rattanvalve.logs import configure_logging
-from rattanvalve.reloading import SettingsSource
+from rattanvalve.reloading import SettingsSource, ignore_reload_signal
 from rattanvalve.settings import (
     SETTINGS_EXIT_CODE,
     EntrySettings,
@@ -44,6 +44,7 @@
         click.echo(' '.join(str(error).split()), err=True)
         sys.exit(SETTINGS_EXIT_CODE)
     configure_logging(settings.log_level, settings.name)
+    ignore_reload_signal()
     # The wiring loads every module of the process, which wrong settings and
     # --version need not wait for.
     from rattanvalve.entry_process import EntryProcess
--- a/rattanvalve/loads.py
+++ b/rattanvalve/loads.py
@@ -8,13 +8,12 @@
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.messages import Announce, Member, View
 from rattanvalve.views import endpoints_of
+from rattanvalve.vmhints import VmHints
 
 __all__ = ('ENDPOINT_SILENT_S', 'EndpointLoad', 'EndpointLoads')
 
 #: Three announces were missed.
 ENDPOINT_SILENT_S = 6.0
-#: Hints of the VM list are dropped when the list was not read for this long.
-HINT_S = 30.0
 EJECT_AFTER_COUNT = 5
 EJECT_FIRST_S = 5.0
 EJECT_MAX_S = 300.0
@@ -88,8 +87,7 @@
         self._states: dict[str, _State] = {}
         self._services: dict[str, dict[str, _State]] = defaultdict(dict)
         self._listed: dict[str, str] | None = None
-        self._hinted: frozenset[str] = frozenset()
-        self._hinted_at_s = float('-inf')
+        self.hints = VmHints()
 
     def set_view(self, view: View) -> None:
         """Restrict the candidates to the endpoints of a view.
@@ -103,15 +101,6 @@
             member.name: member.incarnation for member in endpoints_of(view)
         }
 
-    def hint_leaving(self, names: Collection[str], read_at_s: float) -> None:
-        """Note which endpoints the VM list calls leaving.
-
-        :param names: endpoint names; they replace those noted before.
-        :param read_at_s: moment at which the list was read.
-        """
-        self._hinted = frozenset(names)
-        self._hinted_at_s = read_at_s
-
     def report(self, announce: Announce, now_s: float) -> None:
         """Note an announce.
 
@@ -191,7 +180,7 @@
             and state.is_usable(now_s)
             and self._is_listed(state.announce.member)
         }
-        hinted = self._hints(now_s)
+        hinted = self.hints.names(now_s)
         # The list may be wrong, so it must not leave a service without any.
         if not usable.keys() <= hinted:
             usable = {
@@ -226,7 +215,7 @@
         :param now_s: current time.
         :returns: JSON objects in name order.
         """
-        hinted = self._hints(now_s)
+        hinted = self.hints.names(now_s)
         return [
             {
                 'endpoint': name,
@@ -249,16 +238,6 @@
         """
         return endpoint in self._states
 
-    def _hints(self, now_s: float) -> frozenset[str]:
-        is_fresh = now_s - self._hinted_at_s < HINT_S
-        return self._hinted if is_fresh else frozenset()
-
-    def _state_of(self, state: _State, now_s: float) -> str:
-        described = state.describe(now_s)
-        if described == _READY and not self._is_listed(state.announce.member):
-            return 'unlisted'
-        return described
-
     def is_leaving(self, endpoint: str) -> bool:
         """Tell whether the last announce of an endpoint was that it leaves.
 
@@ -268,6 +247,12 @@
         state = self._states.get(endpoint)
         return state is not None and state.announce.is_leaving
 
+    def _state_of(self, state: _State, now_s: float) -> str:
+        described = state.describe(now_s)
+        if described == _READY and not self._is_listed(state.announce.member):
+            return 'unlisted'
+        return described
+
     def _is_listed(self, member: Member) -> bool:
         return (
             self._listed is None
--- a/rattanvalve/reloading.py
+++ b/rattanvalve/reloading.py
@@ -13,7 +13,12 @@
 from rattanvalve.peersecrets import PeerSecrets
 from rattanvalve.tls import TLS_FIELDS
 
-__all__ = ('Reloading', 'SettingsSource', 'secrets_of')
+__all__ = (
+    'Reloading',
+    'SettingsSource',
+    'ignore_reload_signal',
+    'secrets_of',
+)
 
 CHECK_INTERVAL_S = 5.0
 
@@ -80,6 +85,8 @@
                 settings = self.check(settings)
         finally:
             loop.remove_signal_handler(signal.SIGHUP)
+            # A signal while the process stops must not end it at once.
+            ignore_reload_signal()
 
     def check(self, settings: _Settings) -> _Settings:
         """Reload if a file has changed since the last look.
@@ -116,6 +123,11 @@
         return loaded
 
 
+def ignore_reload_signal() -> None:
+    """Ignore ``SIGHUP``, which otherwise ends the process."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def secrets_of(settings: Any) -> PeerSecrets:
     """Take the secrets of settings.
 
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -19,8 +19,8 @@
     tls,
     viewchanges,
     viewrepair,
+    vmhints,
 )
-from rattanvalve import loads as endpoint_loads
 from rattanvalve.actmode import ActMode
 from rattanvalve.catalog import revise_catalog
 from rattanvalve.configadoption import ConfigAdoption
@@ -84,7 +84,8 @@
 def candidates_without_hinted(self, service_name, drained, now_s):
     """Leave out all hinted endpoints, even the last ones."""
     found = _candidates(self, service_name, drained, now_s)
-    return [each for each in found if each.member.name not in self._hinted]
+    hinted = self.hints.names(now_s)
+    return [each for each in found if each.member.name not in hinted]
 
 
 def entries_that_answered_behind(body, generation):
@@ -139,7 +140,7 @@
         'entries_behind',
         entries_that_answered_behind,
     ),
-    'hints do not end': (endpoint_loads, 'HINT_S', 1e9),
+    'hints do not end': (vmhints, 'HINT_S', 1e9),
     'hints exclude the last': (
         EndpointLoads,
         'candidates',
--- a/tests/config_bench.py
+++ b/tests/config_bench.py
@@ -4,23 +4,33 @@
 two ways of a change are timed alternately, and their ratio is printed.
 """
 
+import asyncio
 import statistics
 import sys
 import time
 
 import msgspec
 
+from rattanvalve.blackboard import Blackboard
 from rattanvalve.catalog import build_catalog, revise_catalog
+from rattanvalve.config_controller import ConfigController
 from rattanvalve.configapply import apply_all, parse_tables
 from rattanvalve.configdocs import StoredConfig, encode_base, encode_whole
+from rattanvalve.configedit import grant_key
 from rattanvalve.configtables import RowChange, compare_tables, tables_of
+from rattanvalve.control import ControlContext
+from rattanvalve.counters import Metrics
 from rattanvalve.inventory import KeyEntry, encode_config, parse_config
 from rattanvalve.keys import key_digest
+from rattanvalve.messages import Member
+from tests.cellsim import FakeStore
 
 WORKSPACE_COUNT = 1800
 KEYS_PER_WORKSPACE = 3
 CHANGES_PER_S = 12_000 / 86_400
 ROUND_COUNT = 40
+#: Several bases are written during so many changes.
+CHANGE_COUNT = 150
 _MS_PER_S = 1000
 
 
@@ -93,6 +103,67 @@
     for work, taken in times.items():
         _row(f'{work.__name__} (ms)', *_spread(taken))
     _row('ratio', *_spread(ratios))
+    sizes = asyncio.run(_watch_changes(tables.config))
+    _row('read by a watcher at a change (bytes)', *_spread(sizes))
+    mean = statistics.mean(sizes)
+    _row('mean of these (bytes)', f'{mean:.0f}', '', '')
+    _row('watcher (bytes/s)', f'{mean * CHANGES_PER_S:.0f}', '', '')
+
+
+class CountingStore:
+    """A store that counts the bytes that are read through it."""
+
+    def __init__(self, store):
+        self.store = store
+        self.read_bytes = 0
+
+    async def get(self, key):
+        """Read an object."""
+        stored = self.store.get(key)
+        self.read_bytes += len(stored.body) if stored else 0
+        return stored
+
+    async def put(self, key, body, version, change_id):
+        """Write conditionally."""
+        return self.store.put(key, body, version)
+
+    async def watch(self, key, version, timeout_s):
+        """Answer at once."""
+        return await self.get(key)
+
+
+def _controller(store):
+    context = ControlContext(
+        cell='cell',
+        blackboard=Blackboard(),
+        store=CountingStore(store),
+        call=None,
+        metrics=Metrics(),
+    )
+    return context, ConfigController(Member(name='a'), context)
+
+
+async def _watch_changes(config):
+    """Grant keys one after another; give the bytes that a watcher reads."""
+    store = FakeStore()
+    _, writer = _controller(store)
+    context, watcher = _controller(store)
+    await writer.apply(config, 0, 'operator', 'first')
+    await watcher.watch_once()
+    sizes = []
+    for number in range(1, CHANGE_COUNT + 1):
+        edit = grant_key(
+            f'new-{number}',
+            'workspace-0001',
+            key_digest(str(number)),
+        )
+        config = edit(config).unwrap()
+        await writer.apply(config, number, 'operator', f'{number:032d}')
+        context.store.read_bytes = 0
+        await watcher.watch_once()
+        assert context.blackboard.catalog.generation == number + 1
+        sizes.append(context.store.read_bytes)
+    return sizes
 
 
 def _print_sizes(tables, difference):
--- a/tests/steps/loads_steps.py
+++ b/tests/steps/loads_steps.py
@@ -73,7 +73,7 @@
 
 def hint(context, *names, age_s=1):
     """Have the VM list call endpoints leaving."""
-    context.loads.hint_leaving(names, NOW_S - age_s)
+    context.loads.hints.take(names, NOW_S - age_s)
 
 
 EVENTS = {
