Test differences and catalogs in random sequences of changes

Cause: directed changes did not cover all orders in which key names, digests, workspaces, rates and drains may change between generations.

Change: hypothesis compares tables, digest and lookups after differences with those of the whole document.

--- a/tests/config_differences.feature
+++ b/tests/config_differences.feature
@@ -32,3 +32,7 @@
       | sizes are not limited           | write_too_much |
       | rubbish is not noticed          | write_rubbish  |
       | views are repaired at once      | spoil_view     |
+
+  @randomised
+  Scenario: differences and catalogs follow random changes
+    Then tables and catalogs after differences are those of the whole document
