--- a/rattanvalve/admin_api.py
+++ b/rattanvalve/admin_api.py
@@ -3,16 +3,23 @@
 import functools
 import json
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
 import msgspec
 from aiohttp import web
 
-from rattanvalve.blackboard import Blackboard
+from rattanvalve.admin_requests import (
+    CONTEXT,
+    MIDDLEWARES,
+    OPERATOR,
+    AdminContext,
+    AdminError,
+    conflict_error,
+)
 from rattanvalve.configdiff import list_changes
 from rattanvalve.configdocs import MAX_CONFIG_BYTES
 from rattanvalve.configedit import (
@@ -22,69 +29,24 @@
     undrain_endpoint,
     withdraw_key,
 )
-from rattanvalve.counters import Metrics
 from rattanvalve.errors import (
-    ConfigTooLargeError,
     StoreConflictError,
     StoreError,
 )
 from rattanvalve.inventory import Config, parse_config
 from rattanvalve.keys import generate_key, key_digest
 from rattanvalve.logs import LogPart, part_logger
-from rattanvalve.resultcodes import ResultCode, info_of
+from rattanvalve.resultcodes import ResultCode
 
-__all__ = ('AdminContext', 'build_admin_app')
+__all__ = ('build_admin_app',)
 
 #: A single edit is repeated this often when other operators write meanwhile.
 EDIT_ATTEMPTS = 8
-ROLE_EDITOR = 'editor'
 _OPENAPI_PATH = Path(__file__).with_name('openapi.json')
 
 _log = part_logger(LogPart.ADMIN)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AdminContext:
-    """What the administration API acts on.
-
-    ``apply`` writes a configuration by conditional update: configuration,
-    expected generation, author, change id; it returns the new generation.
-    ``refresh`` reads the newest configuration from the store. ``status`` and
-    ``explain`` describe this process and one program or request as JSON,
-    ``status_of_all`` all entries of the cell.
-    ``begin_repair`` has a malformed stored view replaced, and tells whether
-    the stored configuration is malformed and must be written again.
-    ``record`` and ``audit`` write and read the audit records.
-    """
-
-    blackboard: Blackboard
-    metrics: Metrics
-    operators: dict[str, str]
-    apply: Callable[[Config, int, str, str], Awaitable[int]]
-    refresh: Callable[[], Awaitable[None]]
-    status: Callable[[], dict[str, Any]]
-    status_of_all: Callable[[], Awaitable[dict[str, Any]]]
-    explain: Callable[[str, str, str], Awaitable[dict[str, Any]]]
-    record: Callable[[int, dict[str, Any]], Awaitable[None]]
-    audit: Callable[[int], Awaitable[list[dict[str, Any]]]]
-    begin_repair: Callable[[], bool] = bool
-    viewers: frozenset[str] = field(default_factory=frozenset)
-
-
-class _AdminError(Exception):
-    """A request that is answered with a result code."""
-
-    def __init__(self, code: ResultCode, detail: str, **extra: Any) -> None:
-        super().__init__(detail)
-        self.code = code
-        self.detail = detail
-        self.extra = extra
-
-
-_CONTEXT = web.AppKey('context', AdminContext)
-_OPERATOR = web.RequestKey('operator', str)
-
-
 def build_admin_app(context: AdminContext) -> web.Application:
     """Build the administration API.
 
@@ -93,80 +55,16 @@
         ``openapi.json``.
     """
     app = web.Application(
-        middlewares=(_report_errors, _authenticate, _report_size),
+        middlewares=MIDDLEWARES,
         client_max_size=MAX_CONFIG_BYTES,
     )
-    app[_CONTEXT] = context
+    app[CONTEXT] = context
     app.router.add_routes(_ROUTES)
     return app
 
 
-@web.middleware
-async def _report_errors(request, handler):
-    context = request.app[_CONTEXT]
-    try:
-        return await handler(request)
-    except _AdminError as error:
-        return _error_response(context, error)
-    except StoreConflictError as error:
-        # The winner's change may not have reached this process yet.
-        with suppress(StoreError):
-            await context.refresh()
-        return _error_response(context, _conflict(context, str(error)))
-    except StoreError as error:
-        return _error_response(
-            context,
-            _AdminError(ResultCode.STORE_UNAVAILABLE, str(error)),
-        )
-
-
-@web.middleware
-async def _report_size(request, handler):
-    try:
-        return await handler(request)
-    except (ConfigTooLargeError, web.HTTPRequestEntityTooLarge) as error:
-        raise _AdminError(
-            ResultCode.CONFIGURATION_TOO_LARGE,
-            str(error),
-        ) from error
-
-
-@web.middleware
-async def _authenticate(request, handler):
-    context = request.app[_CONTEXT]
-    scheme, _, key = request.headers.get('Authorization', '').partition(' ')
-    if scheme.lower() != 'bearer' or not key:
-        raise _AdminError(ResultCode.KEY_MISSING, 'an operator key is needed')
-    digest = key_digest(key.strip())
-    # The digest of a random key is compared, so timing reveals nothing.
-    names = {known: name for name, known in context.operators.items()}
-    if digest not in names:
-        raise _AdminError(ResultCode.KEY_UNKNOWN, 'unknown operator key')
-    name = names[digest]
-    if request.method not in {'GET', 'HEAD'} and name in context.viewers:
-        raise _AdminError(ResultCode.NOT_PERMITTED, f'{name} may only read')
-    request[_OPERATOR] = name
-    return await handler(request)
-
-
-def _error_response(context: AdminContext, error: _AdminError) -> web.Response:
-    info = info_of(error.code)
-    context.metrics.count_code(error.code)
-    body = {
-        'error': {
-            'message': f'{info.text}: {error.detail}',
-            'type': info.error_type,
-            'code': int(error.code),
-            'param': None,
-            **error.extra,
-        },
-    }
-    headers = {'Retry-After': '5'} if info.http_status == 503 else {}
-    return web.json_response(body, status=info.http_status, headers=headers)
-
-
 async def _get_config(request: web.Request) -> web.Response:
-    context = request.app[_CONTEXT]
+    context = request.app[CONTEXT]
     catalog = context.blackboard.catalog
     return web.json_response(
         {
@@ -178,12 +76,12 @@
 
 
 async def _put_config(request: web.Request) -> web.Response:
-    context = request.app[_CONTEXT]
+    context = request.app[CONTEXT]
     expected = _expected_generation(request)
     parsed = parse_config(await request.read())
     if parsed.is_err():
         error = parsed.unwrap_err()
-        raise _AdminError(
+        raise AdminError(
             ResultCode.BAD_CONFIGURATION,
             str(error),
             place=error.place,
@@ -193,7 +91,7 @@
         # Without an answer, the write below says so.
         await context.refresh()
     if context.blackboard.catalog.generation != expected:
-        raise _conflict(context, f'If-Match names generation {expected}')
+        raise conflict_error(context, f'If-Match names generation {expected}')
     changes = _changes(context.blackboard.catalog.config, config)
     is_dry = request.query.get('dry_run') == 'true'
     if is_dry or not (context.begin_repair() or changes):
@@ -205,22 +103,13 @@
 def _expected_generation(request: web.Request) -> int:
     tag = request.headers.get('If-Match', '').strip('"')
     if not tag.isdigit():
-        raise _AdminError(
+        raise AdminError(
             ResultCode.BAD_FIELD,
             'If-Match must name the generation that the change starts from',
         )
     return int(tag)
 
 
-def _conflict(context: AdminContext, detail: str) -> _AdminError:
-    """Describe a conflict by the newest generation known."""
-    return _AdminError(
-        ResultCode.CONFLICT,
-        detail,
-        generation=context.blackboard.catalog.generation,
-    )
-
-
 def _changes(before: Config, after: Config) -> list[dict[str, Any]]:
     return [asdict(change) for change in list_changes(before, after)]
 
@@ -231,8 +120,8 @@
     expected: int,
     changes: list[dict[str, Any]],
 ) -> int:
-    context = request.app[_CONTEXT]
-    author = request[_OPERATOR]
+    context = request.app[CONTEXT]
+    author = request[OPERATOR]
     change_id = uuid.uuid4().hex
     generation = await context.apply(config, expected, author, change_id)
     _log.info('wrote generation %d for %s', generation, author)
@@ -250,13 +139,13 @@
 
 async def _edit(request: web.Request, edit: Edit) -> int:
     """Apply a single edit, again on a newer generation after a conflict."""
-    context = request.app[_CONTEXT]
+    context = request.app[CONTEXT]
     await context.refresh()
     for _ in range(EDIT_ATTEMPTS):
         catalog = context.blackboard.catalog
         edited = edit(catalog.config)
         if edited.is_err():
-            raise _AdminError(
+            raise AdminError(
                 ResultCode.BAD_CONFIGURATION,
                 str(edited.unwrap_err()),
                 place=edited.unwrap_err().place,
@@ -269,7 +158,7 @@
             return await _write(request, config, catalog.generation, changes)
         except StoreConflictError:
             await context.refresh()
-    raise _conflict(context, 'other operators kept writing')
+    raise conflict_error(context, 'other operators kept writing')
 
 
 async def _post_key(request: web.Request) -> web.Response:
@@ -284,12 +173,12 @@
     try:
         body = await request.json()
     except ValueError as error:
-        raise _AdminError(ResultCode.BAD_JSON, str(error)) from error
+        raise AdminError(ResultCode.BAD_JSON, str(error)) from error
     if not isinstance(body, dict):
-        raise _AdminError(ResultCode.BAD_FIELD, 'an object is expected')
+        raise AdminError(ResultCode.BAD_FIELD, 'an object is expected')
     for name in names:
         if not isinstance(body.get(name), str):
-            raise _AdminError(ResultCode.BAD_FIELD, f'`{name}` is missing')
+            raise AdminError(ResultCode.BAD_FIELD, f'`{name}` is missing')
     return body
 
 
@@ -302,7 +191,7 @@
 
 
 async def _get_status(request: web.Request) -> web.Response:
-    context = request.app[_CONTEXT]
+    context = request.app[CONTEXT]
     if request.query.get('all') == 'true':
         return web.json_response(await context.status_of_all())
     return web.json_response(context.status())
@@ -311,8 +200,8 @@
 async def _get_audit(request: web.Request) -> web.Response:
     last = request.query.get('last', '20')
     if not last.isdigit() or not 1 <= int(last) <= 100:
-        raise _AdminError(ResultCode.BAD_FIELD, '`last` must be 1 to 100')
-    records = await request.app[_CONTEXT].audit(int(last))
+        raise AdminError(ResultCode.BAD_FIELD, '`last` must be 1 to 100')
+    records = await request.app[CONTEXT].audit(int(last))
     return web.json_response({'records': records})
 
 
@@ -321,11 +210,11 @@
     if not query.get('workspace') or not (
         query.get('program') or query.get('request')
     ):
-        raise _AdminError(
+        raise AdminError(
             ResultCode.BAD_FIELD,
             '`workspace` and one of `program`, `request` are needed',
         )
-    explanation = await request.app[_CONTEXT].explain(
+    explanation = await request.app[CONTEXT].explain(
         query['workspace'],
         query.get('program', ''),
         query.get('request', ''),
--- a/rattanvalve/entry_admin.py
+++ b/rattanvalve/entry_admin.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rattanvalve import views
-from rattanvalve.admin_api import AdminContext
+from rattanvalve.admin_requests import AdminContext
 from rattanvalve.audit import read_audit, write_audit
 from rattanvalve.entry_parts import EntryParts
 from rattanvalve.entry_status import EntryStatus
--- a/tests/steps/admin_api_steps.py
+++ b/tests/steps/admin_api_steps.py
@@ -9,6 +9,7 @@
 from openapi_spec_validator import validate
 
 from rattanvalve import admin_api
+from rattanvalve.admin_requests import AdminContext
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.catalog import build_catalog
 from rattanvalve.configdocs import MAX_CONFIG_BYTES
@@ -100,7 +101,7 @@
     context.blackboard = Blackboard(catalog=sample_catalog())
     context.store = FakeConfigStore(context.blackboard)
     context.app = admin_api.build_admin_app(
-        admin_api.AdminContext(
+        AdminContext(
             blackboard=context.blackboard,
             metrics=Metrics(),
             operators={
