--- a/rattanvalve/candidates.py
+++ b/rattanvalve/candidates.py
@@ -30,22 +30,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Validity:
-    """When and under which rule a list of candidates holds."""
+    """When and under which names to leave out a list of candidates holds."""
 
     drained: Collection[str]
+    hinted: Collection[str]
     from_s: float
     until_s: float
 
-    def holds(self, drained: Collection[str], now_s: float) -> bool:
+    def holds(
+        self,
+        drained: Collection[str],
+        hinted: Collection[str],
+        now_s: float,
+    ) -> bool:
         """Tell whether a list may still be used.
 
         :param drained: names of endpoints that a rule drains now.
+        :param hinted: names of endpoints that the VM list calls leaving now.
         :param now_s: current time.
-        :returns: whether neither the rule nor time has changed it.
+        :returns: whether neither the names nor time have changed it.
         """
-        if not self.from_s <= now_s < self.until_s:
-            return False
-        return drained is self.drained or drained == self.drained
+        # Equal objects are the common case, and compared without a look at
+        # the names.
+        is_same = drained is self.drained or drained == self.drained
+        is_same = is_same and (hinted is self.hinted or hinted == self.hinted)
+        return is_same and self.from_s <= now_s < self.until_s
 
 
 class Candidates(Sequence[EndpointLoad]):
--- a/rattanvalve/loads.py
+++ b/rattanvalve/loads.py
@@ -13,11 +13,10 @@
 )
 from rattanvalve.messages import Announce, Member, View
 from rattanvalve.views import endpoints_of
+from rattanvalve.vmhints import VmHints
 
 __all__ = ('ENDPOINT_SILENT_S', 'EndpointLoad', 'EndpointLoads')
 
-#: Hints of the VM list are dropped when the list was not read for this long.
-HINT_S = 30.0
 EJECT_AFTER_COUNT = 5
 
 
@@ -34,8 +33,7 @@
         self._listed: dict[str, str] | None = None
         self._listed_view: View | None = None
         self._kept: dict[str, Candidates] = {}
-        self._hinted: frozenset[str] = frozenset()
-        self._hinted_at_s = float('-inf')
+        self.hints = VmHints()
 
     def set_view(self, view: View) -> None:
         """Restrict the candidates to the endpoints of a view.
@@ -54,16 +52,6 @@
             member.name: member.incarnation for member in endpoints_of(view)
         }
 
-    def hint_leaving(self, names: Collection[str], read_at_s: float) -> None:
-        """Note which endpoints the VM list calls leaving.
-
-        :param names: endpoint names; they replace those noted before.
-        :param read_at_s: moment at which the list was read.
-        """
-        self._hinted = frozenset(names)
-        self._hinted_at_s = read_at_s
-        self._kept.clear()
-
     def report(self, announce: Announce, now_s: float) -> None:
         """Note an announce.
 
@@ -148,8 +136,9 @@
             drained and unlisted ones; without those that the VM list calls
             leaving, unless there are no others.
         """
+        hinted = self.hints.names(now_s)
         kept = self._kept.get(service_name)
-        if kept is None or not kept.validity.holds(drained, now_s):
+        if kept is None or not kept.validity.holds(drained, hinted, now_s):
             kept = self._list_candidates(service_name, drained, now_s)
             self._kept[service_name] = kept
         return kept
@@ -172,7 +161,7 @@
         :param now_s: current time.
         :returns: JSON objects in name order.
         """
-        hinted = self._hints(now_s)
+        hinted = self.hints.names(now_s)
         return [
             {
                 'endpoint': name,
@@ -225,9 +214,7 @@
             and state.is_usable(now_s)
             and self._is_listed(state.announce.member)
         }
-        hinted = self._hints(now_s)
-        if hinted:
-            until_s = min(until_s, self._hinted_at_s + HINT_S)
+        hinted = self.hints.names(now_s)
         # The list may be wrong, so it must not leave a service without any.
         if not usable.keys() <= hinted:
             usable = {
@@ -237,13 +224,9 @@
             }
         return Candidates(
             (state.as_candidate(now_s) for state in usable.values()),
-            Validity(drained, now_s, until_s),
+            Validity(drained, hinted, now_s, until_s),
         )
 
-    def _hints(self, now_s: float) -> frozenset[str]:
-        is_fresh = now_s - self._hinted_at_s < HINT_S
-        return self._hinted if is_fresh else frozenset()
-
     def _is_listed(self, member: Member) -> bool:
         return (
             self._listed is None
