Record the whole text of a resumed run

Cause: the record of a run that continues a broken stream held the tail only, so that a later replay by idempotency key delivered part of the answer. Change: the record begins with one event that holds the text before the run; the ingress skips it when it completes the stream from the record. Conclusion: a replay delivers the whole answer.

--- a/rattanvalve/chatstream.py
+++ b/rattanvalve/chatstream.py
@@ -9,17 +9,49 @@
 
 import msgspec
 
-__all__ = ('ChatStream',)
+from rattanvalve.messages import Header
+
+__all__ = ('ChatStream', 'is_event_stream', 'resume_event')
 
 #: Longest event, and longest text that a run is asked to continue.
 MAX_KEPT_BYTES = 1024 * 1024
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
 _DATA_PREFIX = b'data:'
+_EVENT_STREAM = 'text/event-stream'
 _DONE = b'[DONE]'
 _RESUMABLE_FIELDS = frozenset(('role', 'content'))
 
 
+def is_event_stream(headers: tuple[Header, ...]) -> bool:
+    """Tell whether a response is a stream of server-sent events.
+
+    :param headers: headers of the response.
+    :returns: whether it is.
+    """
+    return any(
+        header.name.lower() == 'content-type'
+        and header.content.lower().startswith(_EVENT_STREAM)
+        for header in headers
+    )
+
+
+def resume_event(text: str) -> bytes:
+    """Make the event that stands for the text before a resumed run.
+
+    :param text: text that the run was asked to continue; may be empty.
+    :returns: event; the same for the same text, and nothing for no text.
+    """
+    if not text:
+        return b''
+    delta = {'role': 'assistant', 'content': text}
+    chunk = {
+        'object': 'chat.completion.chunk',
+        'choices': [{'index': 0, 'delta': delta, 'finish_reason': None}],
+    }
+    return b'data: %b\n\n' % msgspec.json.encode(chunk)
+
+
 class _Choice(msgspec.Struct):
     delta: dict[str, Any] = {}
     finish_reason: str | None = None
--- a/rattanvalve/delivery.py
+++ b/rattanvalve/delivery.py
@@ -1,9 +1,13 @@
 """Passes the runs of one request on as one complete response."""
 
 from rattanvalve import outcomes
-from rattanvalve.chatstream import ChatStream
+from rattanvalve.chatstream import (
+    ChatStream,
+    is_event_stream,
+    resume_event,
+)
 from rattanvalve.errors import PeerError
-from rattanvalve.messages import Head, Header, Settled
+from rattanvalve.messages import Head, Settled
 from rattanvalve.responder import Responder
 
 __all__ = ('Delivery',)
@@ -12,7 +16,6 @@
 #: run can be repeated without the caller noticing.
 HELD_BYTES = 256 * 1024
 
-_EVENT_STREAM = 'text/event-stream'
 _MIN_STATUS = 200
 _MAX_STATUS = 599
 
@@ -64,7 +67,8 @@
         :param number: ticket number of the run.
         """
         self._number = number
-        self._taken_bytes = 0
+        # The record of a resumed run begins with the text before it.
+        self._taken_bytes = len(resume_event(self.resume_text))
         self._held.clear()
         self._chat.start_run()
 
@@ -75,7 +79,7 @@
         :raises PeerError: if the status is impossible, or if it does not fit
             the response that has begun.
         """
-        is_events = _is_event_stream(head.headers)
+        is_events = is_event_stream(head.headers)
         if not _MIN_STATUS <= head.http_status <= _MAX_STATUS:
             raise PeerError(f'impossible status {head.http_status}')
         if not self._responder.is_started:
@@ -151,11 +155,3 @@
                 is_events=self._is_events,
             )
         await self._responder.write(content)
-
-
-def _is_event_stream(headers: tuple[Header, ...]) -> bool:
-    return any(
-        header.name.lower() == 'content-type'
-        and header.content.lower().startswith(_EVENT_STREAM)
-        for header in headers
-    )
--- a/rattanvalve/runjob.py
+++ b/rattanvalve/runjob.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from rattanvalve.chatstream import is_event_stream, resume_event
 from rattanvalve.messages import Chunk, End, Head, Refusal, Run, Ticket
 from rattanvalve.peers import Send
 from rattanvalve.records import RecordBook
@@ -88,6 +89,11 @@
 
     async def _start(self, head: Head) -> None:
         self.records.start(self.number, head)
+        if is_event_stream(head.headers):
+            # A later replay delivers the whole text; the caller of this run
+            # has the beginning already.
+            resumed = resume_event(self.run.resume_text)
+            self.records.append(self.number, resumed)
         await self.put(replace(head, number=self.number))
 
     async def _append(self, content: bytes) -> None:
--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -6,6 +6,21 @@
     Then the stream arrived unchanged with 7, 5 and 3 tokens
     And the server saw the headers of this process and no key
 
+  Scenario Outline: the record of a resumed run holds the whole text
+    Given an endpoint process beside an engine
+    When a run that continues "<text>" is read to its end
+    Then its stream has the text "a" and its record "<whole>"
+
+    Examples:
+      | text  | whole  |
+      |       | a      |
+      | one t | one ta |
+
+  Scenario: the check of the record notices a tail
+    Given an endpoint process beside an engine
+    When a run that continues "one t" is read to its end with records of tails
+    Then its stream has the text "a" and its record "a"
+
   Scenario: a broken connection is not repeated and ends as unknown
     Given an endpoint process beside a plain service
     When a run of PUT /break is read to its end
--- a/tests/fakeserver.py
+++ b/tests/fakeserver.py
@@ -34,6 +34,7 @@
         if request.path != '/v1/chat/completions':
             return web.Response(body=b'plain', status=201)
         response = web.StreamResponse()
+        response.content_type = 'text/event-stream'
         await response.prepare(request)
         for event in EVENTS:
             await response.write(event)
--- a/tests/ingress_bench.py
+++ b/tests/ingress_bench.py
@@ -10,6 +10,7 @@
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.caller_api import RUNNER_OPTIONS, build_caller_app
 from rattanvalve.calls import CallLimits
+from rattanvalve.chatstream import resume_event
 from rattanvalve.counters import Metrics
 from rattanvalve.errors import PeerError
 from rattanvalve.ingress import IngressParts, build_ingress
@@ -159,7 +160,7 @@
                 outcome=outcomes.ANSWERED if word == 'crossed' else word,
                 http_status=200,
                 headers=(messages.Header(name='Content-Type', content=kind),),
-                body=b''.join(body_parts(run)),
+                body=resume_event(run.resume_text) + b''.join(body_parts(run)),
             ),
         )
 
--- a/tests/relay.feature
+++ b/tests/relay.feature
@@ -17,6 +17,7 @@
       | stream | break2 break2 answer | ticket ticket ticket | - | 3 | one two |
       | stream | 1203 answer | ticket ticket | - | 2 | - |
       | stream | break3 | ticket answered | - | 1 | - |
+      | stream | break2 break2 | ticket ticket answered | - | 2 | one |
       | stream | break3 | ticket running | running answered | 1 | - |
       | plain | break1 | ticket answered | - | 1 | - |
       | stream | break3 answer | ticket running ticket | not_run | 2 | one two |
--- a/tests/steps/endpoint_service_steps.py
+++ b/tests/steps/endpoint_service_steps.py
@@ -1,11 +1,12 @@
 """Steps of endpoint_service.feature."""
 
 import asyncio
+from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
 
-from rattanvalve import outcomes, server_session
+from rattanvalve import outcomes, runjob, server_session
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.cache_keeper import CacheKeeper
 from rattanvalve.counters import Metrics
@@ -29,6 +30,7 @@
 from rattanvalve.runqueue import RunQueue
 from rattanvalve.service_client import ServiceClient
 from tests.fakeserver import EVENTS, FakeServer
+from tests.ingress_bench import text_of
 
 SECRET = b's' * 32
 TIMEOUT_S = 30
@@ -127,6 +129,29 @@
     context.received = context.run(read(context, build_run(method, path)))
 
 
+@when('a run that continues "{text}" is read to its end')
+@when('a run that continues "" is read to its end')
+def step_continue(context, text=''):
+    run = build_run('POST', '/v1/chat/completions')
+    run = replace(run, resume_text=text)
+    context.received = context.run(read(context, run))
+
+
+@when('a run that continues "{text}" is read to its end with records of tails')
+def step_continue_tail(context, text):
+    with mock.patch.object(runjob, 'resume_event', lambda given_text: b''):
+        step_continue(context, text)
+
+
+@then('its stream has the text "{tail}" and its record "{whole}"')
+def step_whole(context, tail, whole):
+    parts = [m.content for m in context.received if isinstance(m, Chunk)]
+    assert text_of(b''.join(parts)) == tail
+    settle = Settle(number='entry-a/x/1', endpoint_incarnation='inc-a')
+    settled = context.run(context.pool.call(context.address, settle, TIMEOUT_S))
+    assert text_of(settled.body) == whole
+
+
 @then('the stream arrived unchanged with 7, 5 and 3 tokens')
 def step_stream(context):
     parts = [m.content for m in context.received if isinstance(m, Chunk)]
--- a/tests/steps/owner_service_steps.py
+++ b/tests/steps/owner_service_steps.py
@@ -331,7 +331,7 @@
     third = admit_keyed(context, context.paused, 'third')
     # A stale running call would make it wait for its time limit.
     assert world.time.now_s - began_s < 2
-    numbers = {ticket.number for ticket in (*context.tickets, third)}
+    numbers = {issued.number for issued in (*context.tickets, third)}
     assert len(numbers) == 3
     assert third.turn == 3
 
