Keep a second copy of responses; settle tickets of callers that left

Cause: the only copy of a complete response was at the endpoint process, so a retry after its death got an unknown outcome. A ticket whose caller left between Ticket and Run blocked its program until the time limit. After the loss of the endpoint process any entry asks the entries of the view for it. A caller that leaves before its run began makes the ingress send Resolve with the reason 'left', and the owner settles the ticket. Figures: without copies the retry runs the request again, and without the settling the next call of the program gets no ticket; both are scenarios that break the mechanism. Conclusion: a response survives its endpoint process, and a program goes on at once after a caller has left.

--- a/rattanvalve/entry_process.py
+++ b/rattanvalve/entry_process.py
@@ -19,6 +19,7 @@
 from rattanvalve.ingress import IngressParts, build_ingress
 from rattanvalve.messages import Member, View
 from rattanvalve.peers import Address, Handler, PeerPool, PeerServer
+from rattanvalve.response_copies import ResponseCopies
 from rattanvalve.settings import EntrySettings, Listen
 from rattanvalve.shutdown import Shutdown
 from rattanvalve.store import StoreClient
@@ -44,6 +45,11 @@
         )
         self._pool = PeerPool(settings.peer_secret.encode())
         self._open_requests = OpenRequests(self._metrics)
+        self._copies = ResponseCopies(
+            own_name=settings.name,
+            blackboard=self._blackboard,
+            pool=self._pool,
+        )
         self._handlers: dict[type, Handler] = {}
         self._peer_server = PeerServer(
             settings.peer_secret.encode(),
@@ -73,6 +79,7 @@
         member = make_member(self._settings, address.port)
         self._parts = EntryParts(member, self._settings, shared)
         self._handlers.update(self._parts.handlers())
+        self._handlers.update(self._copies.handlers())
         self._tasks.extend(
             asyncio.ensure_future(work)
             for work in (
@@ -116,6 +123,7 @@
             open_requests=self._open_requests,
             local_owner=self._parts.owner_service,
             find_owner=find_owner,
+            copies=self._copies,
         )
         limits = CallLimits(
             request_timeout_s=settings.request_timeout_s,
--- a/rattanvalve/ingress.py
+++ b/rattanvalve/ingress.py
@@ -6,10 +6,12 @@
 from rattanvalve.caller_api import CallerApi
 from rattanvalve.calls import CallLimits
 from rattanvalve.counters import Metrics
+from rattanvalve.left_callers import LeftCallers
 from rattanvalve.outcome_lookup import OutcomeLookup
 from rattanvalve.owner_client import FindOwner, LocalOwner, OwnerClient
 from rattanvalve.peers import PeerPool
 from rattanvalve.relay import Relay
+from rattanvalve.response_copies import ResponseCopies
 from rattanvalve.streams import OpenRequests
 
 __all__ = ('IngressParts', 'build_ingress')
@@ -26,6 +28,7 @@
     open_requests: OpenRequests
     local_owner: LocalOwner
     find_owner: FindOwner
+    copies: ResponseCopies
 
 
 def build_ingress(parts: IngressParts, limits: CallLimits) -> CallerApi:
@@ -44,7 +47,11 @@
         find_owner=parts.find_owner,
     )
     relay = Relay(
-        owner_client,
+        LeftCallers(
+            owner_client=owner_client,
+            copies=parts.copies,
+            open_requests=parts.open_requests,
+        ),
         parts.pool,
         parts.open_requests,
         parts.metrics,
@@ -54,6 +61,6 @@
         metrics=parts.metrics,
         relay=relay,
         open_requests=parts.open_requests,
-        outcome_lookup=OutcomeLookup(owner_client, parts.pool),
+        outcome_lookup=OutcomeLookup(owner_client, parts.copies),
         limits=limits,
     )
--- a/rattanvalve/outcome_lookup.py
+++ b/rattanvalve/outcome_lookup.py
@@ -9,8 +9,7 @@
 from rattanvalve.errors import PeerError
 from rattanvalve.messages import Begin, Outcome, Refusal, Resolve
 from rattanvalve.owner_client import OwnerClient
-from rattanvalve.peers import PeerPool
-from rattanvalve.response_fetch import fetch_settled
+from rattanvalve.response_copies import ResponseCopies
 from rattanvalve.resultcodes import ResultCode
 
 __all__ = ('OutcomeLookup',)
@@ -21,11 +20,11 @@
     """Looks outcomes up at owners and endpoint processes.
 
     :param owner_client: finds and asks owners.
-    :param pool: connections to endpoint processes.
+    :param copies: finds records and their copies.
     """
 
     owner_client: OwnerClient
-    pool: PeerPool
+    copies: ResponseCopies
 
     async def find(
         self,
@@ -68,9 +67,8 @@
         deadline_s: float,
     ) -> dict[str, Any]:
         """Fetch the recorded response, if it still exists."""
-        epoch = self.owner_client.blackboard.view.epoch
         try:
-            settled = await fetch_settled(self.pool, outcome, epoch, deadline_s)
+            settled = await self.copies.fetch(outcome, deadline_s)
         except PeerError:
             return {}
         if settled.outcome != outcomes.ANSWERED:
--- a/rattanvalve/outcomes.py
+++ b/rattanvalve/outcomes.py
@@ -1,6 +1,13 @@
 """Names of the outcome of a request."""
 
-__all__ = ('ANSWERED', 'LOOKUP_REASON', 'NOT_RUN', 'RUNNING', 'UNKNOWN')
+__all__ = (
+    'ANSWERED',
+    'LEFT_REASON',
+    'LOOKUP_REASON',
+    'NOT_RUN',
+    'RUNNING',
+    'UNKNOWN',
+)
 
 #: The request ran and its response is recorded.
 ANSWERED = 'answered'
@@ -14,3 +21,6 @@
 #: ``reason`` of a ``Resolve`` that only looks an idempotency key up. The
 #: message holds the key in ``request_id`` and no ticket number.
 LOOKUP_REASON = 'lookup'
+#: ``reason`` of a ``Resolve`` for a caller that left before its run began.
+#: The message names the request in ``request_id`` and no ticket number.
+LEFT_REASON = 'left'
--- a/rattanvalve/owner_service.py
+++ b/rattanvalve/owner_service.py
@@ -11,7 +11,7 @@
 from rattanvalve.beginqueue import OWNER_WAIT_MAX_S, BeginQueue
 from rattanvalve.cache_releases import CacheReleases
 from rattanvalve.handover import Handovers
-from rattanvalve.idempotency import Attempt
+from rattanvalve.idempotency import Attempt, outcome_of
 from rattanvalve.messages import (
     Ack,
     Begin,
@@ -22,6 +22,7 @@
     Outcome,
     Refusal,
     Resolve,
+    Settled,
     Ticket,
     View,
 )
@@ -126,6 +127,8 @@
             return refusal
         if resolve.reason == outcomes.LOOKUP_REASON:
             return self._owner.look_up(resolve)
+        if resolve.reason == outcomes.LEFT_REASON:
+            return await self._settle_left(resolve)
         attempt = self._owner.attempt_of(*name, resolve.number)
         settled = outcomes.UNKNOWN
         if attempt is not None and attempt.ticket.number == resolve.number:
@@ -188,6 +191,18 @@
             body=msgspec.json.encode(found),
         )
 
+    async def _settle_left(self, resolve: Resolve) -> Outcome:
+        """End the ticket of a caller that left before its run began."""
+        attempt = self._owner.attempt_of_request(resolve)
+        if attempt is None:
+            return Outcome(outcome=outcomes.NOT_RUN)
+        settled = await self._settler.settle(attempt)
+        if settled == outcomes.NOT_RUN:
+            self._settler.finish(attempt, Settled(outcome=settled))
+            self._end(attempt, settled)
+            self._queue.wake(attempt)
+        return outcome_of(attempt)
+
     def _end(self, attempt: Attempt | None, outcome: str) -> None:
         """Report the end of a ticket to the loads of the endpoints."""
         if attempt is not None:
--- a/rattanvalve/ownership.py
+++ b/rattanvalve/ownership.py
@@ -154,6 +154,15 @@
             return None
         return state.ledger.attempts.by_number.get(number)
 
+    def attempt_of_request(self, resolve: Resolve) -> Attempt | None:
+        """Find the attempt of a request that may have run.
+
+        :param resolve: workspace, shard and request id.
+        :returns: attempt, or ``None`` if there is none.
+        """
+        shard = self.table.find(resolve.workspace, resolve.shard)
+        return shard and shard.ledger.attempts.find(resolve.request_id, '')
+
     def running_of(self, begin: Begin) -> Attempt | None:
         """Find the running attempt that a call has to wait for.
 
--- a/rattanvalve/relay.py
+++ b/rattanvalve/relay.py
@@ -7,6 +7,7 @@
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.delivery import Delivery
 from rattanvalve.errors import InvariantError, PeerError
+from rattanvalve.left_callers import LeftCallers
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import (
     Outcome,
@@ -15,17 +16,17 @@
     Run,
     Ticket,
 )
-from rattanvalve.owner_client import OwnerClient, OwnerDecision
+from rattanvalve.owner_client import OwnerDecision
 from rattanvalve.peers import PeerPool
 from rattanvalve.relay_state import (
     Progress,
     RelayRequest,
     check_ticket,
     pass_on,
+    place_of,
     timeout_refusal,
 )
-from rattanvalve.responder import Responder
-from rattanvalve.response_fetch import fetch_settled
+from rattanvalve.responder import CallerGoneError, Responder
 from rattanvalve.responses import honest_outcome
 from rattanvalve.resultcodes import ResultCode, info_of
 from rattanvalve.runs import open_run
@@ -43,7 +44,7 @@
 class Relay:
     """Data path of the ingress.
 
-    :param owner_client: finds and asks owners.
+    :param left_callers: does what remains after a caller has left.
     :param pool: connections to endpoint processes.
     :param open_requests: registry of open requests.
     :param metrics: counters.
@@ -51,12 +52,13 @@
 
     def __init__(
         self,
-        owner_client: OwnerClient,
+        left_callers: LeftCallers,
         pool: PeerPool,
         open_requests: OpenRequests,
         metrics: Metrics,
     ) -> None:
-        self._owner_client = owner_client
+        self._left_callers = left_callers
+        self._owner_client = left_callers.owner_client
         self._pool = pool
         self._open_requests = open_requests
         self._metrics = metrics
@@ -75,7 +77,11 @@
             is_resumable=request.is_resumable,
         )
         progress = Progress(request, delivery)
-        refusal = await self._run_until_deadline(progress)
+        try:
+            refusal = await self._run_until_deadline(progress)
+        except (CallerGoneError, asyncio.CancelledError):
+            self._left_callers.leave(progress)
+            raise
         if refusal is None:
             self._metrics.count(Counter.ANSWERS)
             self._metrics.count(Counter.OUTCOME_ANSWERED)
@@ -212,15 +218,14 @@
         if outcome.outcome == outcomes.NOT_RUN:
             progress.note_not_run(outcome.number)
             return progress.refusal or Refusal(code=ResultCode.TICKET_VOID)
-        progress.hand_over(outcome.number)
-        if outcome.outcome == outcomes.UNKNOWN:
-            return Refusal(code=ResultCode.OUTCOME_UNKNOWN)
-        settled = await fetch_settled(
-            self._pool,
+        progress.hand_over(outcome)
+        settled = await self._left_callers.copies.fetch(
             outcome,
-            self._owner_client.blackboard.view.epoch,
             progress.request.deadline_s,
         )
+        is_lost = settled.outcome == outcomes.UNKNOWN
+        if is_lost and outcome.outcome == outcomes.UNKNOWN:
+            return Refusal(code=ResultCode.OUTCOME_UNKNOWN)
         if settled.outcome == outcomes.NOT_RUN:
             progress.note_not_run(outcome.number)
         await progress.delivery.settle(settled)
@@ -246,7 +251,7 @@
             is_stream=request.is_stream,
             resume_text=progress.delivery.resume_text,
         )
-        progress.hand_over(ticket.number)
+        progress.hand_over(place_of(ticket))
         entry, open_requests = request.entry, self._open_requests
         async with open_run(self._pool, run, entry, open_requests) as stream:
             async for message in stream:
--- a/rattanvalve/relay_state.py
+++ b/rattanvalve/relay_state.py
@@ -12,6 +12,7 @@
     End,
     Head,
     Header,
+    Outcome,
     Refusal,
     Ticket,
 )
@@ -24,6 +25,7 @@
     'RelayRequest',
     'check_ticket',
     'pass_on',
+    'place_of',
     'timeout_refusal',
 )
 
@@ -60,7 +62,8 @@
     """State of one request.
 
     ``unsettled`` holds the tickets that were handed over and may have run;
-    ``refusal`` is the last refusal by an endpoint process.
+    ``refusal`` is the last refusal by an endpoint process; ``place`` is where
+    the record of the last run is.
     """
 
     request: RelayRequest
@@ -68,12 +71,14 @@
     number: str = ''
     is_repeatable: bool = False
     refusal: Refusal | None = None
+    place: Outcome = field(default_factory=Outcome)
     unsettled: set[str] = field(default_factory=set)
 
-    def hand_over(self, number: str) -> None:
+    def hand_over(self, place: Outcome) -> None:
         """Note that a ticket may run from now on."""
-        self.number = number
-        self.unsettled.add(number)
+        self.place = place
+        self.number = place.number
+        self.unsettled.add(place.number)
         self.request.entry.may_have_run = True
 
     def note_not_run(self, *numbers: str) -> None:
@@ -125,6 +130,23 @@
         raise InvariantError(f'{ticket.number} is for another request')
 
 
+def place_of(ticket: Ticket) -> Outcome:
+    """Tell where the record of a ticket will be.
+
+    :param ticket: ticket of the owner.
+    :returns: place at the endpoint process.
+    """
+    return Outcome(
+        number=ticket.number,
+        outcome=outcomes.RUNNING,
+        endpoint=ticket.endpoint,
+        endpoint_incarnation=ticket.endpoint_incarnation,
+        host=ticket.host,
+        port=ticket.port,
+        program_id=ticket.program_id,
+    )
+
+
 def timeout_refusal(progress: Progress) -> Refusal:
     """Choose the refusal at the deadline of a request."""
     request = progress.request
--- a/tests/ingress_bench.py
+++ b/tests/ingress_bench.py
@@ -15,6 +15,7 @@
 from rattanvalve.errors import PeerError
 from rattanvalve.ingress import IngressParts, build_ingress
 from rattanvalve.peers import Address, PeerPool, PeerServer
+from rattanvalve.response_copies import ResponseCopies
 from rattanvalve.streams import OpenRequests
 from tests.samples import NORTH_KEY, sample_catalog
 
@@ -79,15 +80,21 @@
         self.decisions = []
         self.begins = []
         self.resolves = []
+        self.left = []
         self.ticket_count = 0
 
     async def begin(self, begin):
         """Decide about a new request."""
         self.begins.append(begin)
+        if self.decisions[:1] == ['hold']:
+            await asyncio.get_running_loop().create_future()
         return self._decide()
 
     async def resolve(self, resolve):
         """Decide about a broken run."""
+        if resolve.reason == outcomes.LEFT_REASON:
+            self.left.append(resolve)
+            return messages.Outcome(outcome=outcomes.NOT_RUN)
         self.resolves.append(resolve)
         return self._decide()
 
@@ -152,6 +159,8 @@
             if self.settle_script
             else outcomes.ANSWERED
         )
+        if word == 'gone':
+            raise PeerError('gone on purpose')
         run = self.runs[-1] if self.runs else messages.Run()
         kind = EVENT_STREAM if run.is_stream else 'application/json'
         await send(
@@ -210,6 +219,11 @@
             self.metrics,
         )
         self.own = messages.Member(name='entry-a')
+        self.copies = ResponseCopies(
+            own_name='entry-a',
+            blackboard=self.blackboard,
+            pool=self.pool,
+        )
 
     async def start(self):
         """Start all parts on loopback."""
@@ -223,6 +237,7 @@
             open_requests=self.open_requests,
             local_owner=self.owner,
             find_owner=lambda *_: self.own,
+            copies=self.copies,
         )
         limits = CallLimits(
             history_digests=lambda chat: tuple(range(len(chat))),
--- a/tests/ingress_checks.py
+++ b/tests/ingress_checks.py
@@ -147,20 +147,23 @@
     context.run(eventually(lambda: endpoint.ended[number] == end))
 
 
-def request_of(bench, kind):
+def request_of(bench, kind, headers=None):
     """Start an order or a chat request."""
     if kind == 'order':
-        return bench.client.post('/services/orders-app/orders', headers=AUTH)
-    return bench.chat(stream=kind.startswith('stream'))
+        return bench.client.post(
+            '/services/orders-app/orders',
+            headers=AUTH | (headers or {}),
+        )
+    return bench.chat(stream=kind.startswith('stream'), headers=headers)
 
 
-def leave_early(context, kind):
+def leave_early(context, kind, headers=None):
     """Send a request and disconnect while the endpoint works."""
     bench = open_bench(context)
     bench.endpoint.script = ['hold2']
 
     async def leave():
-        sent = request_of(bench, kind)
+        sent = request_of(bench, kind, headers)
         sending = asyncio.ensure_future(sent)
         await eventually(lambda: bench.endpoint.parts_sent == 2)
         if kind == 'stream':
--- a/tests/owner_service.feature
+++ b/tests/owner_service.feature
@@ -41,6 +41,16 @@
       | each view     |
       | the last view |
 
+  Scenario Outline: the ticket of a caller that left is settled at once
+    Given a ticket whose run <state>
+    When its caller has left
+    Then the next call of the program <next>
+
+    Examples:
+      | state     | next          |
+      | never ran | begins        |
+      | began     | waits for it  |
+
   Scenario: an outdated handover is refused
     Then a handover of an older epoch is refused
 
@@ -61,6 +71,7 @@
       | order        | waiting without order  |
       | gate         | serving without seal   |
       | rejoin       | old state kept         |
+      | left caller  | left ticket kept       |
       | careful heir | no careful refusal     |
       | careful heir | late records ignored   |
       | handover     | handover dropped       |
--- a/tests/steps/owner_service_steps.py
+++ b/tests/steps/owner_service_steps.py
@@ -24,6 +24,7 @@
 )
 from rattanvalve.peers import Address, PeerPool, PeerServer
 from rattanvalve.resultcodes import ResultCode
+from rattanvalve.settling import Settler
 from rattanvalve.shardstate import add_records
 from rattanvalve.shardtable import ShardTable
 from rattanvalve.takeover import Takeover
@@ -336,6 +337,40 @@
     assert third.turn == 3
 
 
+@given('a ticket whose run {state}')
+def step_unused(context, state):
+    world = context.world = World(entry_count=1)
+    context.run(world.time.drive(world.change_view()))
+    begin = new_begin(request_id='r1')
+    service = world.owner().service
+    context.ticket = context.run(world.time.drive(service.begin(begin)))
+    if state == 'began':
+        assert world.endpoint(context.ticket).run(context.ticket)
+
+
+@when('its caller has left')
+def step_caller_left(context):
+    resolve = replace(
+        resolve_of(context.ticket),
+        number='',
+        request_id='r1',
+        reason=outcomes.LEFT_REASON,
+    )
+    service = context.world.owner().service
+    context.run(context.world.time.drive(service.resolve(resolve)))
+
+
+@then('the next call of the program {verdict}')
+def step_next_call(context, verdict):
+    world = context.world
+    service = world.owner().service
+    begin = new_begin(request_id='r2', timeout_ms=100)
+    answer = context.run(world.time.drive(service.begin(begin)))
+    assert isinstance(answer, Ticket) == (verdict == 'begins'), answer
+    # A late copy of the settled ticket must not run.
+    assert not world.endpoint(context.ticket).run(context.ticket)
+
+
 @then('a handover of an older epoch is refused')
 def step_old_handover(context):
     world = start_world(context)
@@ -471,6 +506,13 @@
     return IMPORT_PARTS(parts[:1], now_s)
 
 
+def check_left(context):
+    """Check that an unused ticket does not block its program."""
+    step_unused(context, 'never ran')
+    step_caller_left(context)
+    step_next_call(context, 'begins')
+
+
 def check_rejoin(context):
     """Check an owner that did not see the view without it."""
     step_paused(context)
@@ -488,6 +530,7 @@
     'handover': check_leaving,
     'epoch': step_old_handover,
     'rejoin': check_rejoin,
+    'left caller': check_left,
 }
 
 
@@ -508,6 +551,7 @@
     'no careful refusal': (ownership, '_unknowable', lambda *given: None),
     'late records ignored': (ShardTable, 'adopt', lambda *given: 0),
     'old state kept': (Takeover, '_is_rejoined', lambda *given: False),
+    'left ticket kept': (Settler, 'finish', lambda *given: None),
     'handover dropped': (Handovers, '_send_parts', drop_parts),
     'epoch ignored': (Handovers, 'receive', import_any),
 }
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -149,7 +149,7 @@
     'hand-over note': (
         relay_state.Progress,
         'hand_over',
-        lambda progress, number: setattr(progress, 'number', number),
+        lambda progress, place: setattr(progress, 'number', place.number),
     ),
     'header list': (calls, 'forwarded_headers', all_headers),
     'catalog watch': (
