Refuse a burst that is below 2 for a shard

Cause: a burst divided by the shards could be 0, or 1 which is below one request at half the rate, so that the shard refused everything. Change: the validation names the rate, or the shards if the default rate is in force. Figures: the three new rows of inventory.feature fail without the check and pass with it. Conclusion: every accepted rate admits requests in each shard.

--- a/rattanvalve/catalog.py
+++ b/rattanvalve/catalog.py
@@ -5,6 +5,7 @@
 from hashlib import blake2b
 
 from rattanvalve.inventory import (
+    DEFAULT_RATE,
     Budget,
     Config,
     ModelEntry,
@@ -15,8 +16,7 @@
 
 __all__ = ('Catalog', 'Priority', 'build_catalog')
 
-#: Rate of a workspace that no rule names.
-DEFAULT_RATE = Rate(rate_per_s=10, burst=20)
+#: Budget of a workspace that no rule names.
 DEFAULT_BUDGET = Budget()
 
 
--- a/rattanvalve/inventory.py
+++ b/rattanvalve/inventory.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 __all__ = (
+    'DEFAULT_RATE',
     'Budget',
     'Config',
     'ConfigError',
@@ -100,6 +101,12 @@
     burst: PositiveCount
 
 
+#: Rate of a workspace without a rule.
+DEFAULT_RATE = Rate(rate_per_s=10, burst=20)
+#: Smallest burst of a shard: at half the rate it still admits one request.
+MIN_SHARD_BURST = 2
+
+
 class Budget(_Model):
     """What one program of a workspace may spend."""
 
@@ -230,4 +237,24 @@
     return None
 
 
-_CHECKS = (_check_unique, _check_digests, _check_references)
+def _check_bursts(config: Config) -> ConfigError | None:
+    """Refuse a burst of which a shard could admit nothing."""
+    for index, entry in enumerate(config.inventory.workspaces):
+        rate = config.rules.rates.get(entry.name)
+        burst = rate.burst if rate else DEFAULT_RATE.burst
+        if burst < MIN_SHARD_BURST * entry.shards:
+            return ConfigError(
+                place=(
+                    f'$.rules.rates.{entry.name}.burst'
+                    if rate
+                    else f'$.inventory.workspaces[{index}].shards'
+                ),
+                text=(
+                    f'a burst of {burst} is below {MIN_SHARD_BURST} for each '
+                    f'of {entry.shards} shards'
+                ),
+            )
+    return None
+
+
+_CHECKS = (_check_unique, _check_digests, _check_references, _check_bursts)
--- a/tests/inventory.feature
+++ b/tests/inventory.feature
@@ -16,4 +16,7 @@
       | inventory.services           | 3                  | $.inventory.services                 |
       | rules.rates                  | {"nobody": {"rate_per_s": 1, "burst": 1}} | $.rules.rates.nobody |
       | rules.rates                  | {"north": {"rate_per_s": 0, "burst": 1}}  | $.rules.rates[...].rate_per_s |
+      | rules.rates                  | {"south": {"rate_per_s": 9, "burst": 3}}  | $.rules.rates.south.burst |
+      | rules.rates                  | {"north": {"rate_per_s": 9, "burst": 1}}  | $.rules.rates.north.burst |
+      | inventory.workspaces         | [{"name": "north"}, {"name": "south"}, {"name": "west", "shards": 11}] | $.inventory.workspaces[2].shards |
       | rules.colour                 | 3                  | $.rules                              |
