Stop in order on a SIGTERM that arrives during the start

Cause: the event loop has its signal handlers only when all services have started, so an earlier SIGTERM ended the process with -15. Change: the main functions block SIGTERM and SIGINT, and deliver them once the handlers exist. The endpoint program loads its wiring after that. Figures: with a signal during the start both programs exit with 0 after their stop; without the hold the endpoint program exits with -15 (scenario). Conclusion: only a signal before the main function still ends the process.

--- a/rattanvalve/endpoint_main.py
+++ b/rattanvalve/endpoint_main.py
@@ -8,7 +8,6 @@
 import uvloop
 
 from rattanvalve import __version__
-from rattanvalve.endpoint_process import EndpointProcess, stop_limit_s
 from rattanvalve.errors import SettingsError
 from rattanvalve.logs import LogPart, configure_logging, part_logger
 from rattanvalve.settings import (
@@ -16,6 +15,7 @@
     EndpointSettings,
     load_settings,
 )
+from rattanvalve.termination import hold_signals, release_signals
 
 __all__ = ('main',)
 
@@ -34,19 +34,23 @@
 @click.version_option(__version__, prog_name=_PROGRAM)
 def main(settings_path: Path) -> None:
     """Run the endpoint process beside one server, until SIGTERM."""
+    hold_signals()
     try:
         settings = load_settings(settings_path, EndpointSettings)
     except SettingsError as error:
         click.echo(f'{_PROGRAM}: {error}', err=True)
         sys.exit(SETTINGS_EXIT_CODE)
     configure_logging(settings.log_level, settings.name)
+    # Loading the wiring takes a while, in which signals must be held already.
+    from rattanvalve.endpoint_process import EndpointProcess, stop_limit_s
+
     with aiomisc.entrypoint(
         EndpointProcess(settings),
         loop_factory=uvloop.new_event_loop,
         log_config=False,
         shutdown_timeout=stop_limit_s(settings),
     ) as loop:
-        # From here on, SIGTERM leads to an ordered stop.
+        release_signals()
         part_logger(LogPart.PROCESS).info('ready')
         loop.run_forever()
 
--- a/rattanvalve/entry_main.py
+++ b/rattanvalve/entry_main.py
@@ -15,6 +15,7 @@
     EntrySettings,
     load_settings,
 )
+from rattanvalve.termination import hold_signals, release_signals
 from rattanvalve.wire import MAX_FRAME_BYTES
 
 __all__ = ('main', 'run_service')
@@ -36,6 +37,7 @@
 )
 def main(settings_path: Path) -> None:
     """Take requests of callers and own workspaces."""
+    hold_signals()
     try:
         settings = _read_settings(settings_path)
     except SettingsError as error:
@@ -53,7 +55,7 @@
 
 
 def run_service(service: aiomisc.Service, stop_s: float) -> None:
-    """Run a service until SIGTERM or SIGINT.
+    """Run a service until SIGTERM or SIGINT, which may wait already.
 
     :param service: service to start and stop.
     :param stop_s: longest time for its stop in seconds.
@@ -64,6 +66,7 @@
         loop_factory=uvloop.new_event_loop,
         shutdown_timeout=stop_s,
     ) as loop:
+        release_signals()
         loop.run_forever()
 
 
--- a/tests/entry_main.feature
+++ b/tests/entry_main.feature
@@ -17,5 +17,14 @@
   Scenario: a termination signal stops the service and exits with 0
     Then a service under the event loop stops on SIGTERM with exit code 0
 
+  Scenario Outline: a termination signal before the end of the start
+    Then the <program> program exits with <code> and "<text>" with <handling>
+
+    Examples:
+      | program  | handling     | code | text     |
+      | entry    | held signals | 0    | stopping |
+      | endpoint | held signals | 0    | stopped  |
+      | endpoint | no hold      | -15  |          |
+
   Scenario: requests for documents reach the controller of their kind
     Then pulls are dispatched by kind and other kinds are refused
--- a/tests/steps/entry_main_steps.py
+++ b/tests/steps/entry_main_steps.py
@@ -12,6 +12,7 @@
 from rattanvalve.errors import FrameError
 from rattanvalve.messages import Pull
 from rattanvalve.pull_dispatch import pull_handler
+from tests.steps.endpoint_main_steps import SETTINGS as ENDPOINT
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 PLACE = {'host': '127.0.0.1', 'port': 0}
@@ -112,3 +113,23 @@
     except FrameError:
         found.append('refused')
     assert found == ['view', 'refused']
+
+
+@then('the {program} program exits with {code:d} and "{text}" with {handling}')
+@then('the {program} program exits with {code:d} and "" with {handling}')
+def step_early_stop(context, program, code, handling, text=''):
+    fields = ENDPOINT if program == 'endpoint' else SETTINGS
+    fields = fields | {'drain_grace_s': 0}
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'settings.json'
+        path.write_text(json.dumps(fields))
+        done = run_python(
+            '-m',
+            'tests.early_stop',
+            program,
+            handling,
+            '--settings',
+            str(path),
+        )
+    assert done.returncode == code, done
+    assert text in done.stderr, done.stderr
