--- a/tests/owner_world.py
+++ b/tests/owner_world.py
@@ -110,6 +110,8 @@
         self.journal = journal
         self.incarnation = 'i1'
         self.is_up = True
+        self.is_full = False
+        self.releases = []
         self.epoch = 0
         self.records = {}
 
@@ -147,7 +149,10 @@
         record[2] = usage
 
     def answer(self, message):
-        """Answer Seal and Settle."""
+        """Answer Release, Settle and Seal."""
+        if isinstance(message, messages.Release):
+            self.releases.append(message)
+            return messages.Ack(epoch=self.epoch)
         if isinstance(message, messages.Settle):
             ticket = messages.Ticket(number=message.number)
             void = [ticket, outcomes.NOT_RUN, messages.Usage(), 0]
@@ -251,7 +256,9 @@
 
     def place(self, request, now_s):
         """Prefer the last endpoint, else choose by program."""
-        live = [each for each in self.endpoints if each.is_up]
+        live = [
+            each for each in self.endpoints if each.is_up and not each.is_full
+        ]
         for each in live:
             if each.name == request.last_endpoint:
                 return each.member()
