Explain requests; keep sub-agents in the shard of their root

Cause: Explain knew programs only, although the message has a request id. A sub-agent that named itself could lie in another shard than its parent, and then had a budget of its own. Change: Explain finds a request by its id or idempotency key and asks all shards if no program is given. The id of a sub-agent begins with the id of its root and '~': ids made here do, and a named one in another shard than its parent is refused. Conclusion: budgets of programs and their sub-agents are joined in every shard.

--- a/rattanvalve/call_headers.py
+++ b/rattanvalve/call_headers.py
@@ -7,7 +7,7 @@
 
 from result import Ok, Result
 
-from rattanvalve.catalog import Catalog
+from rattanvalve.catalog import CHILD_MARK, Catalog, named_root
 from rattanvalve.messages import Begin, Header, Refusal
 from rattanvalve.request_checks import (
     check_headers,
@@ -105,15 +105,19 @@
     idempotency_key = headers.get(IDEMPOTENCY_HEADER, '')
     parent = headers.get(PARENT_HEADER, '')
     program_id = headers.get(PROGRAM_HEADER, '')
-    if not program_id and idempotency_key:
-        program_id = keyed_program_id(workspace, idempotency_key)
     if not program_id:
-        program_id = _new_program_id(catalog, workspace, parent)
+        program_id = _new_program_id(workspace, parent, idempotency_key)
+    shard = catalog.shard_of(workspace, program_id)
+    if parent and shard != catalog.shard_of(workspace, parent):
+        return refuse(
+            ResultCode.BAD_FIELD,
+            f'the program must begin with the root program and {CHILD_MARK}',
+        )
     return Ok(
         Begin(
             request_id=secrets.token_hex(_ID_BYTES),
             workspace=workspace,
-            shard=catalog.shard_of(workspace, program_id),
+            shard=shard,
             key_digest=caller.key_digest,
             program_id=program_id,
             parent_program_id=parent,
@@ -164,10 +168,13 @@
     return content.lower() == 'true'
 
 
-def _new_program_id(catalog: Catalog, workspace: str, parent: str) -> str:
-    """Make an id in the shard of the parent, which counts its budget."""
-    while True:
-        program_id = secrets.token_hex(_ID_BYTES)
-        shard = catalog.shard_of(workspace, program_id)
-        if not parent or shard == catalog.shard_of(workspace, parent):
-            return program_id
+def _new_program_id(workspace: str, parent: str, idempotency_key: str) -> str:
+    """Make an id that a later call can be sent with, without the parent."""
+    program_id = (
+        keyed_program_id(workspace, idempotency_key)
+        if idempotency_key
+        else secrets.token_hex(_ID_BYTES)
+    )
+    if not parent:
+        return program_id
+    return f'{named_root(parent) or parent}{CHILD_MARK}{program_id}'
--- a/rattanvalve/catalog.py
+++ b/rattanvalve/catalog.py
@@ -14,10 +14,22 @@
     ServiceEntry,
 )
 
-__all__ = ('Catalog', 'Priority', 'build_catalog')
+__all__ = ('CHILD_MARK', 'Catalog', 'Priority', 'build_catalog', 'named_root')
 
 #: Budget of a workspace that no rule names.
 DEFAULT_BUDGET = Budget()
+#: Separates the id of a root program from the rest of a sub-agent's id.
+CHILD_MARK = '~'
+
+
+def named_root(program_id: str) -> str:
+    """Give the root program that the id of a sub-agent names.
+
+    :param program_id: program id.
+    :returns: id of the root, or an empty string for an id without a mark.
+    """
+    root, mark, _ = program_id.partition(CHILD_MARK)
+    return root if mark else ''
 
 
 class Priority(enum.IntEnum):
@@ -99,12 +111,16 @@
     def shard_of(self, workspace: str, program_id: str) -> int:
         """Give the shard that a program belongs to.
 
+        A sub-agent has the shard of its root, which its id begins with, as
+        their budget is counted in one place.
+
         :param workspace: workspace name.
         :param program_id: program id within the workspace.
         :returns: shard index from 0.
         """
         shards = self.shard_counts.get(workspace, 1)
-        digest = blake2b(program_id.encode(), digest_size=8).digest()
+        root = named_root(program_id) or program_id
+        digest = blake2b(root.encode(), digest_size=8).digest()
         return int.from_bytes(digest, 'big') % shards
 
     def is_repeatable(self, service: str, method: str, path: str) -> bool:
--- a/rattanvalve/ctl_main.py
+++ b/rattanvalve/ctl_main.py
@@ -273,7 +273,7 @@
 @main.command()
 @click.argument('workspace')
 @click.option('--program', default='', help='Program id.')
-@click.option('--request', default='', help='Request id.')
+@click.option('--request', default='', help='Request id or idempotency key.')
 @_pass_connection
 def explain(
     connection: _Connection,
--- a/rattanvalve/entry_admin.py
+++ b/rattanvalve/entry_admin.py
@@ -1,5 +1,6 @@
 """What the administration API of an entry process acts on and shows."""
 
+import asyncio
 import time
 from dataclasses import dataclass
 from functools import partial
@@ -87,29 +88,36 @@
         program_id: str,
         request_id: str,
     ) -> dict[str, Any]:
-        """Ask the owner of a program what it knows.
+        """Ask owners what they know about a program or a request.
+
+        The shard of a request follows from its program, so that without the
+        program all shards of the workspace are asked.
 
         :param workspace: workspace name.
-        :param program_id: program id.
-        :param request_id: request id, or an empty string.
+        :param program_id: program id, or an empty string.
+        :param request_id: request id or idempotency key, or an empty string.
         :returns: JSON object that also names the owner.
         """
-        blackboard = self.parts.shared.blackboard
-        shard = blackboard.catalog.shard_of(workspace, program_id)
-        message = Explain(
-            workspace=workspace,
-            shard=shard,
-            program_id=program_id,
-            request_id=request_id,
+        catalog = self.parts.shared.blackboard.catalog
+        shards = range(catalog.shard_counts.get(workspace, 1))
+        if program_id:
+            shard = catalog.shard_of(workspace, program_id)
+            shards = range(shard, shard + 1)
+        answers = await asyncio.gather(
+            *(
+                self._explain_shard(
+                    Explain(
+                        workspace=workspace,
+                        shard=shard,
+                        program_id=program_id,
+                        request_id=request_id,
+                    ),
+                )
+                for shard in shards
+            ),
         )
-        owner = views.owner_of(blackboard.view, workspace, shard)
-        found = {'owner': owner, 'shard': shard}
-        document = await self._ask_owner(owner, message)
-        if isinstance(document, Document):
-            found['known'] = msgspec.json.decode(document.body)
-        else:
-            found['problem'] = 'the owner does not answer'
-        return found
+        # What is known comes first, then an owner that does not answer.
+        return max(answers, key=_knowledge)
 
     async def audit(self, last: int) -> list[dict[str, Any]]:
         """Read the newest audit records.
@@ -121,6 +129,20 @@
         newest = shared.blackboard.catalog.generation
         return await read_audit(shared.store, newest, last)
 
+    async def _explain_shard(self, message: Explain) -> dict[str, Any]:
+        owner = views.owner_of(
+            self.parts.shared.blackboard.view,
+            message.workspace,
+            message.shard,
+        )
+        found = {'owner': owner, 'shard': message.shard}
+        document = await self._ask_owner(owner, message)
+        if isinstance(document, Document):
+            found['known'] = msgspec.json.decode(document.body)
+        else:
+            found['problem'] = 'the owner does not answer'
+        return found
+
     async def _ask_owner(self, owner: str, message: Explain) -> Any:
         if owner == self.settings.name:
             return await self.parts.owner_service.explain(message)
@@ -164,3 +186,7 @@
             if row['state'] != 'ready'
         )
         return problems
+
+
+def _knowledge(answer: dict[str, Any]) -> tuple[bool, bool]:
+    return bool(answer.get('known')), 'problem' in answer
--- a/rattanvalve/owner_service.py
+++ b/rattanvalve/owner_service.py
@@ -10,6 +10,7 @@
 from rattanvalve import outcomes
 from rattanvalve.beginqueue import OWNER_WAIT_MAX_S, BeginQueue
 from rattanvalve.cache_releases import CacheReleases
+from rattanvalve.explanations import describe
 from rattanvalve.handover import Handovers
 from rattanvalve.idempotency import Attempt, outcome_of
 from rattanvalve.messages import (
@@ -175,16 +176,12 @@
         return self._handovers.receive(handover)
 
     async def explain(self, explain: Explain) -> Document:
-        """Describe a program for operators.
+        """Describe a program or a request for operators.
 
-        :param explain: which program.
+        :param explain: which program or request.
         :returns: JSON document.
         """
-        found: dict[str, Any] = self._owner.explain(
-            explain.workspace,
-            explain.shard,
-            explain.program_id,
-        )
+        found = describe(self._owner.table, explain)
         return Document(
             kind='explain',
             version=self.takeover.view().epoch,
--- a/rattanvalve/ownership.py
+++ b/rattanvalve/ownership.py
@@ -3,8 +3,6 @@
 import itertools
 from dataclasses import replace
 
-import msgspec
-
 from rattanvalve import admission, outcomes
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.idempotency import (
@@ -229,26 +227,6 @@
             return refuse(ResultCode.UNKNOWN_OUTCOME_KEY, retry_after_ms=0)
         return outcome_of(found)
 
-    def explain(self, workspace: str, shard: int, program_id: str) -> dict:
-        """Describe a program for operators.
-
-        :param workspace: workspace name.
-        :param shard: shard index.
-        :param program_id: program id.
-        :returns: plain data for JSON; empty for an unknown program.
-        """
-        state = self.table.find(workspace, shard)
-        program = state and state.ledger.programs.get(program_id)
-        if not state or not program:
-            return {}
-        account = state.ledger.accounts.of_root(program.root)
-        return {
-            'program': msgspec.to_builtins(program),
-            'account': msgspec.to_builtins(account),
-            'bucket_level': state.bucket.level,
-            'missing_endpoints': sorted(state.seal.missing),
-        }
-
     def _is_owner(
         self,
         workspace: str,
--- a/rattanvalve/program_plans.py
+++ b/rattanvalve/program_plans.py
@@ -134,7 +134,7 @@
     suffix: str,
     rng: Random,
 ) -> ProgramPlan:
-    child = replace(parent, name=f'{parent.name}-sub{suffix}')
+    child = replace(parent, name=f'{parent.name}~sub{suffix}')
     leaf_spec = msgspec.structs.replace(spec, sub_agent_share=0)
     steps = tuple(
         _plan_chat(leaf_spec, child, turn, rng)
--- a/rattanvalve/programs.py
+++ b/rattanvalve/programs.py
@@ -5,6 +5,7 @@
 
 from rattanvalve import budgets, outcomes
 from rattanvalve.accounts import RootAccounts
+from rattanvalve.catalog import named_root
 from rattanvalve.errors import InvariantError
 from rattanvalve.history import is_continuation
 from rattanvalve.idempotency import Attempt, AttemptIndex
@@ -257,11 +258,12 @@
     def join(self, program_id: str, parent_id: str, now_s: float) -> Program:
         """Find or enter a program and link it to its root.
 
-        :param program_id: program id.
+        :param program_id: program id; that of a sub-agent names its root.
         :param parent_id: parent program id, or an empty string.
         :param now_s: current time in seconds.
         :returns: the program.
         """
+        parent_id = parent_id or named_root(program_id)
         program = self.programs.get(program_id)
         if program is None:
             program = Program(program_id=program_id, root=program_id)
--- a/tests/caller_api.feature
+++ b/tests/caller_api.feature
@@ -51,6 +51,10 @@
     Given an ingress
     Then the owner gets program, parent, priority, tokens and idempotency key
 
+  Scenario: a sub-agent reaches the shard of its root
+    Given an ingress
+    Then calls of sub-agents have the shard of their root or are refused
+
   Scenario: a repeated request with an idempotency key reaches its shard
     Given an ingress
     Then requests with one idempotency key share program and shard
--- a/tests/programs.feature
+++ b/tests/programs.feature
@@ -26,6 +26,19 @@
       | service_name    | KEY_REUSED |
       | history_digests | KEY_REUSED |
 
+  Scenario Outline: a sub-agent is charged to the root that its id names
+    Then calls of <child> without a parent leave root <left> of 15 calls
+
+    Examples:
+      | child    | left |
+      | root~a   | 12   |
+      | root~a~b | 12   |
+      | other~a  | 15   |
+
+  Scenario: the check notices a sub-agent with a budget of its own
+    Given ids of sub-agents name no root
+    Then calls of root~a without a parent leave root 15 of 15 calls
+
   Scenario: the same request id never gets a second ticket
     Then a repeated request gets the place of the first record
 
--- a/tests/steps/caller_api_steps.py
+++ b/tests/steps/caller_api_steps.py
@@ -207,6 +207,31 @@
     assert first.priority == Priority.NORMAL
 
 
+@then('calls of sub-agents have the shard of their root or are refused')
+def step_children(context):
+    bench = context.bench
+    catalog = bench.blackboard.catalog
+    south = {'Authorization': f'Bearer {SOUTH_KEY}'}
+    statuses = {0: [], 1: []}
+    for index in range(8):
+        root = f'root{index}'
+        parent = {'Rattanvalve-Parent': f'{root}~first'}
+        for extra in ({}, {'Idempotency-Key': f'k{index}'}):
+            sent = bench.chat(headers=south | parent | extra)
+            response, _ = context.run(read_all(sent))
+            program = response.headers['Rattanvalve-Program']
+            assert program.startswith(f'{root}~'), program
+            alone = {'Rattanvalve-Program': program}
+            context.run(read_all(bench.chat(headers=south | alone)))
+            shards = {begin.shard for begin in bench.owner.begins[-2:]}
+            assert shards == {catalog.shard_of('south', root)}
+        named = parent | {'Rattanvalve-Program': 'other'}
+        response, _ = context.run(read_all(bench.chat(headers=south | named)))
+        is_same = shards == {catalog.shard_of('south', 'other')}
+        statuses[is_same].append(response.status)
+    assert (set(statuses[0]), set(statuses[1])) == ({400}, {200})
+
+
 def read_json(context, path, headers):
     """Send a GET request and read its JSON body."""
     sent = context.bench.client.get(path, headers=headers)
--- a/tests/steps/programs_steps.py
+++ b/tests/steps/programs_steps.py
@@ -171,6 +171,30 @@
         assert context.answer.endpoint == context.ticket.endpoint
 
 
+@given('ids of sub-agents name no root')
+def step_no_roots(context):
+    patch = mock.patch.object(programs, 'named_root', lambda program_id: '')
+    patch.start()
+    context.closers.append(patch.stop)
+
+
+@then('calls of {child} without a parent leave root {left:d} of 15 calls')
+def step_child(context, child, left):
+    _, entry = single_owner(context)
+    with mock.patch('rattanvalve.catalog.DEFAULT_BUDGET', BUDGET):
+        for _ in range(3):
+            ticket = decide(entry, new_begin(child), 1001)
+            entry.owner.finish(finish_of(ticket, usage=Usage()), 1001)
+        count = 0
+        answer = decide(entry, new_begin('root'), 1001)
+        while isinstance(answer, Ticket):
+            count += 1
+            entry.owner.finish(finish_of(answer, usage=Usage()), 1001)
+            answer = decide(entry, new_begin('root'), 1001)
+    assert answer.code == ResultCode.BUDGET_EXHAUSTED
+    assert count == left, count
+
+
 @then('a repeated request gets the place of the first record')
 def step_same_request(context):
     _, entry = single_owner(context)
