--- a/rattanvalve/endpoint_main.py
+++ b/rattanvalve/endpoint_main.py
@@ -1,6 +1,7 @@
 """Program ``rattanvalve-endpoint``: the process beside one server."""
 
 import sys
+from functools import partial
 from pathlib import Path
 
 import aiomisc
@@ -10,6 +11,7 @@
 from rattanvalve import __version__
 from rattanvalve.errors import SettingsError
 from rattanvalve.logs import LogPart, configure_logging, part_logger
+from rattanvalve.reloading import SettingsSource
 from rattanvalve.settings import (
     SETTINGS_EXIT_CODE,
     EndpointSettings,
@@ -41,11 +43,15 @@
         click.echo(f'{_PROGRAM}: {error}', err=True)
         sys.exit(SETTINGS_EXIT_CODE)
     configure_logging(settings.log_level, settings.name)
+    source = SettingsSource(
+        settings_path,
+        partial(load_settings, settings_path, EndpointSettings),
+    )
     # Loading the wiring takes a while, in which signals must be held already.
     from rattanvalve.endpoint_process import EndpointProcess, stop_limit_s
 
     with aiomisc.entrypoint(
-        EndpointProcess(settings),
+        EndpointProcess(settings, source),
         loop_factory=uvloop.new_event_loop,
         log_config=False,
         shutdown_timeout=stop_limit_s(settings),
--- a/rattanvalve/errors.py
+++ b/rattanvalve/errors.py
@@ -6,9 +6,11 @@
 
 __all__ = (
     'BodyError',
+    'ConfigTooLargeError',
     'FencedError',
     'FrameError',
     'InvariantError',
+    'NotSentError',
     'PeerError',
     'RattanvalveError',
     'SettingsError',
@@ -33,6 +35,10 @@
     """A peer closed the connection or did not answer in time."""
 
 
+class NotSentError(PeerError):
+    """There was no connection to a peer, so nothing of a message was sent."""
+
+
 class StoreError(RattanvalveError):
     """The object store did not answer or answered with a failure."""
 
@@ -51,3 +57,7 @@
 
 class FencedError(RattanvalveError):
     """An engine command has an outdated fencing token; it had no effect."""
+
+
+class ConfigTooLargeError(RattanvalveError):
+    """A configuration is larger than what can be stored; it was not written."""
--- a/rattanvalve/outcomes.py
+++ b/rattanvalve/outcomes.py
@@ -5,6 +5,7 @@
     'LEFT_REASON',
     'LOOKUP_REASON',
     'NOT_RUN',
+    'NOT_SENT_REASON',
     'RUNNING',
     'UNKNOWN',
 )
@@ -24,3 +25,5 @@
 #: ``reason`` of a ``Resolve`` for a caller that left before its run began.
 #: The message names the request in ``request_id`` and no ticket number.
 LEFT_REASON = 'left'
+#: ``reason`` of a ``Resolve`` for a ticket that never left the ingress.
+NOT_SENT_REASON = 'not sent'
--- a/rattanvalve/peers.py
+++ b/rattanvalve/peers.py
@@ -15,9 +15,15 @@
 
 from rattanvalve import wire
 from rattanvalve.counters import Counter, Metrics
-from rattanvalve.errors import FrameError, InvariantError, PeerError
+from rattanvalve.errors import (
+    FrameError,
+    InvariantError,
+    NotSentError,
+    PeerError,
+)
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import End, Refusal
+from rattanvalve.peersecrets import AcceptingSealer, PeerSecrets
 
 __all__ = ('Address', 'Channel', 'Handler', 'PeerPool', 'PeerServer', 'Send')
 
@@ -49,15 +55,18 @@
     :param writer: stream to write frames to.
     :param outgoing: authenticates our frames.
     :param incoming: checks the frames of the other side.
+    :param secret: secret of our frames on the connecting side.
     """
 
     def __init__(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        outgoing: wire.FrameSealer,
-        incoming: wire.FrameSealer,
+        outgoing: wire.FrameSealer | AcceptingSealer,
+        incoming: wire.FrameSealer | AcceptingSealer,
+        secret: bytes = b'',
     ) -> None:
+        self.secret = secret
         self._reader = reader
         self._writer = writer
         self._outgoing = outgoing
@@ -117,11 +126,11 @@
 class PeerPool:
     """Client side: idle connections by address.
 
-    :param secret: shared secret of the processes.
+    :param peer_secrets: shared secrets of the processes.
     """
 
-    def __init__(self, secret: bytes) -> None:
-        self._secret = secret
+    def __init__(self, peer_secrets: PeerSecrets | bytes) -> None:
+        self._secrets = PeerSecrets.of(peer_secrets)
         self._idle: dict[Address, list[Channel]] = defaultdict(list)
 
     async def call(
@@ -161,14 +170,18 @@
         :param address: peer to ask.
         :param message: request.
         :returns: iterator that ends after ``End`` or ``Refusal``.
-        :raises PeerError: if the peer cannot be reached or breaks off.
+        :raises NotSentError: if the peer cannot be reached.
+        :raises PeerError: if the peer breaks off.
         """
+        name = f'{address.host}:{address.port}'
         try:
-            channel = await self._send_on_channel(address, message)
+            channel = await self._open_channel(address)
+        except (OSError, TimeoutError, PeerError) as error:
+            raise NotSentError(f'cannot reach {name}') from error
+        try:
+            await _send(channel, message)
         except (OSError, TimeoutError, FrameError) as error:
-            raise PeerError(
-                f'cannot reach {address.host}:{address.port}',
-            ) from error
+            raise PeerError(f'cannot send to {name}') from error
         state = _StreamState()
         try:
             yield _read_stream(channel, state)
@@ -186,7 +199,8 @@
         self._idle.clear()
 
     async def _call_once(self, address: Address, message: Any) -> Any:
-        channel = await self._send_on_channel(address, message)
+        channel = await self._open_channel(address)
+        await _send(channel, message)
         try:
             answer = await channel.receive()
         except BaseException:
@@ -195,33 +209,28 @@
         self._release(address, channel)
         return answer
 
-    async def _send_on_channel(self, address: Address, message: Any) -> Channel:
-        channel = self._take_idle(address)
-        if channel is None:
-            channel = await self._connect(address)
-        try:
-            await channel.send(message)
-        except BaseException:
-            channel.close()
-            raise
-        return channel
+    async def _open_channel(self, address: Address) -> Channel:
+        return self._take_idle(address) or await self._connect(address)
 
     def _take_idle(self, address: Address) -> Channel | None:
         idle = self._idle[address]
         while idle:
             channel = idle.pop()
-            if channel.is_open():
+            if self._is_usable(channel):
                 return channel
             channel.close()
         return None
 
     def _release(self, address: Address, channel: Channel) -> None:
         idle = self._idle[address]
-        if channel.is_open() and len(idle) < MAX_IDLE_PER_PEER:
+        if self._is_usable(channel) and len(idle) < MAX_IDLE_PER_PEER:
             idle.append(channel)
         else:
             channel.close()
 
+    def _is_usable(self, channel: Channel) -> bool:
+        return channel.is_open() and channel.secret == self._secrets.first
+
     async def _connect(self, address: Address) -> Channel:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(
@@ -236,14 +245,24 @@
                 if isinstance(error, asyncio.IncompleteReadError):
                     raise PeerError('peer closed at handshake') from error
                 raise
+        secret = self._secrets.first
         return Channel(
             reader,
             writer,
-            wire.FrameSealer(self._secret, nonce, b'c'),
-            wire.FrameSealer(self._secret, nonce, b's'),
+            wire.FrameSealer(secret, nonce, b'c'),
+            wire.FrameSealer(secret, nonce, b's'),
+            secret,
         )
 
 
+async def _send(channel: Channel, message: Any) -> None:
+    try:
+        await channel.send(message)
+    except BaseException:
+        channel.close()
+        raise
+
+
 @dataclass(slots=True)
 class _StreamState:
     is_complete: bool = False
@@ -265,18 +284,18 @@
 class PeerServer:
     """Server side: dispatches each message to the handler of its class.
 
-    :param secret: shared secret of the processes.
+    :param peer_secrets: shared secrets of the processes.
     :param handlers: handler of each message class.
     :param metrics: counters.
     """
 
     def __init__(
         self,
-        secret: bytes,
+        peer_secrets: PeerSecrets | bytes,
         handlers: dict[type, Handler],
         metrics: Metrics,
     ) -> None:
-        self._secret = secret
+        self._secrets = PeerSecrets.of(peer_secrets)
         self._handlers = handlers
         self._metrics = metrics
         self._server: asyncio.Server | None = None
@@ -312,12 +331,8 @@
     ) -> None:
         self._writers.add(writer)
         nonce = secrets.token_bytes(wire.NONCE_BYTES)
-        channel = Channel(
-            reader,
-            writer,
-            wire.FrameSealer(self._secret, nonce, b's'),
-            wire.FrameSealer(self._secret, nonce, b'c'),
-        )
+        sealer = AcceptingSealer(self._secrets, nonce)
+        channel = Channel(reader, writer, sealer, sealer)
         try:
             writer.write(nonce)
             await self._serve_messages(channel)
--- a/tests/owner_world.py
+++ b/tests/owner_world.py
@@ -259,6 +259,8 @@
         live = [
             each for each in self.endpoints if each.is_up and not each.is_full
         ]
+        if not live:
+            return None
         for each in live:
             if each.name == request.last_endpoint:
                 return each.member()
