--- a/rattanvalve/admin_requests.py
+++ b/rattanvalve/admin_requests.py
@@ -149,9 +149,8 @@
             **error.extra,
         },
     }
-    headers = (
-        {'Retry-After': str(RETRY_AFTER_S)} if info.http_status == 503 else {}
-    )
+    is_retried = info.http_status == HTTPStatus.SERVICE_UNAVAILABLE
+    headers = {'Retry-After': str(RETRY_AFTER_S)} if is_retried else {}
     return web.json_response(body, status=info.http_status, headers=headers)
 
 
