--- a/rattanvalve/loads.py
+++ b/rattanvalve/loads.py
@@ -8,13 +8,12 @@
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.messages import Announce, Member, View
 from rattanvalve.views import endpoints_of
+from rattanvalve.vmhints import VmHints
 
 __all__ = ('ENDPOINT_SILENT_S', 'EndpointLoad', 'EndpointLoads')
 
 #: Three announces were missed.
 ENDPOINT_SILENT_S = 6.0
-#: Hints of the VM list are dropped when the list was not read for this long.
-HINT_S = 30.0
 EJECT_AFTER_COUNT = 5
 EJECT_FIRST_S = 5.0
 EJECT_MAX_S = 300.0
@@ -88,8 +87,7 @@
         self._states: dict[str, _State] = {}
         self._services: dict[str, dict[str, _State]] = defaultdict(dict)
         self._listed: dict[str, str] | None = None
-        self._hinted: frozenset[str] = frozenset()
-        self._hinted_at_s = float('-inf')
+        self.hints = VmHints()
 
     def set_view(self, view: View) -> None:
         """Restrict the candidates to the endpoints of a view.
@@ -103,15 +101,6 @@
             member.name: member.incarnation for member in endpoints_of(view)
         }
 
-    def hint_leaving(self, names: Collection[str], read_at_s: float) -> None:
-        """Note which endpoints the VM list calls leaving.
-
-        :param names: endpoint names; they replace those noted before.
-        :param read_at_s: moment at which the list was read.
-        """
-        self._hinted = frozenset(names)
-        self._hinted_at_s = read_at_s
-
     def report(self, announce: Announce, now_s: float) -> None:
         """Note an announce.
 
@@ -191,7 +180,7 @@
             and state.is_usable(now_s)
             and self._is_listed(state.announce.member)
         }
-        hinted = self._hints(now_s)
+        hinted = self.hints.names(now_s)
         # The list may be wrong, so it must not leave a service without any.
         if not usable.keys() <= hinted:
             usable = {
@@ -226,7 +215,7 @@
         :param now_s: current time.
         :returns: JSON objects in name order.
         """
-        hinted = self._hints(now_s)
+        hinted = self.hints.names(now_s)
         return [
             {
                 'endpoint': name,
@@ -261,10 +250,6 @@
         state = self._states.get(endpoint)
         return state is not None and state.announce.is_leaving
 
-    def _hints(self, now_s: float) -> frozenset[str]:
-        is_fresh = now_s - self._hinted_at_s < HINT_S
-        return self._hinted if is_fresh else frozenset()
-
     def _is_listed(self, member: Member) -> bool:
         return (
             self._listed is None
