--- a/rattanvalve/ctl_main.py
+++ b/rattanvalve/ctl_main.py
@@ -236,7 +236,7 @@
 @main.command()
 @click.argument('workspace')
 @click.option('--program', default='', help='Program id.')
-@click.option('--request', default='', help='Request id.')
+@click.option('--request', default='', help='Request id or idempotency key.')
 @pass_connection
 def explain(
     connection: Connection,
--- a/rattanvalve/entry_main.py
+++ b/rattanvalve/entry_main.py
@@ -17,6 +17,7 @@
     EntrySettings,
     load_settings,
 )
+from rattanvalve.termination import hold_signals, release_signals
 from rattanvalve.wire import MAX_FRAME_BYTES
 
 __all__ = ('main', 'run_service')
@@ -38,6 +39,7 @@
 )
 def main(settings_path: Path) -> None:
     """Take requests of callers and own workspaces."""
+    hold_signals()
     try:
         settings = _read_settings(settings_path)
     except SettingsError as error:
@@ -65,7 +67,7 @@
 
 
 def run_service(service: aiomisc.Service, stop_s: float) -> None:
-    """Run a service until SIGTERM or SIGINT.
+    """Run a service until SIGTERM or SIGINT, which may wait already.
 
     :param service: service to start and stop.
     :param stop_s: longest time for its stop in seconds.
@@ -76,6 +78,7 @@
         loop_factory=uvloop.new_event_loop,
         shutdown_timeout=stop_s,
     ) as loop:
+        release_signals()
         loop.run_forever()
 
 
--- a/rattanvalve/entry_process.py
+++ b/rattanvalve/entry_process.py
@@ -26,6 +26,7 @@
 from rattanvalve.messages import Member, View
 from rattanvalve.peers import Address, Handler, PeerPool, PeerServer
 from rattanvalve.reloading import Reloading, SettingsSource, secrets_of
+from rattanvalve.response_copies import ResponseCopies
 from rattanvalve.settings import EntrySettings
 from rattanvalve.shutdown import Shutdown
 from rattanvalve.store import StoreClient
@@ -64,6 +65,11 @@
         )
         self._pool = PeerPool(self._secrets)
         self._open_requests = OpenRequests(self._metrics)
+        self._copies = ResponseCopies(
+            own_name=settings.name,
+            blackboard=self._blackboard,
+            pool=self._pool,
+        )
         self._handlers: dict[type, Handler] = {}
         self._peer_server = PeerServer(
             self._secrets,
@@ -112,6 +118,7 @@
                 {PULL_STATUS: status_handler(status.describe)},
             ),
         )
+        self._handlers.update(self._copies.handlers())
         self._tasks.extend(
             asyncio.ensure_future(work)
             for work in (
@@ -156,6 +163,7 @@
             open_requests=self._open_requests,
             local_owner=self._parts.owner_service,
             find_owner=find_owner,
+            copies=self._copies,
         )
         limits = CallLimits(
             request_timeout_s=settings.request_timeout_s,
--- a/rattanvalve/outcomes.py
+++ b/rattanvalve/outcomes.py
@@ -2,6 +2,7 @@
 
 __all__ = (
     'ANSWERED',
+    'LEFT_REASON',
     'LOOKUP_REASON',
     'NOT_RUN',
     'NOT_SENT_REASON',
@@ -21,5 +22,8 @@
 #: ``reason`` of a ``Resolve`` that only looks an idempotency key up. The
 #: message holds the key in ``request_id`` and no ticket number.
 LOOKUP_REASON = 'lookup'
+#: ``reason`` of a ``Resolve`` for a caller that left before its run began.
+#: The message names the request in ``request_id`` and no ticket number.
+LEFT_REASON = 'left'
 #: ``reason`` of a ``Resolve`` for a ticket that never left the ingress.
 NOT_SENT_REASON = 'not sent'
--- a/rattanvalve/owner_service.py
+++ b/rattanvalve/owner_service.py
@@ -10,8 +10,9 @@
 from rattanvalve import outcomes
 from rattanvalve.beginqueue import OWNER_WAIT_MAX_S, BeginQueue
 from rattanvalve.cache_releases import CacheReleases
+from rattanvalve.explanations import describe
 from rattanvalve.handover import Handovers
-from rattanvalve.idempotency import Attempt
+from rattanvalve.idempotency import Attempt, outcome_of
 from rattanvalve.messages import (
     Ack,
     Begin,
@@ -22,6 +23,7 @@
     Outcome,
     Refusal,
     Resolve,
+    Settled,
     Ticket,
     View,
 )
@@ -126,6 +128,8 @@
             return refusal
         if resolve.reason == outcomes.LOOKUP_REASON:
             return self._owner.look_up(resolve)
+        if resolve.reason == outcomes.LEFT_REASON:
+            return await self._settle_left(resolve)
         attempt = self._owner.attempt_of(*name, resolve.number)
         settled = outcomes.UNKNOWN
         if attempt is not None and attempt.ticket.number == resolve.number:
@@ -172,22 +176,30 @@
         return self._handovers.receive(handover)
 
     async def explain(self, explain: Explain) -> Document:
-        """Describe a program for operators.
+        """Describe a program or a request for operators.
 
-        :param explain: which program.
+        :param explain: which program or request.
         :returns: JSON document.
         """
-        found: dict[str, Any] = self._owner.explain(
-            explain.workspace,
-            explain.shard,
-            explain.program_id,
-        )
+        found = describe(self._owner.table, explain)
         return Document(
             kind='explain',
             version=self.takeover.view().epoch,
             body=msgspec.json.encode(found),
         )
 
+    async def _settle_left(self, resolve: Resolve) -> Outcome:
+        """End the ticket of a caller that left before its run began."""
+        attempt = self._owner.attempt_of_request(resolve)
+        if attempt is None:
+            return Outcome(outcome=outcomes.NOT_RUN)
+        settled = await self._settler.settle(attempt)
+        if settled == outcomes.NOT_RUN:
+            self._settler.finish(attempt, Settled(outcome=settled))
+            self._end(attempt, settled)
+            self._queue.wake(attempt)
+        return outcome_of(attempt)
+
     async def _settle(self, attempt: Attempt, resolve: Resolve) -> str:
         """Find the outcome of the newest ticket of an attempt."""
         if resolve.reason == outcomes.NOT_SENT_REASON:
