--- a/rattanvalve/admin_requests.py
+++ b/rattanvalve/admin_requests.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
