Give a reissued ticket the request id of the ingress that asks

Cause: a retry of a caller through another entry finds the running attempt by its idempotency key. If that run breaks, the second ingress asks for a new ticket and got one with the request id of the first. Its check of the ticket took this for a mix-up and answered 500.

Ruled out: a response of another program (program and key are the same).

Before: the new scenario of ownership.feature fails. After: it passes.

--- a/rattanvalve/admission.py
+++ b/rattanvalve/admission.py
@@ -73,6 +73,7 @@
     attempt: Attempt,
     shard: Shard,
     number: str,
+    request_id: str,
     context: OwnerContext,
     now_s: float,
 ) -> Ticket | Refusal | None:
@@ -84,6 +85,8 @@
     :param attempt: finished attempt.
     :param shard: its shard.
     :param number: number for a new ticket.
+    :param request_id: request of the ingress that asks; it may have found the
+        attempt of another one by its idempotency key.
     :param context: configuration, view and placement.
     :param now_s: current time in seconds.
     :returns: ticket, refusal by the rate or the retry budget, or ``None`` if
@@ -95,15 +98,20 @@
     member = _place(_begin_of(attempt), shard, context, now_s)
     if member is None:
         return None
+    template = replace(
+        _addressed(attempt.ticket, member),
+        number=number,
+        request_id=request_id or attempt.ticket.request_id,
+    )
     if attempt.outcome == outcomes.NOT_RUN:
-        return _reissue(attempt, shard, number, member, context, now_s)
+        return _reissue(attempt, shard, template, context, now_s)
     # A retry does not wait, since the next call of the program would overtake
     # it meanwhile.
     if wait_for_rate(shard.bucket, context, now_s) is not None:
         return refuse(ResultCode.RATE_EXCEEDED)
     if not shard.retries.spend():
         return refuse(ResultCode.RATE_EXCEEDED)
-    ticket = _reissue(attempt, shard, number, member, context, now_s)
+    ticket = _reissue(attempt, shard, template, context, now_s)
     if ticket is not None and not shard.bucket.take(now_s):
         raise InvariantError('retry above the rate')
     return ticket
@@ -133,23 +141,27 @@
     )
 
 
+def _addressed(ticket: Ticket, member: Member) -> Ticket:
+    return replace(
+        ticket,
+        endpoint=member.name,
+        endpoint_incarnation=member.incarnation,
+        host=member.host,
+        port=member.port,
+    )
+
+
 def _reissue(
     attempt: Attempt,
     shard: Shard,
-    number: str,
-    member: Member,
+    template: Ticket,
     context: OwnerContext,
     now_s: float,
 ) -> Ticket | None:
     ticket = replace(
-        attempt.ticket,
-        number=number,
+        template,
         epoch=context.view.epoch,
-        owner=number.partition('/')[0],
-        endpoint=member.name,
-        endpoint_incarnation=member.incarnation,
-        host=member.host,
-        port=member.port,
+        owner=template.number.partition('/')[0],
     )
     budget = context.catalog.budget_of(ticket.workspace)
     if not shard.ledger.retry_turn(attempt, ticket, budget, now_s):
--- a/rattanvalve/idempotency.py
+++ b/rattanvalve/idempotency.py
@@ -112,6 +112,8 @@
         if not earlier.is_repeatable and attempt.outcome != outcomes.NOT_RUN:
             raise InvariantError('second ticket for a non-repeatable request')
         self._finished[earlier.is_repeatable].pop(earlier.number, None)
+        if earlier.request_id != ticket.request_id:
+            self._by_request.pop(earlier.request_id, None)
         attempt.ticket = ticket
         attempt.outcome = outcomes.RUNNING
         self.add(attempt)
--- a/rattanvalve/ownership.py
+++ b/rattanvalve/ownership.py
@@ -211,7 +211,7 @@
             ),
             now_s,
         )
-        return self._retry(attempt, context, now_s)
+        return self._retry(attempt, resolve.request_id, context, now_s)
 
     def look_up(self, resolve: Resolve) -> Outcome | Refusal:
         """Find the outcome of an idempotency key.
@@ -267,6 +267,7 @@
     def _retry(
         self,
         attempt: Attempt,
+        request_id: str,
         context: OwnerContext,
         now_s: float,
     ) -> Ticket | Outcome:
@@ -281,6 +282,7 @@
             attempt,
             shard,
             self._next_number(),
+            request_id,
             context,
             now_s,
         )
--- a/tests/ownership.feature
+++ b/tests/ownership.feature
@@ -35,6 +35,11 @@
       | non-repeatable | unknown  | unknown      |
       | repeatable     | unknown  | a new ticket |
 
+  Scenario: a request that found an earlier one by its key gets its own ticket
+    Given a running repeatable request
+    When another request with its key says that the run broke off
+    Then the new ticket is for that request, and the earlier one finds it
+
   Scenario: a ticket that was never sent needs no settlement
     Given a running non-repeatable request
     When its ingress could not reach the endpoint, which is down
--- a/tests/steps/ownership_steps.py
+++ b/tests/steps/ownership_steps.py
@@ -274,7 +274,11 @@
     world, entry = single_owner(context)
     context.world = world
     context.entry = entry
-    begin = new_begin(is_repeatable=kind == 'repeatable', idempotency_key='k')
+    begin = new_begin(
+        is_repeatable=kind == 'repeatable',
+        idempotency_key='k',
+        request_id='first',
+    )
     context.ticket = decide(context.entry, begin, 1001)
 
 
@@ -288,6 +292,26 @@
     )
 
 
+@when('another request with its key says that the run broke off')
+def step_other_asks(context):
+    resolve = replace(resolve_of(context.ticket), request_id='second')
+    context.answer = context.run(context.entry.service.resolve(resolve))
+
+
+@then('the new ticket is for that request, and the earlier one finds it')
+def step_own_ticket(context):
+    ticket = context.answer
+    assert isinstance(ticket, Ticket)
+    assert ticket.request_id == 'second'
+    attempts = context.entry.owner.table.find('north', 0).ledger.attempts
+    assert attempts.find('second', '').ticket == ticket
+    assert attempts.find('', 'k').ticket == ticket
+    assert context.ticket.request_id not in attempts._by_request
+    resolve = resolve_of(context.ticket)
+    again = context.run(context.entry.service.resolve(resolve))
+    assert again.number == ticket.number
+
+
 @when('its ingress could not reach the endpoint, which is down')
 def step_not_sent(context):
     context.world.endpoint(context.ticket).is_up = False
