Report a write to a closed connection as a connection error

Cause: with uvloop, a write after the close raises RuntimeError. The endpoint process logged it as a failed handler, and a client would not have treated it as a broken peer.

Before: the new scenario of peers.feature fails. After: it passes.

--- a/rattanvalve/peers.py
+++ b/rattanvalve/peers.py
@@ -75,6 +75,9 @@
         :param message: message to send.
         :raises OSError: if the connection is broken.
         """
+        if self._writer.is_closing():
+            # The event loop raises RuntimeError for a write after the close.
+            raise ConnectionResetError('connection closed')
         self._writer.write(self._outgoing.seal(message))
         await self._writer.drain()
 
--- a/tests/peers.feature
+++ b/tests/peers.feature
@@ -20,3 +20,8 @@
     When a stranger sends malformed bytes
     Then the stranger is disconnected and counted
     And a call still gets its answer
+
+  Scenario: a message on a closed connection is an error of the connection
+    Given a peer server that answers settle messages
+    When a connection is closed before a message is sent
+    Then sending fails like a broken connection
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -141,3 +141,23 @@
         ),
     )
     assert answer.number == 'later'
+
+
+@when('a connection is closed before a message is sent')
+def step_close(context):
+    async def close():
+        context.channel = await context.pool._connect(context.address)
+        context.channel.close()
+        await context.channel._writer.wait_closed()
+
+    context.run(close())
+
+
+@then('sending fails like a broken connection')
+def step_closed(context):
+    try:
+        context.run(context.channel.send(messages.Settle()))
+    except OSError as error:
+        assert 'closed' in str(error)
+    else:
+        raise AssertionError('no error')
