Refuse requests with STARTING until a configuration is known

Cause: a restarted entry listens before it has the configuration. Until then every valid key was refused as unknown (401, not retried), the administration API showed an empty configuration of generation 0, and readyz said ready.

Change: result code 1305 STARTING (503, not run) from callers' API, readyz and GET /v1/config. The fleet can run other programs in place of the product's.

Before: the new scenario of caller_api.feature fails. After: it passes.

--- a/rattanvalve/admin_api.py
+++ b/rattanvalve/admin_api.py
@@ -148,6 +148,8 @@
 async def _get_config(request: web.Request) -> web.Response:
     context = request.app[_CONTEXT]
     catalog = context.blackboard.catalog
+    if not catalog.generation:
+        raise _AdminError(ResultCode.STARTING, 'try again or elsewhere')
     return web.json_response(
         {
             'generation': catalog.generation,
--- a/rattanvalve/caller_api.py
+++ b/rattanvalve/caller_api.py
@@ -152,6 +152,8 @@
         :param request: request of the load balancer.
         :returns: status 200, or 503 while starting or stopping.
         """
+        if not self.blackboard.catalog.generation:
+            return refusal_response(Refusal(code=ResultCode.STARTING))
         if self.blackboard.readiness.is_ready():
             return _json_response({'status': 'ready'})
         return refusal_response(Refusal(code=ResultCode.STOPPING))
@@ -163,6 +165,9 @@
         is_open_route: bool = False,
     ) -> Caller:
         catalog = self.blackboard.catalog
+        if not catalog.generation:
+            # Without a configuration every valid key would look unknown.
+            raise RefusedError(Refusal(code=ResultCode.STARTING))
         return accept(
             find_caller(
                 request.headers,
--- a/rattanvalve/fault_run.py
+++ b/rattanvalve/fault_run.py
@@ -21,7 +21,7 @@
     PlannedFault,
     plan_schedule,
 )
-from rattanvalve.fleet import Fleet, running_fleet
+from rattanvalve.fleet import Fleet, Programs, running_fleet
 from rattanvalve.history_evidence import Evidence
 from rattanvalve.loadrun import LoadRun, run_programs
 from rattanvalve.program_plans import plan_programs
@@ -48,13 +48,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FaultRun:
-    """What to run. ``kinds`` restricts the faults to some kinds."""
+    """What to run. ``kinds`` restricts the faults to some kinds.
+
+    ``pause_s`` passes between rounds and ``recovery_s`` after the last one;
+    programs of the following ``proof_s`` must complete.
+    """
 
     experiment: Experiment
     rounds: int
     kinds: tuple[str, ...] = ()
     pause_s: float = _PAUSE_BETWEEN_ROUNDS_S
     recovery_s: float = _RECOVERY_S
+    proof_s: float = _PROOF_S
+    programs: Programs | None = None
 
 
 async def run_with_faults(fault_run: FaultRun) -> Evidence:
@@ -77,6 +83,7 @@
         experiment.folder,
         (placement, queue),
         is_proxied=True,
+        programs=fault_run.programs,
     ) as fleet:
         await _run(fault_run, fleet, run)
         await wait_cache_released(fleet)
@@ -132,8 +139,9 @@
             await _strike_all(fault_run, context)
             await _wait_recovered(fleet, session)
             await asyncio.sleep(fault_run.recovery_s)
-            run.recovered_s = time.monotonic()
-            await asyncio.sleep(_PROOF_S)
+            if fault_run.proof_s:
+                run.recovered_s = time.monotonic()
+                await asyncio.sleep(fault_run.proof_s)
             load.closed.set()
         polls.cancel()
 
@@ -248,7 +256,8 @@
             headers=headers,
             timeout=aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S),
         ) as response:
-            generation = int(response.headers.get('ETag', '"0"').strip('"'))
+            response.raise_for_status()
+            generation = int(response.headers['ETag'].strip('"'))
     except _NOT_ANSWERING:
         return
     seen.append(GenerationSeen(asked_s=asked_s, generation=generation))
--- a/rattanvalve/fleet.py
+++ b/rattanvalve/fleet.py
@@ -25,20 +25,29 @@
 from rattanvalve.readiness import wait_endpoints, wait_ready
 from rattanvalve.scenario import Scenario, config_document
 
-__all__ = ('Fleet', 'running_fleet')
+__all__ = ('Fleet', 'Programs', 'running_fleet')
 
 _POLL_S = 0.05
 _STOP_GRACE_S = 6.0
 _STANDIN = 'rattanvalve.standin_main'
 
 
+@dataclass(frozen=True, slots=True)
+class Programs:
+    """Module and first arguments of the product's programs."""
+
+    entry: tuple[str, ...] = ('rattanvalve.entry_main',)
+    endpoint: tuple[str, ...] = ('rattanvalve.endpoint_main',)
+
+
 @dataclass(slots=True)
 class Fleet:
     """Processes of one scenario.
 
     ``folder`` receives settings, journals and logs. ``keys`` holds the keys
     of callers by key name, ``admin_key`` is the operator's. ``proxies`` holds
-    the proxy of each link of a fleet that runs with proxies.
+    the proxy of each link of a fleet that runs with proxies, ``programs`` what
+    runs as entry and endpoint processes.
     """
 
     scenario: Scenario
@@ -48,6 +57,7 @@
     keys: dict[str, str] = field(default_factory=dict)
     admin_key: str = field(default_factory=generate_key)
     proxies: dict[str, FaultProxy] = field(default_factory=dict)
+    programs: Programs = field(default_factory=Programs)
 
     def product_targets(self) -> Targets:
         """Address the entry processes.
@@ -89,6 +99,7 @@
     *,
     is_direct: bool = False,
     is_proxied: bool = False,
+    programs: Programs | None = None,
 ) -> AsyncIterator[Fleet]:
     """Run the processes of a scenario.
 
@@ -97,6 +108,7 @@
     :param policy: placement policy and queue policy.
     :param is_direct: start only the stand-ins, without the product.
     :param is_proxied: put a fault proxy into every link between processes.
+    :param programs: what to run as the product; its own programs by default.
     :returns: fleet that is ready; all its processes have ended afterwards,
         also after an exception or a cancellation.
     :raises ChildError: if a process ends or does not become ready.
@@ -110,6 +122,7 @@
         with_proxies(plan) if is_proxied else plan,
         Children(folder / 'logs'),
         {name: generate_key() for name in scenario.initial_keys()},
+        programs=programs or Programs(),
     )
     try:
         await _start_proxies(fleet)
@@ -201,10 +214,10 @@
     digest = key_digest(fleet.admin_key)
     for entry in fleet.plan.entries:
         settings = fleet.plan.entry_settings(entry, digest)
-        _start_process(fleet, 'rattanvalve.entry_main', settings)
+        _start_process(fleet, fleet.programs.entry, settings)
     for endpoint in fleet.plan.endpoints:
         settings = fleet.plan.endpoint_settings(endpoint)
-        _start_process(fleet, 'rattanvalve.endpoint_main', settings)
+        _start_process(fleet, fleet.programs.endpoint, settings)
     callers = [planned.caller for planned in fleet.plan.entries]
     await wait_ready(fleet.children, session, callers)
     await wait_endpoints(fleet.children, session, fleet.plan, fleet.admin_key)
@@ -229,7 +242,11 @@
         response.raise_for_status()
 
 
-def _start_process(fleet: Fleet, module: str, settings: dict) -> None:
+def _start_process(
+    fleet: Fleet,
+    program: tuple[str, ...],
+    settings: dict,
+) -> None:
     path = fleet.folder / 'settings' / f'{settings["name"]}.json'
     path.write_text(json.dumps(settings, indent=2))
-    fleet.children.start(settings['name'], module, f'--settings={path}')
+    fleet.children.start(settings['name'], *program, f'--settings={path}')
--- a/rattanvalve/resultcodes.py
+++ b/rattanvalve/resultcodes.py
@@ -38,6 +38,7 @@
     OWNER_UNAVAILABLE = 1302
     NOT_CONFIRMED = 1303
     STOPPING = 1304
+    STARTING = 1305
     STALE_EPOCH = 1401
     STALE_TICKET = 1402
     DUPLICATE_TICKET = 1403
@@ -177,6 +178,13 @@
         'the owner has no current confirmation of its view',
     ),
     (ResultCode.STOPPING, 503, _SERVER, True, 'the process is stopping'),
+    (
+        ResultCode.STARTING,
+        503,
+        _SERVER,
+        True,
+        'the process has no configuration yet',
+    ),
     (
         ResultCode.STALE_EPOCH,
         503,
--- a/tests/caller_api.feature
+++ b/tests/caller_api.feature
@@ -86,3 +86,7 @@
 
   Scenario: a slow caller holds the endpoint back
     Then a caller that does not read stops the endpoint
+
+  Scenario: a process without a configuration refuses no valid key
+    Given an ingress that has no configuration yet
+    Then a chat with a valid key and readyz get status 503 and code 1305
--- a/tests/steps/caller_api_steps.py
+++ b/tests/steps/caller_api_steps.py
@@ -10,7 +10,7 @@
 from yarl import URL
 
 from rattanvalve import messages
-from rattanvalve.catalog import Priority
+from rattanvalve.catalog import Catalog, Priority
 from tests import ingress_checks
 from tests.ingress_bench import (
     AUTH,
@@ -309,3 +309,19 @@
             assert len(body) == limit * len(part)
 
     context.run(read())
+
+
+@given('an ingress that has no configuration yet')
+def step_starting(context):
+    open_bench(context).set_catalog(Catalog())
+
+
+@then(
+    'a chat with a valid key and readyz get status {status:d} and code {code:d}'
+)
+def step_starting_refusal(context, status, code):
+    for sent in (context.bench.chat(), context.bench.client.get('/readyz')):
+        response, raw = context.run(read_all(sent))
+        assert response.status == status
+        assert json.loads(raw)['error']['code'] == code, raw
+        assert 'Retry-After' in response.headers
