Report the end of a run until the owner acknowledges it

Cause: an endpoint process gave up a report after five tries in about 4.5 s. The owner, cut off for 5.4 s but not replaced, kept the ticket as running, and each later call of the program waited for it until 630 s had passed.

Change: the last pause repeats until the record expires after 600 s.

Before: the new row of endpoint_service.feature fails. After: it passes.

--- a/rattanvalve/finish_reports.py
+++ b/rattanvalve/finish_reports.py
@@ -2,30 +2,29 @@
 
 import asyncio
 import random
+import time
+from itertools import chain, repeat
 
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.errors import PeerError
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Ack, Finish, Member, Ticket, Usage
 from rattanvalve.peers import Address, PeerPool
-from rattanvalve.records import OwnerOf
+from rattanvalve.records import RETENTION_S, OwnerOf
 from rattanvalve.workset import WorkSet
 
 __all__ = ('FinishReports',)
 
 CALL_TIMEOUT_S = 2
-#: Pauses before the attempts after the first. Together they exceed the 3 s
-#: after which a silent owner is replaced.
+#: Pauses before the attempts after the first; the last one is repeated. An
+#: owner that missed a report keeps the next calls of the program waiting.
 RETRY_PAUSES_S = (0.1, 0.3, 1.0, 3.0)
 
 _log = part_logger(LogPart.ENDPOINT)
 
 
 class FinishReports:
-    """Sends each ``Finish`` until it is acknowledged, a few times at most.
-
-    A report that is not acknowledged is not lost: the owner or its successor
-    settles the ticket or seals this process, and gets the record.
+    """Sends each ``Finish`` until it is acknowledged or its record expires.
 
     :param pool: connections to peers.
     :param board: holds the view.
@@ -61,7 +60,8 @@
         outcome: str,
         usage: Usage,
     ) -> None:
-        pauses_s = iter(RETRY_PAUSES_S)
+        pauses_s = chain(RETRY_PAUSES_S, repeat(RETRY_PAUSES_S[-1]))
+        give_up_s = time.monotonic() + RETENTION_S
         is_owner_wrong = False
         while True:
             finish = self._build(ticket, outcome, usage)
@@ -70,12 +70,11 @@
             if isinstance(answer, Ack):
                 return
             is_owner_wrong = answer is not None
-            pause_s = next(pauses_s, None)
-            if pause_s is None:
+            if time.monotonic() >= give_up_s:
                 _log.warning('no acknowledgement of %s', ticket.number)
                 return
             # Jitter keeps the reports of many runs from arriving together.
-            await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+            await asyncio.sleep(next(pauses_s) * random.uniform(0.5, 1.5))
 
     def _build(self, ticket: Ticket, outcome: str, usage: Usage) -> Finish:
         return Finish(
--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -50,6 +50,7 @@
       | answers         | count |
       | Ack             | 1     |
       | Refusal Ack     | 2     |
+      | Refusal Refusal Refusal Refusal Refusal Refusal Ack | 7 |
 
   Scenario: commands of a restarted process carry the epoch of its view
     Given an endpoint process beside an engine
