Keep a report of the end of a run over a takeover

Cause: a joining entry seals the endpoints and serves a shard before its former owner knows of the view. A report then went to the former owner first, which acknowledged it; or it reached the new owner, and the state that was handed over later, with the ticket still running, replaced the rebuilt one. In both cases the next call of the program waited until 630 s had passed.

Seen in: whole_path.feature, rolling_restart, one of three runs at the same time under load: winter-1-p2 and winter-1-p3 had no run after the handover of their shards. Ruled out: unacknowledged reports (no such line in the logs of the endpoint processes), the rate (other programs of the workspace went on).

Change: an endpoint process reports to the owner of a view that is newer than the ticket; a shard that got a report ignores a later handover.

Before: the two new scenarios (ownership.feature, endpoint_service.feature) fail.

--- a/rattanvalve/finish_reports.py
+++ b/rattanvalve/finish_reports.py
@@ -91,7 +91,10 @@
         """Find the owner named in the ticket, or its successor."""
         view = self._board.view
         members = {member.name: member for member in view.members}
-        if ticket.owner in members and not is_wrong:
+        # A newer view may have come with a seal: its owner then waits for the
+        # report, while the former owner may not know of it yet.
+        is_newest = ticket.epoch >= view.epoch
+        if is_newest and ticket.owner in members and not is_wrong:
             return members[ticket.owner]
         name = self._owner_of(view, ticket.workspace, ticket.shard)
         return members.get(name)
--- a/rattanvalve/ownership.py
+++ b/rattanvalve/ownership.py
@@ -138,6 +138,7 @@
             now_s,
         )
         if is_first:
+            shard.is_reported = True
             self.metrics.count(f'outcome.{finish.outcome}')
         return is_first
 
--- a/rattanvalve/shardstate.py
+++ b/rattanvalve/shardstate.py
@@ -58,13 +58,19 @@
 
 @dataclass(slots=True, kw_only=True)
 class Shard:
-    """Everything an owner holds for one workspace shard."""
+    """Everything an owner holds for one workspace shard.
+
+    Since the last takeover, ``is_touched`` notes that tickets were issued and
+    ``is_reported`` that the end of one was reported; a handover that arrives
+    later would undo them.
+    """
 
     bucket: Bucket
     seal: SealState
     ledger: ProgramLedger = field(default_factory=ProgramLedger)
     retries: RetryBudget = field(default_factory=RetryBudget)
     is_touched: bool = False
+    is_reported: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/rattanvalve/shardtable.py
+++ b/rattanvalve/shardtable.py
@@ -107,6 +107,7 @@
             shard = self.shards[name]
             shard.seal = self.seal
             shard.is_touched = False
+            shard.is_reported = False
             if not self.seal.is_level_known:
                 shard.bucket.assume(0, now_s)
 
@@ -179,13 +180,13 @@
         :param raw: part by :meth:`export_state`.
         :param now_s: current time in seconds.
         :returns: name of the shard when it is complete; ``None`` for a part,
-            and for a shard that has issued tickets here already.
+            and for a shard that has issued tickets or got reports here.
         :raises msgspec.DecodeError: if the part is malformed.
         """
         part = msgspec.msgpack.decode(raw, type=ShardPart)
         name = (part.workspace, part.shard)
         known = self.shards.get(name)
-        if known is not None and known.is_touched:
+        if known is not None and (known.is_touched or known.is_reported):
             return None
         export = (part.workspace, part.shard, part.now_s)
         parts = self._parts.setdefault(export, {})
--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -56,3 +56,7 @@
     Given an endpoint process beside an engine
     When it adopts a view of epoch 7 before its first run and releases caches
     Then the server saw the release with fencing token 7
+
+  Scenario: reports go to the owner of the newest view
+    Given an owner that answers Ack to reports
+    Then the end of an old ticket is reported to its new owner, not the former
--- a/tests/ownership.feature
+++ b/tests/ownership.feature
@@ -73,3 +73,8 @@
       | 3     | lacks it                | refused  |
       | 4     | lacks it                | admitted |
       | 2     | has it for another user | refused  |
+
+  Scenario: a late handover does not undo a report
+    Given a running non-repeatable request
+    When its state is exported, its end reported and the state imported
+    Then the next call of the program gets a ticket
--- a/tests/steps/finish_reports_steps.py
+++ b/tests/steps/finish_reports_steps.py
@@ -60,3 +60,14 @@
     assert len(context.got) == count
     assert context.got[-1].usage == Usage(output_tokens=3)
     assert context.got[-1].epoch == 6
+
+
+@then('the end of an old ticket is reported to its new owner, not the former')
+def step_new_owner(context):
+    board = context.reports._board
+    former = Member(name='entry-z')
+    members = (*board.view.members, former)
+    board.view = View(epoch=6, members=members)
+    for epoch, name in ((5, 'entry-a'), (6, 'entry-z')):
+        ticket = Ticket(number='entry-z/x/1', owner='entry-z', epoch=epoch)
+        assert context.reports._find_owner(ticket, False).name == name
--- a/tests/steps/ownership_steps.py
+++ b/tests/steps/ownership_steps.py
@@ -406,3 +406,20 @@
         assert isinstance(answer, Ticket), answer
     else:
         assert answer.code == ResultCode.KEY_UNKNOWN, answer
+
+
+@when('its state is exported, its end reported and the state imported')
+def step_late_handover(context):
+    table = context.entry.owner.table
+    parts = table.export_state('north', 0, 1001)
+    for part in parts:
+        table.import_state(part, 1001)
+    context.entry.owner.finish(finish_of(context.ticket), 1002)
+    for part in parts:
+        table.import_state(part, 1003)
+
+
+@then('the next call of the program gets a ticket')
+def step_next_call(context):
+    answer = decide(context.entry, new_begin(request_id='next'), 1004)
+    assert isinstance(answer, Ticket), answer
