--- a/rattanvalve/fault_schedule.py
+++ b/rattanvalve/fault_schedule.py
@@ -206,8 +206,18 @@
     'store_down': FaultKind(action='store_down', targets=_store, longest_s=14),
     'store_slow': FaultKind(action='store_slow', targets=_store),
     'store_replies_lost': FaultKind(action='store_lose', targets=_store),
-    'operators_race': FaultKind(action='race', targets=_operators),
-    'key_withdrawn': FaultKind(action='churn', targets=_operators),
+    'operators_race': FaultKind(
+        action='race',
+        targets=_operators,
+        is_planned=True,
+    ),
+    # Programs of the key must outlive its withdrawal.
+    'key_withdrawn': FaultKind(
+        action='churn',
+        targets=_operators,
+        longest_s=3,
+        is_planned=True,
+    ),
     'rolling_restart': FaultKind(
         action='restart',
         targets=_all_processes,
--- /dev/null
+++ b/tests/broken_program.py
@@ -0,0 +1,49 @@
+"""Runs a program of the product with one mechanism broken on purpose.
+
+The first arguments are the program and the name of the break.
+"""
+
+import os
+import sys
+
+from rattanvalve import endpoint_main, entry_main
+from rattanvalve.cache_keeper import CacheKeeper
+from rattanvalve.engine_client import EngineClient
+from rattanvalve.ratelimit import Bucket
+from rattanvalve.settling import Settler
+from rattanvalve.shutdown import Shutdown
+
+
+async def stop_at_once(self):
+    """Neither leave the view nor finish what is open."""
+    os._exit(0)
+
+
+async def claim_not_run(self, attempt):
+    """Claim that nothing ran without asking."""
+    return 'not_run'
+
+
+async def release_nothing(self):
+    """Keep all caches."""
+
+
+BREAKS = {
+    'a stop drops requests': ((Shutdown, 'run', stop_at_once),),
+    'rates are not counted': (
+        (Bucket, 'wait_s', lambda *given: 0),
+        (Bucket, 'take', lambda *given: True),
+    ),
+    'settling asks nobody': ((Settler, 'settle', claim_not_run),),
+    'caches are kept': ((CacheKeeper, 'release_due', release_nothing),),
+    'commands carry an old epoch': (
+        (EngineClient, 'observe_epoch', lambda *given: None),
+    ),
+}
+PROGRAMS = {'entry': entry_main.main, 'endpoint': endpoint_main.main}
+
+if __name__ == '__main__':
+    program, break_name = sys.argv[1:3]
+    for owner, name, broken in BREAKS[break_name]:
+        setattr(owner, name, broken)
+    PROGRAMS[program](sys.argv[3:])
--- a/tests/history_check.feature
+++ b/tests/history_check.feature
@@ -47,6 +47,8 @@
       | an endpoint gets work 4 s after its planned stop   | leaving endpoints idle          |
       | a program is refused after the last fault          | service resumes                 |
       | no program starts after the last fault             | service resumes                 |
+      | an order meets an internal error                   | no internal errors              |
+      | a log reports a violated invariant                 | no internal errors              |
       | a quiet withdrawal takes 3 s                       | withdrawn keys stop             |
       | an engine was killed before it cached a program    | cache released                  |
 
--- a/tests/steps/history_check_steps.py
+++ b/tests/steps/history_check_steps.py
@@ -338,6 +338,17 @@
     context.history.withdrawn_s['north-1'] = 15
 
 
+def fails_inside(context):
+    """Answer the first attempt of the order with an internal error."""
+    failed = Attempt(started_s=12.5, status=500, code=1901)
+    context.program.calls[1].attempts.insert(0, failed)
+
+
+def logs_violation(context):
+    """Report a violated invariant in a log."""
+    context.texts['entry.log'] = 'relay: invariant violated: second ticket'
+
+
 def kills_before_cache(context):
     """Kill the engine before the last chat, which is not released."""
     strike(context, 'kill_server', 13, 14, ENGINE)
@@ -354,6 +365,8 @@
     'an endpoint gets work 4 s after its planned stop': works_while_leaving,
     'a program is refused after the last fault': refuses_at_end,
     'no program starts after the last fault': starts_nothing,
+    'an order meets an internal error': fails_inside,
+    'a log reports a violated invariant': logs_violation,
     'a quiet withdrawal takes 3 s': withdraws_slowly,
     'an engine was killed before it cached a program': kills_before_cache,
     'the order starts before the first chat has ended': starts_early,
