Settle again when the endpoint process refuses an old epoch

Cause: an owner that lags behind the view was refused when it settled a ticket, and took the refusal for an unknown outcome.

Change: a refusal counts as no answer, and each try uses the newest view.

Before: the new scenario of ownership.feature fails.

--- a/rattanvalve/settling.py
+++ b/rattanvalve/settling.py
@@ -1,5 +1,6 @@
 """Settling of running tickets with their endpoint processes."""
 
+from dataclasses import replace
 from typing import Any
 
 from rattanvalve import outcomes
@@ -85,13 +86,18 @@
     async def _ask(self, address: Address, settle: Settle) -> Any:
         give_up_s = self._ports.clock() + SETTLE_LIMIT_S
         while True:
+            epoch = self._takeover.view().epoch
             try:
-                return await self._ports.pool.call(
+                answer = await self._ports.pool.call(
                     address,
-                    settle,
+                    replace(settle, epoch=epoch),
                     SETTLE_TIMEOUT_S,
                 )
             except PeerError:
-                if self._ports.clock() >= give_up_s:
-                    return None
+                answer = None
+            # A refusal says that this process does not know the newest view
+            # yet; it tells nothing about the run.
+            is_final = isinstance(answer, Settled)
+            if is_final or self._ports.clock() >= give_up_s:
+                return answer
             await self._ports.sleep(SETTLE_PAUSE_S)
--- a/tests/ownership.feature
+++ b/tests/ownership.feature
@@ -94,3 +94,8 @@
     Given a running non-repeatable request
     When its state is exported, its end reported and the state imported
     Then the next call of the program gets a ticket
+
+  Scenario: an owner that lags behind the view settles once it has caught up
+    Given a running repeatable request
+    When its run broke off and the endpoint refuses an old epoch for 2 s
+    Then the owner answers with answered
--- a/tests/steps/ownership_steps.py
+++ b/tests/steps/ownership_steps.py
@@ -492,3 +492,20 @@
 def step_next_call(context):
     answer = decide(context.entry, new_begin(request_id='next'), 1004)
     assert isinstance(answer, Ticket), answer
+
+
+@when('its run broke off and the endpoint refuses an old epoch for 2 s')
+def step_old_epoch(context):
+    world, endpoint = context.world, context.world.endpoint(context.ticket)
+    record = [context.ticket, outcomes.ANSWERED, Usage(), 1001]
+    endpoint.records[context.ticket.number] = record
+    answer, until_s = endpoint.answer, world.time.now_s + 2
+
+    def refuse_first(message):
+        if world.time.now_s < until_s:
+            return Refusal(code=int(ResultCode.STALE_EPOCH))
+        return answer(message)
+
+    endpoint.answer = refuse_first
+    asking = context.entry.service.resolve(resolve_of(context.ticket))
+    context.answer = context.run(world.time.drive(asking))
