--- a/rattanvalve/admin_api.py
+++ b/rattanvalve/admin_api.py
@@ -66,6 +66,8 @@
 async def _get_config(request: web.Request) -> web.Response:
     context = request.app[CONTEXT]
     catalog = context.blackboard.catalog
+    if not catalog.generation:
+        raise AdminError(ResultCode.STARTING, 'try again or elsewhere')
     return web.json_response(
         {
             'generation': catalog.generation,
--- a/rattanvalve/ownership.py
+++ b/rattanvalve/ownership.py
@@ -135,6 +135,7 @@
             now_s,
         )
         if is_first:
+            shard.is_reported = True
             self.metrics.count(f'outcome.{finish.outcome}')
         return is_first
 
@@ -217,7 +218,7 @@
             ),
             now_s,
         )
-        return self._retry(attempt, context, now_s)
+        return self._retry(attempt, resolve.request_id, context, now_s)
 
     def look_up(self, resolve: Resolve) -> Outcome | Refusal:
         """Find the outcome of an idempotency key.
@@ -253,6 +254,7 @@
     def _retry(
         self,
         attempt: Attempt,
+        request_id: str,
         context: OwnerContext,
         now_s: float,
     ) -> Ticket | Outcome:
@@ -265,6 +267,7 @@
             attempt,
             shard,
             self._next_number(),
+            request_id,
             context,
             now_s,
         )
--- a/tests/ownership.feature
+++ b/tests/ownership.feature
@@ -46,6 +46,11 @@
       | non-repeatable | unknown  | unknown      |
       | repeatable     | unknown  | a new ticket |
 
+  Scenario: a request that found an earlier one by its key gets its own ticket
+    Given a running repeatable request
+    When another request with its key says that the run broke off
+    Then the new ticket is for that request, and the earlier one finds it
+
   Scenario: a ticket that was never sent needs no settlement
     Given a running non-repeatable request
     When its ingress could not reach the endpoint, which is down
@@ -84,3 +89,13 @@
       | 3     | lacks it                | refused  |
       | 4     | lacks it                | admitted |
       | 2     | has it for another user | refused  |
+
+  Scenario: a late handover does not undo a report
+    Given a running non-repeatable request
+    When its state is exported, its end reported and the state imported
+    Then the next call of the program gets a ticket
+
+  Scenario: an owner that lags behind the view settles once it has caught up
+    Given a running repeatable request
+    When its run broke off and the endpoint refuses an old epoch for 2 s
+    Then the owner answers with answered
--- a/tests/peers.feature
+++ b/tests/peers.feature
@@ -21,6 +21,11 @@
     Then the stranger is disconnected and counted
     And a call still gets its answer
 
+  Scenario: a message on a closed connection is an error of the connection
+    Given a peer server that answers settle messages
+    When a connection is closed before a message is sent
+    Then sending fails like a broken connection
+
   Scenario Outline: a secret is exchanged without a restart
     Given a peer server that accepts <accepted>
     When a client that sends with <sent> calls
--- a/tests/steps/ownership_steps.py
+++ b/tests/steps/ownership_steps.py
@@ -320,7 +320,11 @@
     world, entry = single_owner(context)
     context.world = world
     context.entry = entry
-    begin = new_begin(is_repeatable=kind == 'repeatable', idempotency_key='k')
+    begin = new_begin(
+        is_repeatable=kind == 'repeatable',
+        idempotency_key='k',
+        request_id='first',
+    )
     context.ticket = decide(context.entry, begin, 1001)
 
 
@@ -334,6 +338,26 @@
     )
 
 
+@when('another request with its key says that the run broke off')
+def step_other_asks(context):
+    resolve = replace(resolve_of(context.ticket), request_id='second')
+    context.answer = context.run(context.entry.service.resolve(resolve))
+
+
+@then('the new ticket is for that request, and the earlier one finds it')
+def step_own_ticket(context):
+    ticket = context.answer
+    assert isinstance(ticket, Ticket)
+    assert ticket.request_id == 'second'
+    attempts = context.entry.owner.table.find('north', 0).ledger.attempts
+    assert attempts.find('second', '').ticket == ticket
+    assert attempts.find('', 'k').ticket == ticket
+    assert context.ticket.request_id not in attempts._by_request
+    resolve = resolve_of(context.ticket)
+    again = context.run(context.entry.service.resolve(resolve))
+    assert again.number == ticket.number
+
+
 @when('its ingress could not reach the endpoint, which is down')
 def step_not_sent(context):
     context.world.endpoint(context.ticket).is_up = False
@@ -451,3 +475,37 @@
         assert isinstance(answer, Ticket), answer
     else:
         assert answer.code == ResultCode.KEY_UNKNOWN, answer
+
+
+@when('its state is exported, its end reported and the state imported')
+def step_late_handover(context):
+    table = context.entry.owner.table
+    parts = table.export_state('north', 0, 1001)
+    for part in parts:
+        table.import_state(part, 1001)
+    context.entry.owner.finish(finish_of(context.ticket), 1002)
+    for part in parts:
+        table.import_state(part, 1003)
+
+
+@then('the next call of the program gets a ticket')
+def step_next_call(context):
+    answer = decide(context.entry, new_begin(request_id='next'), 1004)
+    assert isinstance(answer, Ticket), answer
+
+
+@when('its run broke off and the endpoint refuses an old epoch for 2 s')
+def step_old_epoch(context):
+    world, endpoint = context.world, context.world.endpoint(context.ticket)
+    record = [context.ticket, outcomes.ANSWERED, Usage(), 1001]
+    endpoint.records[context.ticket.number] = record
+    answer, until_s = endpoint.answer, world.time.now_s + 2
+
+    def refuse_first(message):
+        if world.time.now_s < until_s:
+            return Refusal(code=int(ResultCode.STALE_EPOCH))
+        return answer(message)
+
+    endpoint.answer = refuse_first
+    asking = context.entry.service.resolve(resolve_of(context.ticket))
+    context.answer = context.run(world.time.drive(asking))
