--- a/tests/ownership.feature
+++ b/tests/ownership.feature
@@ -93,7 +93,7 @@
   Scenario: a late handover does not undo a report
     Given a running non-repeatable request
     When its state is exported, its end reported and the state imported
-    Then the next call of the program gets a ticket
+    Then the following call of the program gets a ticket
 
   Scenario: an owner that lags behind the view settles once it has caught up
     Given a running repeatable request
--- a/tests/steps/ownership_steps.py
+++ b/tests/steps/ownership_steps.py
@@ -488,7 +488,7 @@
         table.import_state(part, 1003)
 
 
-@then('the next call of the program gets a ticket')
+@then('the following call of the program gets a ticket')
 def step_next_call(context):
     answer = decide(context.entry, new_begin(request_id='next'), 1004)
     assert isinstance(answer, Ticket), answer
