--- a/rattanvalve/engine_client.py
+++ b/rattanvalve/engine_client.py
@@ -28,6 +28,7 @@
 _FENCED_STATUS = 409
 _HTTP_ERROR_FROM = 400
 _NOT_FOUND = 404
+_SUCCESSES = range(200, 300)
 
 _log = part_logger(LogPart.ENGINE)
 
@@ -119,7 +120,7 @@
         :returns: whether the engine has paused it.
         """
         path = f'/v1/requests/{quote(number, safe="")}/pause'
-        return await self._command('POST', path) == 200
+        return await self._command('POST', path) in _SUCCESSES
 
     async def resume(self, number: str) -> bool:
         """Resume a paused request.
@@ -128,7 +129,7 @@
         :returns: whether the engine runs it again.
         """
         path = f'/v1/requests/{quote(number, safe="")}/resume'
-        return await self._command('POST', path) == 200
+        return await self._command('POST', path) in _SUCCESSES
 
     async def _command(self, method: str, path: str) -> int:
         """Send a command under the newest token; status 0 if it failed."""
