--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 	$(BIN)/python -m rattanvalve.docpages --write
 
 generate:
+	mkdir -p build
 	thrift --gen py -out build rattanvalve.thrift
 	cp build/rattanvalve/ttypes.py rattanvalve/wire_gen/ttypes.py
 	sha256sum rattanvalve.thrift | cut -d' ' -f1 > rattanvalve/wire_gen/SOURCE_SHA256
--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -202,6 +202,7 @@
   2: i64 generation
   3: i64 confirmation_age_ms
   4: bool is_store_reachable
+  5: string queue_policy
 }
 
 struct Pull {
--- a/rattanvalve/announcer.py
+++ b/rattanvalve/announcer.py
@@ -54,7 +54,8 @@
 
     ``load`` gives the current load as an announcement without membership;
     ``adopt`` takes a newer view; ``decode_view`` is that of
-    :mod:`rattanvalve.views`.
+    :mod:`rattanvalve.views`; ``set_queue_policy`` takes the name of the queue
+    policy that the newest known configuration demands.
     """
 
     pool: PeerPool
@@ -64,6 +65,7 @@
     load: Callable[[], Announce]
     adopt: Callable[[View], None]
     decode_view: Callable[[bytes], View]
+    set_queue_policy: Callable[[str], None]
     clock: Callable[[], float] = time.monotonic
 
 
@@ -79,6 +81,7 @@
         self._member = member
         self._parts = parts
         self._is_leaving = False
+        self._generation = 0
         self._rounds: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -154,6 +157,7 @@
         except PeerError as error:
             _log.debug('announcement failed: %s', error)
             return False
+        self._follow_rules(ack)
         self._confirm(ack, sent_at_s)
         return True
 
@@ -171,6 +175,12 @@
         except ValueError as error:
             _log.warning('malformed view from a peer: %s', error)
 
+    def _follow_rules(self, ack: Ack) -> None:
+        """Take the rule of a newer generation; rules never revert."""
+        if ack.generation > self._generation:
+            self._generation = ack.generation
+            self._parts.set_queue_policy(ack.queue_policy)
+
     def _confirm(self, ack: Ack, sent_at_s: float) -> None:
         """Take over the confirmation of an entry with the same view."""
         view = self._parts.board.view
--- a/rattanvalve/endpoint_process.py
+++ b/rattanvalve/endpoint_process.py
@@ -162,6 +162,7 @@
             load=self._load,
             adopt=self._service.adopt_view,
             decode_view=decode_view,
+            set_queue_policy=self._parts.queue.follow,
             clock=time.monotonic,
         )
         return Announcer(member, parts)
--- a/rattanvalve/messages.py
+++ b/rattanvalve/messages.py
@@ -297,12 +297,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Ack:
-    """Versions known to the process that answers."""
+    """Versions known to the process that answers.
+
+    ``queue_policy`` is the rule of the configuration of that generation.
+    """
 
     epoch: int = 0
     generation: int = 0
     confirmation_age_ms: int = 0
     is_store_reachable: bool = False
+    queue_policy: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/rattanvalve/runqueue.py
+++ b/rattanvalve/runqueue.py
@@ -82,6 +82,31 @@
         """
         return len(self._waiting)
 
+    def follow(self, policy_name: str) -> None:
+        """Change the order; waiting requests keep their order of arrival.
+
+        Service that groups received under the earlier policy is forgotten.
+
+        :param policy_name: name in :data:`QUEUE_POLICIES`; others are ignored,
+            so that an entry of a later version cannot stop the queue.
+        """
+        policy = QUEUE_POLICIES.get(policy_name, self._policy)
+        if policy is self._policy:
+            return
+        self._policy = policy
+        self._groups.clear()
+        self._floors.clear()
+        self._active = LazyHeap()
+        for run in self._running.values():
+            group = self._groups.setdefault(
+                policy.group_of(run.ticket), _Group()
+            )
+            group.running_count += 1
+            group.service += run.charged
+        for arrival, ticket in enumerate(self._waiting.values()):
+            self._enter_group(ticket, arrival)
+        self._arrival_count = len(self._waiting)
+
     def offer(self, ticket: Ticket, now_s: float) -> Refusal | None:
         """Put a request into the queue.
 
@@ -97,11 +122,11 @@
                 code=ResultCode.QUEUE_FULL,
                 retry_after_ms=self._retry_after_ms(),
             )
-        self._arrival_count += 1
         self._waiting[ticket.number] = ticket
         self._counts[ticket.workspace] += 1
         self._deadlines.push(ticket.number, now_s + timeout_s_of(ticket))
-        self._enter_group(ticket)
+        self._enter_group(ticket, self._arrival_count)
+        self._arrival_count += 1
         return None
 
     def pop_ready(self, now_s: float) -> Ticket | None:
@@ -172,14 +197,14 @@
         share_s = self._mean_run_s * max(len(self._active), 1)
         return max(int(_MS_PER_S * share_s / self._capacity_count), 1)
 
-    def _enter_group(self, ticket: Ticket) -> None:
+    def _enter_group(self, ticket: Ticket, arrival: int) -> None:
         key = self._policy.group_of(ticket)
         group = self._groups.setdefault(key, _Group())
         if not group.waiting:
             # An idle group does not save up service for later.
             floor = self._floors.get(key[0], 0)
             group.service = max(group.service, floor)
-        rank = self._policy.rank_of(ticket, self._arrival_count)
+        rank = self._policy.rank_of(ticket, arrival)
         group.waiting.push(ticket.number, rank)
         self._settle_group(key)
 
--- a/rattanvalve/viewstate.py
+++ b/rattanvalve/viewstate.py
@@ -188,14 +188,18 @@
     def answer_endpoint(self) -> Ack:
         """Make the answer to an announce.
 
-        :returns: the answer, with the age of any kind of confirmation.
+        :returns: the answer, with the age of any kind of confirmation and
+            the queue policy.
         """
         now_s = self._context.clock()
-        return self._make_ack(
+        blackboard = self._context.blackboard
+        ack = self._make_ack(
             now_s,
             self.confirmation.age_s(now_s),
-            is_store_reachable=self._context.blackboard.is_store_reachable,
+            is_store_reachable=blackboard.is_store_reachable,
         )
+        rules = blackboard.catalog.config.rules
+        return replace(ack, queue_policy=rules.queue_policy)
 
     def _can_state(self, now_s: float) -> bool:
         return (
--- a/rattanvalve/wire_gen/ttypes.py
+++ b/rattanvalve/wire_gen/ttypes.py
@@ -2481,15 +2481,17 @@
      - generation
      - confirmation_age_ms
      - is_store_reachable
+     - queue_policy
 
     """
 
 
-    def __init__(self, epoch=None, generation=None, confirmation_age_ms=None, is_store_reachable=None,):
+    def __init__(self, epoch=None, generation=None, confirmation_age_ms=None, is_store_reachable=None, queue_policy=None,):
         self.epoch = epoch
         self.generation = generation
         self.confirmation_age_ms = confirmation_age_ms
         self.is_store_reachable = is_store_reachable
+        self.queue_policy = queue_policy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2520,6 +2522,11 @@
                     self.is_store_reachable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.queue_policy = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2546,6 +2553,10 @@
             oprot.writeFieldBegin('is_store_reachable', TType.BOOL, 4)
             oprot.writeBool(self.is_store_reachable)
             oprot.writeFieldEnd()
+        if self.queue_policy is not None:
+            oprot.writeFieldBegin('queue_policy', TType.STRING, 5)
+            oprot.writeString(self.queue_policy.encode('utf-8') if sys.version_info[0] == 2 else self.queue_policy)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3178,6 +3189,7 @@
     (2, TType.I64, 'generation', None, None, ),  # 2
     (3, TType.I64, 'confirmation_age_ms', None, None, ),  # 3
     (4, TType.BOOL, 'is_store_reachable', None, None, ),  # 4
+    (5, TType.STRING, 'queue_policy', 'UTF8', None, ),  # 5
 )
 all_structs.append(Pull)
 Pull.thrift_spec = (
--- a/tests/announcer.feature
+++ b/tests/announcer.feature
@@ -15,3 +15,14 @@
     Given an entry with epoch 4 and an announcer with epoch 4
     When a check succeeds, two checks fail and the endpoint leaves
     Then the announcements are healthy, unhealthy and leaving
+
+  Scenario: the queue policy of an older configuration is never taken again
+    Given an entry with epoch 4 and an announcer with epoch 4
+    When its announcements are answered with these rules
+      | generation | policy       |
+      | 0          | program_fair |
+      | 2          | first_come   |
+      | 1          | program_fair |
+      | 2          | program_fair |
+      | 3          | program_fair |
+    Then the queue policies first_come program_fair were taken
--- a/tests/runqueue.feature
+++ b/tests/runqueue.feature
@@ -42,6 +42,7 @@
       | policy       |
       | program_fair |
       | first_come   |
+      | changing     |
 
   @randomised
   Scenario Outline: the check catches a broken queue
@@ -54,3 +55,22 @@
       | one slot too many         |
       | overdue requests that run |
       | a withdrawn one that runs |
+      | a rule that is not followed |
+
+  Scenario Outline: waiting requests follow a changed rule and none is lost
+    Given a <before> queue with 1 slot
+    When these requests arrive
+      | number | workspace | priority | attained |
+      | a      | north     | 1        | 0        |
+      | b      | north     | 1        | 900      |
+      | c      | south     | 2        | 10       |
+      | d      | north     | 1        | 20       |
+    And the first one starts and the rule becomes <after>
+    And the started one finishes
+    Then they run in the order <order>
+
+    Examples:
+      | before       | after        | order |
+      | first_come   | program_fair | d b c |
+      | program_fair | first_come   | b c d |
+      | first_come   | first_come   | b c d |
--- a/tests/steps/announcer_steps.py
+++ b/tests/steps/announcer_steps.py
@@ -1,6 +1,7 @@
 """Steps of announcer.feature."""
 
 import asyncio
+from dataclasses import replace
 from functools import partial
 from unittest import mock
 
@@ -20,7 +21,9 @@
 async def answer_announce(context, epoch, message, send):
     """Record an announcement and acknowledge it."""
     context.announced.append(message)
-    await send(Ack(epoch=epoch, confirmation_age_ms=AGE_MS))
+    ack = Ack(epoch=epoch, confirmation_age_ms=AGE_MS)
+    rules = context.rules.pop(0) if context.rules else {}
+    await send(replace(ack, **rules))
 
 
 async def answer_pull(epoch, message, send):
@@ -32,6 +35,8 @@
 @given('an entry with epoch {entry:d} and an announcer with epoch {own:d}')
 def step_start(context, entry, own):
     context.announced = []
+    context.rules = []
+    context.followed = []
     handlers = {
         Announce: partial(answer_announce, context, entry),
         Pull: partial(answer_pull, entry),
@@ -49,6 +54,7 @@
         load=Announce,
         adopt=partial(setattr, context.board, 'view'),
         decode_view=lambda raw: View(epoch=int(raw)),
+        set_queue_policy=context.followed.append,
         clock=lambda: NOW_S,
     )
     context.announcer = Announcer(Member(name='endpoint-a'), parts)
@@ -85,3 +91,18 @@
 def step_announced(context):
     found = [(a.is_healthy, a.is_leaving) for a in context.announced]
     assert found == [(True, False), (False, False), (False, True)], found
+
+
+@when('its announcements are answered with these rules')
+def step_rules(context):
+    context.rules = [
+        {'generation': int(row['generation']), 'queue_policy': row['policy']}
+        for row in context.table
+    ]
+    for _ in context.table:
+        step_announce(context)
+
+
+@then('the queue policies {names} were taken')
+def step_followed(context, names):
+    assert context.followed == names.split(), context.followed
--- a/tests/steps/runqueue_steps.py
+++ b/tests/steps/runqueue_steps.py
@@ -49,6 +49,18 @@
         assert context.queue.offer(request(*row.cells), 0) is None
 
 
+@when('the first one starts and the rule becomes {policy:w}')
+def step_rule(context, policy):
+    context.started = context.queue.pop_ready(0)
+    context.queue.follow(policy)
+    context.queue.follow('unknown')
+
+
+@when('the started one finishes')
+def step_finish(context):
+    context.queue.finished(context.started.number, USAGE, 0)
+
+
 @then('they run in the order {order}')
 def step_order(context, order):
     ran = [ticket.number for ticket in run_all(context.queue)]
@@ -148,8 +160,10 @@
     """Compares a queue with a plain list of waiting requests."""
 
     def __init__(self, policy_name):
-        self.is_fair = policy_name == 'program_fair'
-        self.queue = RunQueue(CAPACITY, MAX_PER_WORKSPACE, policy_name)
+        self.is_following = policy_name == 'changing'
+        self.is_fair = policy_name != 'first_come'
+        first_name = 'program_fair' if self.is_following else policy_name
+        self.queue = RunQueue(CAPACITY, MAX_PER_WORKSPACE, first_name)
         self.waiting = {}
         self.running = []
         self.now_s = 0
@@ -217,6 +231,13 @@
         is_waiting = self.waiting.pop(number, None) is not None
         assert self.queue.withdraw(number) == is_waiting
 
+    def change_policy(self, first, second):
+        """Change the rule now and then; the order holds at once."""
+        if self.is_following and first % 4 == 0:
+            self.is_fair = second % 2 == 0
+            names = ('program_fair', 'first_come')
+            self.queue.follow(names[second % 2])
+
     def pass_time(self, first, second):
         """Let time pass and deadlines with it."""
         self.now_s += first % 9
@@ -237,7 +258,7 @@
         assert self.queue.running_count == len(self.running)
 
 
-def check_queue(steps, policy_name='program_fair', break_queue=None):
+def check_queue(policy_name, steps, break_queue=None):
     """Run one sequence of steps."""
     history = QueueHistory(policy_name)
     if break_queue:
@@ -251,6 +272,7 @@
         history.finish,
         history.withdraw,
         history.pass_time,
+        history.change_policy,
     )
     for action, first, second in steps:
         actions[action % len(actions)](first, second)
@@ -267,6 +289,11 @@
     return break_queue
 
 
+def with_old_rule(queue):
+    """Keep the first rule in force."""
+    queue.follow = lambda policy_name: None
+
+
 def with_slot(queue):
     """Use one slot too many."""
     queue._capacity_count += 1
@@ -283,6 +310,7 @@
 
 
 FAULTS = {
+    'a rule that is not followed': with_old_rule,
     'no regard to priority': with_policy(
         group_of=lambda ticket: (0, ticket.workspace),
     ),
@@ -297,9 +325,12 @@
 
 @then('random sequences find no fault in a {policy} queue')
 def step_no_fault(context, policy):
-    run_sequences(partial(check_queue, policy_name=policy))
+    run_sequences(partial(check_queue, policy))
 
 
 @then('random sequences find a queue with {fault}')
 def step_fault(context, fault):
-    assert is_caught(partial(check_queue, break_queue=FAULTS[fault]))
+    is_rule = fault == 'a rule that is not followed'
+    policy_name = 'changing' if is_rule else 'program_fair'
+    check = partial(check_queue, policy_name, break_queue=FAULTS[fault])
+    assert is_caught(check)
