Pause low runs at the engine for waiting high-priority ones

When all slots are taken, a waiting request of the highest class takes the slot of a run of the lowest class, which is paused at the engine and resumed later. A run is paused at most twice and for 3 s before it goes first again, and at most half of the slots belong to paused runs. A refusal is final; a command whose answer is lost is followed by a resume until it is confirmed. The order of groups moves to a module of its own. The load tool also reports the p95 of workspaces within their rate, since the programs of a workspace above its rate wait for it under every policy.

--- a/rattanvalve/comparison.py
+++ b/rattanvalve/comparison.py
@@ -25,6 +25,7 @@
     'latency_p50_s',
     'latency_p95_s',
     'latency_p99_s',
+    'within_rate_p95_s',
     'first_token_p95_s',
     'token_gap_p95_s',
     'call_p50_s',
--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -39,6 +39,9 @@
     CACHE_HELD = 'cache.held'
     CACHE_RELEASED = 'cache.released'
     CACHE_EXPIRED = 'cache.expired'
+    RUN_PAUSED = 'run.paused'
+    RUN_RESUMED = 'run.resumed'
+    PAUSE_REFUSED = 'run.pause_refused'
     FRAME_REJECTED = 'frame.rejected'
     INVARIANT_VIOLATED = 'invariant.violated'
 
--- a/rattanvalve/engine_client.py
+++ b/rattanvalve/engine_client.py
@@ -43,6 +43,7 @@
     """
 
     keeps_cache = True
+    can_pause = True
 
     def __init__(
         self,
@@ -113,14 +114,16 @@
         """
         return _is_done(await self._command('DELETE', '/v1/cache'))
 
-    async def pause(self, number: str) -> bool:
+    async def pause(self, number: str) -> bool | None:
         """Pause a running request.
 
         :param number: its ticket number.
-        :returns: whether the engine has paused it.
+        :returns: whether the engine has paused it; ``None`` if its answer
+            did not arrive.
         """
         path = f'/v1/requests/{quote(number, safe="")}/pause'
-        return await self._command('POST', path) in _SUCCESSES
+        status = await self._command('POST', path)
+        return status in _SUCCESSES if status else None
 
     async def resume(self, number: str) -> bool:
         """Resume a paused request.
--- a/rattanvalve/jobrunner.py
+++ b/rattanvalve/jobrunner.py
@@ -7,6 +7,7 @@
 from rattanvalve.counters import Counter
 from rattanvalve.endpoint_parts import EndpointParts
 from rattanvalve.errors import BodyError, FencedError, InvariantError
+from rattanvalve.job_pauses import JobPauses
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import End, Refusal, Usage
 from rattanvalve.queuepolicies import timeout_s_of
@@ -50,6 +51,7 @@
         self.unfetched = WorkSet()
         self.unfinished = WorkSet()
         self._parts = parts
+        self._pauses = JobPauses(parts, self.pump)
 
     def submit(self, job: Job) -> Refusal | None:
         """Queue a job whose ticket was accepted.
@@ -75,11 +77,16 @@
     def pump(self) -> None:
         """Start waiting runs in free slots and refuse overdue ones."""
         queue, now_s = self._parts.queue, self._parts.clock()
-        ticket = queue.pop_ready(now_s)
-        while ticket is not None:
-            job = self.jobs[ticket.number]
-            job.task = asyncio.ensure_future(self._execute(job))
+        is_moving = True
+        while is_moving:
+            while number := queue.pop_resumable(now_s):
+                self._pauses.resume(self.jobs[number])
             ticket = queue.pop_ready(now_s)
+            is_moving = ticket is not None
+            if ticket is not None:
+                job = self.jobs[ticket.number]
+                job.task = asyncio.ensure_future(self._execute(job))
+        self._pauses.make_room(self.jobs)
         for expired in queue.take_expired(now_s):
             job = self.jobs[expired.number]
             self._complete(job, outcomes.NOT_RUN, Usage())
--- a/rattanvalve/measures.py
+++ b/rattanvalve/measures.py
@@ -46,6 +46,7 @@
     latency_p50_s: float
     latency_p95_s: float
     latency_p99_s: float
+    within_rate_p95_s: float
     first_token_p95_s: float
     token_gap_p95_s: float
     call_p50_s: float
@@ -102,6 +103,10 @@
         latency_p50_s=percentile(latencies, _MEDIAN),
         latency_p95_s=percentile(latencies, _HIGH),
         latency_p99_s=percentile(latencies, _HIGHEST),
+        within_rate_p95_s=percentile(
+            [program.latency_s() for program in served],
+            _HIGH,
+        ),
         first_token_p95_s=percentile(_first_token_s(chats), _HIGH),
         token_gap_p95_s=percentile(_token_gaps_s(chats), _HIGH),
         call_p50_s=percentile(
--- a/rattanvalve/queuepolicies.py
+++ b/rattanvalve/queuepolicies.py
@@ -18,11 +18,13 @@
 
     ``group_of`` names the priority class and the group that shares the slots
     with the other groups of its class; ``rank_of`` orders requests within a
-    group, from a ticket and its sequence of arrival.
+    group, from a ticket and its sequence of arrival. ``is_preemptive`` tells
+    whether class 0 takes slots from running requests of other classes.
     """
 
     group_of: Callable[[Ticket], tuple[int, str]]
     rank_of: Callable[[Ticket, int], tuple[int, ...]]
+    is_preemptive: bool = False
 
 
 #: Orders by name; ``program_fair`` is priority class, then fair share between
@@ -31,6 +33,7 @@
     'program_fair': QueuePolicy(
         group_of=lambda ticket: (ticket.priority, ticket.workspace),
         rank_of=lambda ticket, arrival: (ticket.attained_tokens, arrival),
+        is_preemptive=True,
     ),
     'first_come': QueuePolicy(
         group_of=lambda ticket: (0, ''),
--- a/rattanvalve/service_client.py
+++ b/rattanvalve/service_client.py
@@ -27,6 +27,7 @@
     """
 
     keeps_cache = False
+    can_pause = False
 
     def __init__(self, base_url: str, session: aiohttp.ClientSession) -> None:
         self._base_url = base_url.rstrip('/')
--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -50,3 +50,15 @@
       | answers         | count |
       | Ack             | 1     |
       | Refusal Ack     | 2     |
+
+  Scenario Outline: a run that is paused for a higher class is never lost
+    Given an endpoint process with 2 slots beside an engine that <does>
+    When a high-priority chat arrives while two low ones run
+    Then all three are answered completely and the engine was told to <steps>
+
+    Examples:
+      | does                     | steps                     |
+      | pauses                   | pause resume              |
+      | refuses to pause         | pause pause               |
+      | loses an answer to pause | pause resume pause resume |
+      | loses a resume           | pause resume resume       |
--- a/tests/runqueue.feature
+++ b/tests/runqueue.feature
@@ -56,6 +56,9 @@
       | overdue requests that run |
       | a withdrawn one that runs |
       | a rule that is not followed |
+      | a request paused again and again |
+      | all slots paused |
+      | paused requests that never resume |
 
   Scenario Outline: waiting requests follow a changed rule and none is lost
     Given a <before> queue with 1 slot
--- a/tests/steps/endpoint_service_steps.py
+++ b/tests/steps/endpoint_service_steps.py
@@ -1,6 +1,8 @@
 """Steps of endpoint_service.feature."""
 
 import asyncio
+import json
+from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
@@ -28,10 +30,22 @@
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.runqueue import RunQueue
 from rattanvalve.service_client import ServiceClient
+from rattanvalve.standin_batch import EngineCosts
+from rattanvalve.standin_text import expected_tokens
 from tests.fakeserver import EVENTS, FakeServer
+from tests.steps.standin_http import start_engine
 
 SECRET = b's' * 32
 TIMEOUT_S = 30
+MAX_TOKENS = 60
+#: Statuses of the first answers to commands, and whether the engine gets
+#: the command.
+ANSWERS = {
+    'pauses': {},
+    'refuses to pause': {'pause': [(404, False), (404, False)]},
+    'loses an answer to pause': {'pause': [(0, True)]},
+    'loses a resume': {'resume': [(0, False)]},
+}
 
 
 def owner_of(view, workspace, shard):
@@ -39,10 +53,10 @@
     return ''
 
 
-async def start(context, kind):
-    """Start the fake server and the service beside it."""
+async def start(context, kind, engine_url=''):
+    """Start the service beside an engine or a new fake server."""
     context.server = FakeServer()
-    url = await context.server.start()
+    url = engine_url or await context.server.start()
     session = server_session.open_session(2)
     client = ServiceClient(url, session)
     if kind == 'engine':
@@ -63,12 +77,13 @@
         metrics=metrics,
         detached_grace_s=0,
     )
+    context.parts = parts
     context.service = EndpointService(parts)
     peers = PeerServer(SECRET, context.service.handlers(), metrics)
     context.address = await peers.start(Address('127.0.0.1', 0))
-    context.closers.extend(
-        (context.server.runner.cleanup, session.close, peers.stop),
-    )
+    context.closers.extend((session.close, peers.stop))
+    if not engine_url:
+        context.closers.append(context.server.runner.cleanup)
 
 
 @given('an endpoint process beside {kind}')
@@ -253,3 +268,71 @@
     assert context.received[-1].outcome == outcomes.ANSWERED
     assert context.late == [Refusal(code=ResultCode.ENDPOINT_LEAVING)]
     assert context.copy == [Refusal(code=ResultCode.DUPLICATE_TICKET)]
+
+
+def build_chat(number, priority):
+    """Build a streamed chat of a priority class."""
+    run = build_run('POST', '/v1/chat/completions', True, number)
+    body = {
+        'model': 'small',
+        'messages': [{'role': 'user', 'content': number}],
+        'max_tokens': MAX_TOKENS,
+        'stream': True,
+    }
+    ticket = replace(run.ticket, priority=priority, program_id=number)
+    return replace(run, ticket=ticket, body=json.dumps(body).encode())
+
+
+@given('an endpoint process with 2 slots beside an engine that {does}')
+def step_engine(context, does):
+    costs = EngineCosts(step_base_s=0.005)
+    url = start_engine(context, costs)
+    context.run(start(context, 'engine', url))
+    client = context.parts.client
+    command = client._command
+    context.steps = []
+    answers = {step: [*found] for step, found in ANSWERS[does].items()}
+
+    async def send_command(method, path):
+        step = path.rpartition('/')[2]
+        if step not in {'pause', 'resume'}:
+            return await command(method, path)
+        context.steps.append(step)
+        lost = answers.get(step)
+        status, is_passed = lost.pop(0) if lost else (None, True)
+        passed = await command(method, path) if is_passed else 0
+        return passed if status is None else status
+
+    client._command = send_command
+
+
+async def run_three(context):
+    """Run two low chats, and a high one once both are running."""
+    lows = [
+        asyncio.ensure_future(read(context, build_chat(f'low-{index}', 2)))
+        for index in range(2)
+    ]
+    async with asyncio.timeout(TIMEOUT_S):
+        # The batch raises no event.
+        while context.engine.batch.running_count < 2:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        high = await read(context, build_chat('high', 0))
+        return [high, *[await low for low in lows]]
+
+
+@when('a high-priority chat arrives while two low ones run')
+def step_three(context):
+    context.chats = context.run(run_three(context))
+
+
+@then('all three are answered completely and the engine was told to {steps}')
+def step_complete(context, steps):
+    for index, name in enumerate(('high', 'low-0', 'low-1')):
+        end = context.chats[index][-1]
+        assert end.outcome == outcomes.ANSWERED
+        prompt = [{'role': 'user', 'content': name}]
+        count = len(expected_tokens(prompt, MAX_TOKENS))
+        assert end.usage.output_tokens == count
+    expected = steps.split()
+    assert context.steps == expected, context.steps
+    assert context.parts.queue.running_count == 0
--- a/tests/steps/runqueue_steps.py
+++ b/tests/steps/runqueue_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from rattanvalve.grouporder import GroupOrder
 from rattanvalve.messages import Ticket, Usage
 from rattanvalve.queuepolicies import QUEUE_POLICIES, QueuePolicy
 from rattanvalve.resultcodes import ResultCode
@@ -166,6 +167,9 @@
         self.queue = RunQueue(CAPACITY, MAX_PER_WORKSPACE, first_name)
         self.waiting = {}
         self.running = []
+        self.paused = {}
+        self.pauses = Counter()
+        self.priorities = {}
         self.now_s = 0
         self.arrival = 0
 
@@ -185,6 +189,7 @@
         )
         refusal = self.queue.offer(made, self.now_s)
         assert bool(refusal) == (waiting_count >= MAX_PER_WORKSPACE)
+        self.priorities[made.number] = made.priority
         if refusal is None:
             deadline_s = self.now_s + made.timeout_ms / 1000
             self.waiting[made.number] = (made, self.arrival, deadline_s)
@@ -194,14 +199,17 @@
         ticket = self.queue.pop_ready(self.now_s)
         if ticket is None:
             self.check_expired()
-            assert not self.waiting or len(self.running) == CAPACITY
+            busy_count = len(self.running) - len(self.paused)
+            is_full = busy_count == CAPACITY
+            assert not self.waiting or is_full or self.must_resume()
             return
+        assert not self.must_resume()
         assert ticket.number in self.waiting
         popped = self.waiting.pop(ticket.number)
         assert popped[2] > self.now_s
         self.running.append(ticket.number)
         self.check_expired()
-        assert len(self.running) <= CAPACITY
+        assert len(self.running) - len(self.paused) <= CAPACITY
         for other in self.waiting.values():
             assert self.may_precede(popped, other), (popped, other)
 
@@ -222,6 +230,7 @@
         """Finish a running request."""
         if self.running:
             number = self.running.pop(first % len(self.running))
+            self.paused.pop(number, None)
             usage = Usage(output_tokens=second)
             self.queue.finished(number, usage, self.now_s)
 
@@ -238,6 +247,49 @@
             names = ('program_fair', 'first_come')
             self.queue.follow(names[second % 2])
 
+    def pause(self, first, second):
+        """Pause a request for the highest class, if the engine agrees."""
+        number = self.queue.choose_pause()
+        if number is None:
+            return
+        assert self.is_fair
+        assert number not in self.paused
+        assert self.priorities[number] > 0
+        assert self.pauses[number] < 2
+        self.pauses[number] += 1
+        is_paused = first % 3 > 0
+        self.queue.note_pause(number, is_paused, self.now_s)
+        if is_paused:
+            self.paused[number] = self.now_s
+        else:
+            # A refusal is final.
+            self.pauses[number] = 2
+        # At most half of the slots.
+        assert len(self.paused) <= CAPACITY // 2
+        self.pop(first, second)
+        if second % 2:
+            self.pause(first, second // 2)
+
+    def resume(self, first, second):
+        """Resume a paused request unless a higher class waits."""
+        number = self.queue.pop_resumable(self.now_s)
+        self.paused.pop(number, None)
+        self.check_expired()
+        assert number or not self.must_resume(), self.paused
+        assert self.queue.running_count <= CAPACITY
+
+    def must_resume(self):
+        """Tell whether a paused request precedes all waiting ones."""
+        if len(self.running) - len(self.paused) == CAPACITY:
+            return False
+        waiting = [ticket.priority for ticket, _, _ in self.waiting.values()]
+        return any(
+            self.now_s - since_s >= 3
+            or not self.is_fair
+            or self.priorities[number] <= min(waiting, default=9)
+            for number, since_s in self.paused.items()
+        )
+
     def pass_time(self, first, second):
         """Let time pass and deadlines with it."""
         self.now_s += first % 9
@@ -254,8 +306,9 @@
         assert taken == overdue
         for number in overdue:
             self.waiting.pop(number)
-        assert self.queue.queued_count == len(self.waiting)
-        assert self.queue.running_count == len(self.running)
+        paused_count = len(self.paused)
+        assert self.queue.queued_count == len(self.waiting) + paused_count
+        assert self.queue.running_count == len(self.running) - paused_count
 
 
 def check_queue(policy_name, steps, break_queue=None):
@@ -269,10 +322,15 @@
         history.offer,
         history.pop,
         history.pop,
+        history.pop,
+        history.finish,
         history.finish,
         history.withdraw,
         history.pass_time,
         history.change_policy,
+        history.pause,
+        history.pause,
+        history.resume,
     )
     for action, first, second in steps:
         actions[action % len(actions)](first, second)
@@ -284,7 +342,7 @@
     def break_queue(queue):
         fair = QUEUE_POLICIES['program_fair']
         known = {'group_of': fair.group_of, 'rank_of': fair.rank_of}
-        queue._policy = QueuePolicy(**known | functions)
+        queue._order = GroupOrder(QueuePolicy(**known | functions))
 
     return break_queue
 
@@ -309,7 +367,27 @@
     queue.withdraw = lambda number: number in queue._waiting
 
 
+def with_endless_pauses(queue):
+    """Pause the same request again and again."""
+    queue._preemption._may_pause = lambda number: (
+        number not in queue._preemption._paused
+    )
+
+
+def with_all_paused(queue):
+    """Pause the requests of all slots."""
+    queue._preemption._max_paused_count = CAPACITY
+
+
+def with_lost_pauses(queue):
+    """Start waiting requests while a paused one is due."""
+    queue._resumable = lambda now_s: None
+
+
 FAULTS = {
+    'a request paused again and again': with_endless_pauses,
+    'all slots paused': with_all_paused,
+    'paused requests that never resume': with_lost_pauses,
     'a rule that is not followed': with_old_rule,
     'no regard to priority': with_policy(
         group_of=lambda ticket: (0, ticket.workspace),
