--- a/tests/config_controller.feature
+++ b/tests/config_controller.feature
@@ -4,6 +4,7 @@
     Given a settled cell
     When an operator applies a change at entry a
     Then all entries have generation 1 after 2 rounds
+    And every entry answers an announce with the queue policy first_come
 
   Scenario: two watchers of each zone hold a watch
     Given a settled cell
--- a/tests/steps/config_controller_steps.py
+++ b/tests/steps/config_controller_steps.py
@@ -1,7 +1,9 @@
 """Steps of config_controller.feature."""
 
 from collections import Counter as CountTable
+from dataclasses import replace
 
+import msgspec
 from behave import then, when
 
 from rattanvalve.config_controller import GenerationConflictError
@@ -30,6 +32,21 @@
         assert catalog.config == sample_config()
 
 
+@then('every entry answers an announce with the queue policy {policy}')
+def step_policy(context, policy):
+    for entry in context.sim.entries.values():
+        state = entry.view.state
+        board = entry.context.blackboard
+        rules = msgspec.structs.replace(
+            board.catalog.config.rules,
+            queue_policy=policy,
+        )
+        config = msgspec.structs.replace(board.catalog.config, rules=rules)
+        board.catalog = replace(board.catalog, config=config)
+        ack = state.answer_endpoint()
+        assert (ack.generation, ack.queue_policy) == (1, policy)
+
+
 @then('no more than two entries of a zone are watchers')
 def step_watchers(context):
     for name in 'dfh':
