--- a/rattanvalve/routing.py
+++ b/rattanvalve/routing.py
@@ -11,9 +11,14 @@
 
 DEFAULT_POLICY = 'affinity'
 #: Prompt whose recomputation is worth one more request per slot of load.
-PROMPT_TOKENS_PER_LOAD = 32_768
+#: Computing it delays all requests of the batch, so that the work it costs is
+#: a multiple of its own duration. Measured in docs/measurements.md.
+PROMPT_TOKENS_PER_LOAD = 1024
 #: A cached prompt never justifies more load than this above the least one.
-AFFINITY_PENALTY_MAX = 1.0
+AFFINITY_PENALTY_MAX = 2.0
+#: Below this load a slot is free, so a request would not wait anywhere else
+#: for a shorter time.
+FREE_SLOT_LOAD = 0.99
 _SEED = 1
 
 
@@ -79,7 +84,9 @@
     return choose
 
 
-def make_affinity(fallback: Policy) -> Policy:
+def make_affinity(
+    fallback: Policy,
+) -> Policy:
     """Make the policy that prefers the endpoint with the cached prompt.
 
     :param fallback: policy for programs without a usable last endpoint.
@@ -93,7 +100,7 @@
     ) -> EndpointLoad:
         least = min(map(_load_of, candidates))
         worth = request.prompt_tokens / PROMPT_TOKENS_PER_LOAD
-        limit = least + min(AFFINITY_PENALTY_MAX, worth)
+        limit = max(least, FREE_SLOT_LOAD) + min(AFFINITY_PENALTY_MAX, worth)
         for candidate in candidates:
             is_last = candidate.member.name == request.last_endpoint
             if is_last and candidate.load <= limit:
--- a/tests/routing.feature
+++ b/tests/routing.feature
@@ -1,15 +1,22 @@
 Feature: placement policies
 
   Scenario Outline: affinity keeps the last endpoint within a bounded penalty
-    Given endpoints with loads 0.0 0.4 1.5
+    Given endpoints with loads <loads>
     Then affinity for <last> with <tokens> prompt tokens chooses <kind>
 
-    Examples: 32,768 tokens are worth one request per slot, and not more
-      | last | tokens  | kind    |
-      | s-1  | 32768   | last    |
-      | s-1  | 1024    | another |
-      | s-2  | 1000000 | another |
-      | gone | 32768   | another |
+    Examples: 1,024 tokens are worth one request per slot, at most two
+      | loads       | last | tokens  | kind    |
+      | 1.0 1.9 3.5 | s-1  | 1024    | last    |
+      | 1.0 1.9 3.5 | s-1  | 512     | another |
+      | 1.0 1.9 3.5 | s-2  | 1000000 | another |
+      | 1.0 1.9 2.9 | s-2  | 1000000 | last    |
+      | 1.0 1.9 3.5 | gone | 1024    | another |
+
+    Examples: an endpoint with a free slot keeps its programs
+      | loads       | last | tokens  | kind    |
+      | 0.0 0.9 1.5 | s-1  | 0       | last    |
+      | 0.0 0.9 1.5 | s-2  | 256     | another |
+      | 0.0 0.9 1.5 | s-2  | 1024    | last    |
 
   Scenario: least loaded takes the better of two random endpoints
     Given endpoints with loads 0.0 0.4 1.5
