--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -19,6 +19,7 @@
   2: i64 epoch
   3: list<Member> members
   4: string change_id
+  5: list<Member> former
 }
 
 struct Header {
@@ -49,6 +50,7 @@
   14: bool is_program_end
   15: i64 epoch
   16: i64 timeout_ms
+  17: i64 config_generation
 }
 
 struct Ticket {
--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -29,8 +29,12 @@
     HISTORY_FORK = 'history.fork'
     VIEW_CHANGED = 'view.changed'
     VIEW_CONFLICT = 'view.conflict'
+    VIEW_MALFORMED = 'view.malformed'
+    VM_LIST_ERROR = 'vms.error'
     CONFIG_ADOPTED = 'config.adopted'
     CONFIG_REJECTED_OLDER = 'config.rejected_older'
+    CONFIG_DIFFERENCES = 'config.differences'
+    CONFIG_MISMATCH = 'config.mismatch'
     STORE_ERROR = 'store.error'
     STORE_READ_BACK = 'store.read_back'
     SEALED = 'seal.done'
@@ -43,6 +47,9 @@
     RUN_RESUMED = 'run.resumed'
     PAUSE_REFUSED = 'run.pause_refused'
     FRAME_REJECTED = 'frame.rejected'
+    RELOADED = 'settings.reloaded'
+    RELOAD_FAILED = 'settings.reload_failed'
+    HTTP_MALFORMED = 'http.malformed'
     INVARIANT_VIOLATED = 'invariant.violated'
 
 
--- a/rattanvalve/load_main.py
+++ b/rattanvalve/load_main.py
@@ -18,12 +18,11 @@
 )
 from rattanvalve.errors import RattanvalveError, SettingsError
 from rattanvalve.experiment import Experiment, run_experiment
-from rattanvalve.history_check import check_history
-from rattanvalve.history_evidence import Evidence, read_evidence
+from rattanvalve.fault_main import faults, show_verdicts
+from rattanvalve.history_evidence import read_evidence
 from rattanvalve.main_task import cancel_on_signals
 from rattanvalve.measures import measure
 from rattanvalve.plots import import_pyplot, write_page
-from rattanvalve.report import verdict_table
 from rattanvalve.scenario import (
     Scenario,
     bundled_scenarios,
@@ -40,6 +39,9 @@
     """Drive agent programs and check what happened."""
 
 
+main.add_command(faults)
+
+
 @main.command()
 @click.option(
     '--scenario',
@@ -122,7 +124,7 @@
         folder,
         tuple(keys),
     )
-    sys.exit(0 if _show_verdicts(evidence) else 1)
+    sys.exit(0 if show_verdicts(evidence) else 1)
 
 
 def _run_all(
@@ -168,7 +170,7 @@
         )
         evidence = uvloop.run(cancel_on_signals(run_experiment(experiment)))
     click.echo(f'\n{policy} seed {seed}')
-    is_good = _show_verdicts(evidence)
+    is_good = show_verdicts(evidence)
     high_priority = {
         workspace.name
         for workspace in scenario.workspaces
@@ -187,11 +189,5 @@
     )
 
 
-def _show_verdicts(evidence: Evidence) -> bool:
-    verdicts = check_history(evidence)
-    click.echo(verdict_table(verdicts))
-    return not any(verdict.violations for verdict in verdicts)
-
-
 if __name__ == '__main__':
     main()
--- a/rattanvalve/ownership.py
+++ b/rattanvalve/ownership.py
@@ -1,6 +1,7 @@
 """Decisions of the owner of workspace shards."""
 
 import itertools
+from dataclasses import replace
 
 import msgspec
 
@@ -20,7 +21,13 @@
     Resolve,
     Ticket,
 )
-from rattanvalve.ownercontext import OwnerContext, Wait, may_act, refuse
+from rattanvalve.ownercontext import (
+    OwnerContext,
+    Wait,
+    is_key_withdrawn,
+    may_act,
+    refuse,
+)
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.shardstate import SealState
 from rattanvalve.shardtable import ShardTable
@@ -88,18 +95,14 @@
         :returns: ticket, place of an earlier record, refusal ("not run"), or
             what to wait for.
         """
-        if not self._is_owner(begin.workspace, begin.shard, context):
-            return refuse(ResultCode.NOT_OWNER, epoch=context.view.epoch)
-        found = self.known(begin, now_s)
+        found = self._not_served(begin, context) or self.known(begin, now_s)
         if found is not None:
             return found
-        if not may_act(context.mode, begin.is_repeatable):
+        name = (begin.workspace, begin.shard)
+        mode = self.table.mode_of(name, context.mode, now_s)
+        if not may_act(mode, begin.is_repeatable):
             return refuse(ResultCode.NOT_CONFIRMED, epoch=context.view.epoch)
-        shard = self.table.open(
-            (begin.workspace, begin.shard),
-            context,
-            now_s,
-        )
+        shard = self.table.open(name, context, now_s)
         if not shard.ledger.has_room(begin.program_id, now_s):
             return refuse(ResultCode.QUEUE_FULL)
         if shard.ledger.is_busy(begin.program_id):
@@ -241,6 +244,17 @@
             'missing_endpoints': sorted(state.seal.missing),
         }
 
+    def _not_served(
+        self,
+        begin: Begin,
+        context: OwnerContext,
+    ) -> Refusal | None:
+        if not self._is_owner(begin.workspace, begin.shard, context):
+            return refuse(ResultCode.NOT_OWNER, epoch=context.view.epoch)
+        if is_key_withdrawn(begin, context.catalog):
+            return refuse(ResultCode.KEY_UNKNOWN, retry_after_ms=0)
+        return None
+
     def _is_owner(
         self,
         workspace: str,
@@ -255,12 +269,10 @@
         context: OwnerContext,
         now_s: float,
     ) -> Ticket | Outcome:
-        ticket = attempt.ticket
-        shard = self.table.open(
-            (ticket.workspace, ticket.shard),
-            context,
-            now_s,
-        )
+        name = (attempt.ticket.workspace, attempt.ticket.shard)
+        mode = self.table.mode_of(name, context.mode, now_s)
+        context = replace(context, mode=mode)
+        shard = self.table.open(name, context, now_s)
         is_not_run = attempt.outcome == outcomes.NOT_RUN
         answer = admission.retry(
             attempt,
--- a/rattanvalve/view_controller.py
+++ b/rattanvalve/view_controller.py
@@ -11,6 +11,7 @@
 from rattanvalve.peers import Handler
 from rattanvalve.presence import Presence
 from rattanvalve.viewchanges import ViewChanges, only_if_allowed
+from rattanvalve.viewrepair import ViewRepair
 from rattanvalve.views import entries_of
 from rattanvalve.viewstate import ViewChanged, ViewState
 from rattanvalve.viewstore import ChangeView, ViewStore
@@ -48,6 +49,7 @@
         self._presence = Presence(member.name)
         self._exchange = HeartbeatExchange(context, self.state, self._presence)
         self._changes = ViewChanges(context, self.state, self._presence)
+        self.repair = ViewRepair(context, self.state, self._store)
         context.request_beat = self._exchange.wake.set
 
     def handlers(self) -> dict[type, Handler]:
@@ -68,12 +70,13 @@
         """
         self._changes.add_endpoint(member)
 
-    def forget_endpoint(self, name: str) -> None:
+    def forget_endpoint(self, name: str, has_left: bool = False) -> None:
         """Have an endpoint removed from the view.
 
         :param name: endpoint that is silent.
+        :param has_left: whether it had announced that it leaves.
         """
-        self._changes.forget_endpoint(name)
+        self._changes.forget_endpoint(name, has_left)
 
     def hear_endpoint(self, announce: Announce) -> Ack:
         """Use the epoch of an announce, and make its answer.
@@ -143,7 +146,11 @@
         """Make the call that is due; tell whether one was."""
         if self._exchange.is_leaving:
             return False
+        if self.repair.is_due():
+            await self.repair.attempt()
+            return True
         now_s = self._context.clock()
+        self._changes.watch_former(self.state.view)
         is_maintainer = self._presence.is_maintainer(now_s)
         limit_s = READ_AFTER_S if is_maintainer else READ_AFTER_OTHERS_S
         if not self.state.is_listed(self.state.view):
--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -62,3 +62,8 @@
       | refuses to pause         | pause pause               |
       | loses an answer to pause | pause resume pause resume |
       | loses a resume           | pause resume resume       |
+
+  Scenario: commands of a restarted process carry the epoch of its view
+    Given an endpoint process beside an engine
+    When it adopts a view of epoch 7 before its first run and releases caches
+    Then the server saw the release with fencing token 7
--- a/tests/steps/admin_api_steps.py
+++ b/tests/steps/admin_api_steps.py
@@ -9,11 +9,16 @@
 from openapi_spec_validator import validate
 
 from rattanvalve import admin_api
+from rattanvalve.admin_requests import AdminContext
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.catalog import build_catalog
+from rattanvalve.configdocs import MAX_CONFIG_BYTES
 from rattanvalve.counters import Metrics
-from rattanvalve.errors import StoreConflictError, StoreError
+from rattanvalve.entry_status import collect_status, status_handler
+from rattanvalve.errors import PeerError, StoreConflictError, StoreError
 from rattanvalve.keys import key_digest
+from rattanvalve.messages import Member, View
+from rattanvalve.views import ROLE_ENTRY
 from tests.samples import sample_catalog, sample_document
 
 OPERATOR_KEYS = {'editor': 'rv-op-editor', 'viewer': 'rv-op-viewer'}
@@ -28,6 +33,9 @@
         self.newest = blackboard.catalog
         self.records = {}
         self.is_down = False
+        self.is_malformed = False
+        self.unreachable = ()
+        self.generation_at_b = blackboard.catalog.generation
 
     async def apply(self, config, expected, author, change_id):
         await asyncio.sleep(0)
@@ -43,6 +51,44 @@
         await asyncio.sleep(0)
         self.blackboard.catalog = self.newest
 
+    async def status_of_all(self):
+        """Ask two entries; the second one lags until it is asked again."""
+        view = View(
+            epoch=1,
+            members=tuple(
+                Member(name=name, role=ROLE_ENTRY, host=name)
+                for name in ('a', 'b', *self.unreachable)
+            ),
+        )
+
+        async def call(address, message, timeout_s):
+            answers = []
+
+            async def send(answer):
+                answers.append(answer)
+
+            if address.host in self.unreachable:
+                raise PeerError('no answer')
+            await status_handler(lambda: self.status('b'))(message, send)
+            self.generation_at_b = self.newest.generation
+            return answers[0]
+
+        return await collect_status(view, 'a', lambda: self.status('a'), call)
+
+    def status(self, name):
+        """Describe an entry."""
+        generation = self.newest.generation
+        return {
+            'name': name,
+            'zone': 'z',
+            'epoch': 1,
+            'generation': self.generation_at_b if name == 'b' else generation,
+            'act_mode': 'full',
+            'endpoints': [{'endpoint': 's-1', 'state': 'ready'}],
+            'counters': {'refused.rate_exceeded': 7, 'requests': 9},
+            'problems': ['the store cannot be reached'],
+        }
+
     async def record(self, generation, entry):
         self.records[generation] = entry
 
@@ -55,7 +101,7 @@
     context.blackboard = Blackboard(catalog=sample_catalog())
     context.store = FakeConfigStore(context.blackboard)
     context.app = admin_api.build_admin_app(
-        admin_api.AdminContext(
+        AdminContext(
             blackboard=context.blackboard,
             metrics=Metrics(),
             operators={
@@ -64,7 +110,9 @@
             viewers=frozenset(('viewer',)),
             apply=context.store.apply,
             refresh=context.store.refresh,
+            begin_repair=lambda: context.store.is_malformed,
             status=dict,
+            status_of_all=context.store.status_of_all,
             explain=None,
             record=context.store.record,
             audit=context.store.audit,
@@ -249,3 +297,21 @@
     context.store.is_down = True
     fields = {'name': 'north-2', 'workspace': 'north'}
     context.body = context.run(ask(context, 'POST', '/v1/keys', json=fields))
+
+
+@when('a configuration above the limit of its size is sent')
+def step_too_large(context):
+    document = sample_document()
+    document['inventory']['filler'] = 'x' * MAX_CONFIG_BYTES
+    context.body = context.run(put_config(context, document))
+
+
+@when('the stored configuration is malformed and the same one is sent')
+def step_malformed(context):
+    context.store.is_malformed = True
+    context.body = context.run(put_config(context, sample_document()))
+
+
+@given('entry c of the cell does not answer')
+def step_unreachable(context):
+    context.store.unreachable = ('c',)
--- a/tests/steps/endpoint_service_steps.py
+++ b/tests/steps/endpoint_service_steps.py
@@ -24,6 +24,7 @@
     Settle,
     Ticket,
     Usage,
+    View,
 )
 from rattanvalve.peers import Address, PeerPool, PeerServer
 from rattanvalve.records import RecordBook
@@ -61,6 +62,7 @@
     client = ServiceClient(url, session)
     if kind == 'engine':
         client = EngineClient(url, session, checks_fencing=False)
+    context.client = client
     context.confirmation = mock.Mock(age_s=lambda now_s: 0)
     context.pool = PeerPool(SECRET)
     board = Blackboard()
@@ -336,3 +338,16 @@
     expected = steps.split()
     assert context.steps == expected, context.steps
     assert context.parts.queue.running_count == 0
+
+
+@when('it adopts a view of epoch 7 before its first run and releases caches')
+def step_adopt(context):
+    context.service.adopt_view(View(cell='c', epoch=7))
+    context.run(context.client.release_all())
+
+
+@then('the server saw the release with fencing token 7')
+def step_token(context):
+    (method, path, headers) = context.server.journal[-1]
+    assert (method, path) == ('DELETE', '/v1/cache')
+    assert headers['X-Fencing-Token'] == '7', headers
--- a/tests/steps/loads_steps.py
+++ b/tests/steps/loads_steps.py
@@ -71,6 +71,11 @@
     context.loads.report(announce('s-1'), NOW_S - 6.1)
 
 
+def hint(context, *names, age_s=1):
+    """Have the VM list call endpoints leaving."""
+    context.loads.hints.take(names, NOW_S - age_s)
+
+
 EVENTS = {
     'reports nothing special': lambda context: None,
     'is leaving': lambda context: context.loads.report(
@@ -92,6 +97,14 @@
         context.loads.set_view(view_of('s-1', 's-2', 's-3')),
         context.loads.report(announce('s-1', incarnation='2'), NOW_S),
     ),
+    'is listed as leaving': lambda context: hint(context, 's-1'),
+    'and all others are listed': lambda context: hint(
+        context,
+        's-1',
+        's-2',
+        's-3',
+    ),
+    'was listed 31 s ago': lambda context: hint(context, 's-1', age_s=31),
 }
 
 
@@ -192,14 +205,16 @@
     def __init__(self):
         self.added = []
         self.forgotten = []
+        self.has_left = {}
 
     def add_endpoint(self, endpoint):
         """Record an addition."""
         self.added.append(endpoint.name)
 
-    def forget_endpoint(self, name):
+    def forget_endpoint(self, name, has_left):
         """Record a removal."""
         self.forgotten.append(name)
+        self.has_left[name] = has_left
 
     def hear_endpoint(self, message):
         """Answer an announce."""
@@ -266,3 +281,8 @@
 def step_none(context):
     assert not names_at(context, context.now_s)
     assert not context.membership.added
+
+
+@then('{name} is forgotten as one that has left')
+def step_left(context, name):
+    assert context.membership.has_left == {name: True}
