--- a/rattanvalve/ownership.py
+++ b/rattanvalve/ownership.py
@@ -3,8 +3,6 @@
 import itertools
 from dataclasses import replace
 
-import msgspec
-
 from rattanvalve import admission, outcomes
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.idempotency import (
@@ -158,6 +156,15 @@
             return None
         return state.ledger.attempts.by_number.get(number)
 
+    def attempt_of_request(self, resolve: Resolve) -> Attempt | None:
+        """Find the attempt of a request that may have run.
+
+        :param resolve: workspace, shard and request id.
+        :returns: attempt, or ``None`` if there is none.
+        """
+        shard = self.table.find(resolve.workspace, resolve.shard)
+        return shard and shard.ledger.attempts.find(resolve.request_id, '')
+
     def running_of(self, begin: Begin) -> Attempt | None:
         """Find the running attempt that a call has to wait for.
 
@@ -224,26 +231,6 @@
             return refuse(ResultCode.UNKNOWN_OUTCOME_KEY, retry_after_ms=0)
         return outcome_of(found)
 
-    def explain(self, workspace: str, shard: int, program_id: str) -> dict:
-        """Describe a program for operators.
-
-        :param workspace: workspace name.
-        :param shard: shard index.
-        :param program_id: program id.
-        :returns: plain data for JSON; empty for an unknown program.
-        """
-        state = self.table.find(workspace, shard)
-        program = state and state.ledger.programs.get(program_id)
-        if not state or not program:
-            return {}
-        account = state.ledger.accounts.of_root(program.root)
-        return {
-            'program': msgspec.to_builtins(program),
-            'account': msgspec.to_builtins(account),
-            'bucket_level': state.bucket.level,
-            'missing_endpoints': sorted(state.seal.missing),
-        }
-
     def _not_served(
         self,
         begin: Begin,
