--- a/rattanvalve/fleet.py
+++ b/rattanvalve/fleet.py
@@ -89,6 +89,7 @@
     *,
     is_direct: bool = False,
     is_proxied: bool = False,
+    root: Path | None = None,
 ) -> AsyncIterator[Fleet]:
     """Run the processes of a scenario.
 
@@ -97,6 +98,7 @@
     :param policy: placement policy and queue policy.
     :param is_direct: start only the stand-ins, without the product.
     :param is_proxied: put a fault proxy into every link between processes.
+    :param root: checkout to run; default is that of this program.
     :returns: fleet that is ready; all its processes have ended afterwards,
         also after an exception or a cancellation.
     :raises ChildError: if a process ends or does not become ready.
@@ -108,7 +110,7 @@
         scenario,
         folder,
         with_proxies(plan) if is_proxied else plan,
-        Children(folder / 'logs'),
+        _children(folder / 'logs', root),
         {name: generate_key() for name in scenario.initial_keys()},
     )
     try:
@@ -132,6 +134,10 @@
         await fleet.proxies[link].start()
 
 
+def _children(log_folder: Path, root: Path | None) -> Children:
+    return Children(log_folder, root=root) if root else Children(log_folder)
+
+
 async def _stop_gently(fleet: Fleet) -> None:
     # Waiting here and not in stop_all() lets another fleet of this process
     # go on.
--- a/rattanvalve/load_main.py
+++ b/rattanvalve/load_main.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from rattanvalve import __version__
+from rattanvalve.capacity_command import capacity
 from rattanvalve.client_records import read_run
 from rattanvalve.comparison import (
     MeasuredRun,
@@ -29,6 +30,7 @@
     costs_of,
     load_scenario,
 )
+from rattanvalve.speed_command import speed
 
 __all__ = ('main',)
 
@@ -39,6 +41,8 @@
     """Drive agent programs and check what happened."""
 
 
+main.add_command(capacity)
+main.add_command(speed)
 main.add_command(faults)
 
 
