--- a/tests/steps/whole_path_steps.py
+++ b/tests/steps/whole_path_steps.py
@@ -14,10 +14,13 @@
 from rattanvalve.scenario import load_scenario
 
 SEED = 1
+#: Slow steps of the engines keep a call in progress at most moments, so that
+#: each fault falls within calls and streams.
+STEP_S = 0.03
 
 
 def long_programs():
-    """Give each program of a bundled scenario six turns."""
+    """Give each program of a bundled scenario six turns of slow calls."""
     scenario = load_scenario('hrafnsdottir')
     programs = msgspec.structs.replace(
         scenario.programs,
@@ -25,7 +28,16 @@
         max_turns=6,
         sub_agent_share=0,
     )
-    return msgspec.structs.replace(scenario, programs=programs)
+    engine, *others = scenario.services
+    engine = msgspec.structs.replace(
+        engine,
+        behaviour=engine.behaviour | {'step_base_s': STEP_S},
+    )
+    return msgspec.structs.replace(
+        scenario,
+        programs=programs,
+        services=(engine, *others),
+    )
 
 
 @given('each {program} process has the fault that {fault}')
