--- a/rattanvalve/fault_main.py
+++ b/rattanvalve/fault_main.py
@@ -14,9 +14,10 @@
 from rattanvalve.history_check import check_history
 from rattanvalve.history_evidence import Evidence
 from rattanvalve.history_faults import unknown_causes
+from rattanvalve.load_options import folder_option, scenario_option
 from rattanvalve.main_task import cancel_on_signals
 from rattanvalve.report import format_table, verdict_table
-from rattanvalve.scenario import bundled_scenarios, load_scenario
+from rattanvalve.scenario import load_scenario
 
 __all__ = ('faults', 'show_verdicts')
 
@@ -24,12 +25,7 @@
 
 
 @click.command()
-@click.option(
-    '--scenario',
-    'scenario_name',
-    required=True,
-    help=f'JSON file, or one of: {", ".join(bundled_scenarios())}.',
-)
+@scenario_option
 @click.option('--seed', default=1, help='Seed of programs and faults.')
 @click.option('--rounds', default=6, help='Number of rounds of faults.')
 @click.option(
@@ -39,11 +35,7 @@
     type=click.Choice(list(FAULT_KINDS)),
     help='Use only these kinds, in this order; repeat for several.',
 )
-@click.option(
-    '--folder',
-    type=click.Path(file_okay=False, path_type=Path),
-    help='Keep run.json, keys.json, journals and logs here.',
-)
+@folder_option
 def faults(
     scenario_name: str,
     seed: int,
--- a/rattanvalve/load_main.py
+++ b/rattanvalve/load_main.py
@@ -21,12 +21,12 @@
 from rattanvalve.experiment import Experiment, run_experiment
 from rattanvalve.fault_main import faults, show_verdicts
 from rattanvalve.history_evidence import read_evidence
+from rattanvalve.load_options import folder_option, scenario_option
 from rattanvalve.main_task import cancel_on_signals
 from rattanvalve.measures import measure
 from rattanvalve.plots import import_pyplot, write_page
 from rattanvalve.scenario import (
     Scenario,
-    bundled_scenarios,
     costs_of,
     load_scenario,
 )
@@ -47,12 +47,7 @@
 
 
 @main.command()
-@click.option(
-    '--scenario',
-    'scenario_name',
-    required=True,
-    help=f'JSON file, or one of: {", ".join(bundled_scenarios())}.',
-)
+@scenario_option
 @click.option('--seed', default=1, help='Seed of programs and arrivals.')
 @click.option(
     '--policy',
@@ -66,11 +61,7 @@
     default=1,
     help='Runs of each policy, interleaved; each round has the next seed.',
 )
-@click.option(
-    '--folder',
-    type=click.Path(file_okay=False, path_type=Path),
-    help='Keep run.json, keys.json, journals and logs here.',
-)
+@folder_option
 @click.option(
     '--json',
     'json_path',
