Use routing.PlacementRequest in the owner role

Cause: the owner role had a copy of PlacementRequest and an injected factory for it, left from the time before routing existed. Change: the one class is used; copy, factory and its four hand-overs removed.

--- a/rattanvalve/admission.py
+++ b/rattanvalve/admission.py
@@ -16,6 +16,7 @@
 )
 from rattanvalve.programs import Program, Turn
 from rattanvalve.resultcodes import ResultCode
+from rattanvalve.routing import PlacementRequest
 from rattanvalve.shardstate import Shard
 
 __all__ = ('MAX_TICKETS_PER_TURN', 'admit', 'retry')
@@ -176,7 +177,7 @@
     context: OwnerContext,
     now_s: float,
 ) -> Member | None:
-    request = context.placement_request(
+    request = PlacementRequest(
         service_name=begin.service_name,
         workspace=begin.workspace,
         program_id=begin.program_id,
--- a/rattanvalve/beginqueue.py
+++ b/rattanvalve/beginqueue.py
@@ -106,7 +106,6 @@
             mode=self._ports.mode(now_s),
             place=self._ports.place,
             owner_of=self._ports.lookups.owner_of,
-            placement_request=self._ports.placement_request,
             rate_ahead_count=ahead_count,
             rate_wait_left_s=wait_left_s,
             timeout_s=max(0, deadline_s - now_s),
--- a/rattanvalve/capacity_states.py
+++ b/rattanvalve/capacity_states.py
@@ -86,7 +86,6 @@
             mode=ActMode.FULL,
             place=self._place,
             owner_of=views.owner_of,
-            placement_request=routing.PlacementRequest,
         )
 
     def _place(self, request: routing.PlacementRequest, _now_s: float):
--- a/rattanvalve/entry_parts.py
+++ b/rattanvalve/entry_parts.py
@@ -153,7 +153,6 @@
             ),
             mode=self.confirmation.mode,
             place=self._place,
-            placement_request=routing.PlacementRequest,
             started=self.loads.started,
             ended=self._end,
         )
--- a/rattanvalve/ownercontext.py
+++ b/rattanvalve/ownercontext.py
@@ -9,10 +9,10 @@
 from rattanvalve.messages import Begin, Member, Refusal, View
 from rattanvalve.ratelimit import RATE_WAIT_MAX_S, Bucket
 from rattanvalve.resultcodes import ResultCode
+from rattanvalve.routing import PlacementRequest
 
 __all__ = (
     'OwnerContext',
-    'PlacementQuery',
     'Wait',
     'is_key_withdrawn',
     'may_act',
@@ -25,17 +25,6 @@
 _RETRY_AFTER_MAX_MS = 3_600_000
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementQuery:
-    """Stand-in for ``routing.PlacementRequest`` with the same fields."""
-
-    service_name: str
-    workspace: str
-    program_id: str
-    last_endpoint: str
-    prompt_tokens: int
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OwnerContext:
     """What a decision depends on besides the state of the owner.
@@ -48,9 +37,8 @@
     catalog: Catalog
     view: View
     mode: ActMode
-    place: Callable[[PlacementQuery, float], Member | None]
+    place: Callable[[PlacementRequest, float], Member | None]
     owner_of: Callable[[View, str, int], str]
-    placement_request: Callable[..., object] = PlacementQuery
     rate_ahead_count: int = 0
     rate_wait_left_s: float = RATE_WAIT_MAX_S
     timeout_s: float = 0
--- a/rattanvalve/ownerports.py
+++ b/rattanvalve/ownerports.py
@@ -9,8 +9,8 @@
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.lines import Sleep
 from rattanvalve.messages import Member, View
-from rattanvalve.ownercontext import PlacementQuery
 from rattanvalve.peers import PeerPool
+from rattanvalve.routing import PlacementRequest
 
 __all__ = ('OwnerPorts', 'ViewLookups')
 
@@ -37,8 +37,7 @@
     pool: PeerPool
     lookups: ViewLookups
     mode: Callable[[float], ActMode]
-    place: Callable[[PlacementQuery, float], Member | None]
-    placement_request: Callable[..., object] = PlacementQuery
+    place: Callable[[PlacementRequest, float], Member | None]
     #: Called with the endpoint of a new ticket, and when the ticket ends with
     #: the endpoint and whether the endpoint failed.
     started: Callable[[str], None] = lambda _endpoint: None
