--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -314,7 +314,7 @@
 
 struct TakeRate {
   1: string workspace
-  2: i32 count
+  2: bool is_start
 }
 
 struct RateGrant {
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -25,6 +25,10 @@
 __all__ = ('Ingress',)
 
 STARTING_RETRY_AFTER_S = 0.5
+#: Another gateway can serve the request at once.
+CUT_OFF_RETRY_AFTER_S = 0.1
+#: Longest wait of a request of a begun program for the rate.
+RATE_WAIT_MAX_S = 0.25
 #: Least value of a Retry-After, so that a caller does not come back at once.
 RETRY_AFTER_MIN_S = 0.05
 PRIORITY_MAX = 9
@@ -87,6 +91,10 @@
         await self._prepare(response)
         await response.write_eof()
 
+    def close_after(self) -> None:
+        """Close the connection after the response."""
+        self._is_last = True
+
     def abort(self) -> None:
         if self._request.transport is not None:
             self._request.transport.close()
@@ -164,7 +172,12 @@
         except TimeoutError:
             return Refusal(ResultCode.REQUEST_TIMEOUT)
         call = _call_of(request, body, route, workspace, received_s)
-        refusal = await self._take_rate(workspace)
+        if self._client.is_cut_off():
+            return self._refuse_cut_off(sink)
+        try:
+            refusal = await self._take_rate(call)
+        except QuorumError:
+            return self._refuse_cut_off(sink)
         if refusal is not None:
             return refusal
         if route.keeps_turns:
@@ -177,6 +190,14 @@
             self._turns.release(call)
         return refusal
 
+    def _refuse_cut_off(self, sink: _AioSink) -> Refusal:
+        """Refuse a request; the caller's next one goes to another gateway."""
+        sink.close_after()
+        return Refusal(
+            ResultCode.TURN_STORE_UNAVAILABLE,
+            CUT_OFF_RETRY_AFTER_S,
+        )
+
     def _admit(
         self,
         request: web.BaseRequest,
@@ -211,19 +232,24 @@
                 parts.append(part)
         return b''.join(parts)
 
-    async def _take_rate(self, workspace: Workspace | None) -> Refusal | None:
+    async def _take_rate(self, call: Call) -> Refusal | None:
+        workspace = call.workspace
         if workspace is None or not workspace.rate_per_s:
             return None
-        try:
-            grant = await self._client.take_rate(workspace.name)
-        except QuorumError:
-            return Refusal(
-                ResultCode.TURN_STORE_UNAVAILABLE,
-                STARTING_RETRY_AFTER_S,
+        is_start = call.route.keeps_turns and not call.turn.previous_id
+        until_s = time.monotonic() + RATE_WAIT_MAX_S
+        while True:
+            grant = await self._client.take_rate(
+                workspace.name,
+                is_start=is_start,
             )
-        if grant.is_granted:
-            return None
-        return Refusal(ResultCode.RATE_EXCEEDED, grant.wait_ms / 1000)
+            if grant.is_granted:
+                return None
+            wait_s = grant.wait_ms / 1000
+            # A program that has begun is worth a short wait.
+            if is_start or time.monotonic() + wait_s > until_s:
+                return Refusal(ResultCode.RATE_EXCEEDED, wait_s)
+            await asyncio.sleep(wait_s)
 
     def _log_outcome(
         self,
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -41,6 +41,8 @@
 #: The store counts as doubtful if its last answer is older than this.
 STORE_DOUBT_S = 4.0
 MAX_LINE_BYTES = 16_384
+LISTEN_BACKLOG = 512
+STOP_CHECK_INTERVAL_S = 0.05
 
 _log = part_logger(LogPart.PROCESS)
 
@@ -63,11 +65,13 @@
         self._loads = LoadTable()
         self._directory = EndpointDirectory(self._forget)
         self._servers: ObjectFollower | None = None
-        client = TurnClient(
+        self._listener: asyncio.Server | None = None
+        client = self._client = TurnClient(
             self._peers,
             self._members,
             node.zone,
             node.lost_disks_max,
+            self._state.reach,
         )
         cache = TurnCache(int(node.memory_mb * CACHE_SHARE * 1_000_000))
         turns = TurnKeeper(client, cache)
@@ -96,7 +100,7 @@
         )
         readiness = web.Server(self._answer_ready, access_log=None)
         try:
-            await _listen(callers, self._node.callers)
+            self._listener = await _listen(callers, self._node.callers)
             await _listen(readiness, self._node.readiness)
             _log.info('gateway started')
             await asyncio.wait((work, stop), return_when='FIRST_COMPLETED')
@@ -119,13 +123,18 @@
             extra={'open_requests': len(self._ingress.open_requests)},
         )
         await asyncio.sleep(UNREADY_GRACE_S)
+        self._listener.close()
         callers.pre_shutdown()
-        left_s = self._node.grace_s - CLOSE_GRACE_S - UNREADY_GRACE_S
-        is_empty = await self._ingress.open_requests.wait_empty(left_s)
+        until_s = started_s + self._node.grace_s - CLOSE_GRACE_S
+        # A connection without a request may just be getting one, so the
+        # process stays until all connections are closed.
+        while callers.connections and time.monotonic() < until_s:
+            await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         _log.info(
             'requests finished',
             extra={
-                'is_empty': is_empty,
+                'connections': len(callers.connections),
+                'open_requests': len(self._ingress.open_requests),
                 'duration_ms': round((time.monotonic() - started_s) * 1000),
             },
         )
@@ -138,6 +147,7 @@
             self._state.peer_addresses,
             self._state.board,
             self._state.metrics,
+            self._state.reach,
         )
         return [
             *(follower.run() for follower in followers.values()),
@@ -150,6 +160,7 @@
             bool(self._state.rules.version)
             and not self._directory.is_empty()
             and not self._ingress.is_stopping
+            and not self._client.is_cut_off()
         )
         return await answer_ready(is_ready=is_ready)
 
@@ -178,6 +189,10 @@
         self._loads.forget(endpoint)
 
 
-async def _listen(server: web.Server, address: Address) -> None:
-    loop = asyncio.get_running_loop()
-    await loop.create_server(server, address.host, address.port, backlog=512)
+async def _listen(server: web.Server, address: Address) -> asyncio.Server:
+    return await asyncio.get_running_loop().create_server(
+        server,
+        address.host,
+        address.port,
+        backlog=LISTEN_BACKLOG,
+    )
--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -12,6 +12,7 @@
     group_of,
     quorum_size,
 )
+from rattanvalve.sharedstate.reach import ReachTable
 from rattanvalve.turn_messages import (
     FetchTurn,
     Ledger,
@@ -32,8 +33,6 @@
 HEDGE_S = 0.06
 CALL_TIMEOUT_S = 0.8
 RATE_TIMEOUT_S = 0.15
-#: A member that failed goes to the end of the order for this time.
-FAILED_MEMORY_S = 1.0
 RETRY_PAUSE_S = 0.05
 
 
@@ -59,6 +58,7 @@
     :param members: gives all members.
     :param zone: zone of this process.
     :param lost_disks_max: disks that may be lost at once.
+    :param reach: which members answer.
     """
 
     def __init__(
@@ -67,12 +67,20 @@
         members: Callable[[], Sequence[StoreMember]],
         zone: str,
         lost_disks_max: int,
+        reach: ReachTable,
     ) -> None:
         self._pool = pool
         self._members = members
         self._zone = zone
         self._lost_disks_max = lost_disks_max
-        self._failed_s: dict[str, float] = {}
+        self._reach = reach
+
+    def is_cut_off(self) -> bool:
+        """Return whether too few members answer to serve any program.
+
+        :returns: whether calls would fail.
+        """
+        return not self._reach.has_majority(self._members())
 
     async def reserve(
         self,
@@ -129,10 +137,11 @@
                 raise QuorumError(f'turn {turn_id} is not known for sure')
             await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def take_rate(self, workspace: str) -> RateGrant:
+    async def take_rate(self, workspace: str, *, is_start: bool) -> RateGrant:
         """Take one request of a workspace's rate.
 
         :param workspace: name of the workspace.
+        :param is_start: whether a program begins with the request.
         :returns: whether it is within the rate.
         :raises QuorumError: if no member could tell.
         """
@@ -142,7 +151,7 @@
             try:
                 grant = await self._call(
                     member,
-                    TakeRate(workspace=workspace, count=1),
+                    TakeRate(workspace=workspace, is_start=is_start),
                     RateGrant,
                     RATE_TIMEOUT_S,
                 )
@@ -277,18 +286,18 @@
         try:
             answer = await self._pool.call(member.address, message, timeout_s)
         except PeerError:
-            self._failed_s[member.name] = time.monotonic()
+            self._reach.note_failure(member.address, time.monotonic())
             raise
+        self._reach.note_answer(member.address, time.monotonic())
         if not isinstance(answer, answer_class):
             raise PeerError(f'unexpected {type(answer).__name__}')
         return answer
 
     def _ordered(self, members: Sequence[StoreMember]) -> list[StoreMember]:
-        since_s = time.monotonic() - FAILED_MEMORY_S
         return sorted(
             members,
             key=lambda member: (
-                self._failed_s.get(member.name, 0) > since_s,
+                self._reach.has_failed(member.address),
                 member.zone != self._zone,
             ),
         )
--- a/rattanvalve/sharedstate/following.py
+++ b/rattanvalve/sharedstate/following.py
@@ -20,6 +20,7 @@
 from rattanvalve.peers import PeerPool
 from rattanvalve.platform.objects import Changes, ObjectStore, StoredEntry
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
+from rattanvalve.sharedstate.reach import ReachTable
 
 __all__ = ('ObjectFollower', 'PeerExchange')
 
@@ -28,8 +29,9 @@
 WATCH_WAIT_MS = 2500
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 0.5
-#: How often a process compares its documents with those of one peer.
+#: How often a process compares its documents with those of some peers.
 EXCHANGE_INTERVAL_S = 0.4
+EXCHANGE_PEERS = 3
 EXCHANGE_TIMEOUT_S = 0.5
 
 _log = part_logger(LogPart.CONFIG)
@@ -165,12 +167,13 @@
 
 
 class PeerExchange:
-    """Compares documents with one random peer at a time, both ways.
+    """Compares documents with a few random peers at a time, both ways.
 
     :param pool: connections to peers.
     :param peers: gives the addresses of the peers.
     :param board: documents of this process.
     :param metrics: counters.
+    :param reach: notes which peers answer.
     """
 
     def __init__(
@@ -179,7 +182,9 @@
         peers: Callable[[], Sequence[Address]],
         board: DocumentBoard,
         metrics: Metrics,
+        reach: ReachTable,
     ) -> None:
+        self._reach = reach
         self._pool = pool
         self._peers = peers
         self._board = board
@@ -188,18 +193,26 @@
     async def run(self) -> None:
         """Exchange until cancelled."""
         while True:
-            peers = self._peers()
-            if peers:
-                await self._exchange(random.choice(peers))
-            await asyncio.sleep(EXCHANGE_INTERVAL_S * random.uniform(0.8, 1.2))
+            pause_s = EXCHANGE_INTERVAL_S * random.uniform(0.8, 1.2)
+            await asyncio.gather(
+                asyncio.sleep(pause_s),
+                *map(self._exchange, self._chosen()),
+            )
+
+    def _chosen(self) -> Sequence[Address]:
+        peers = self._peers()
+        return random.sample(peers, min(len(peers), EXCHANGE_PEERS))
 
     async def _exchange(self, peer: Address) -> None:
         try:
             for kind in DocumentKind:
                 await self._exchange_kind(peer, kind)
         except PeerError:
-            # Another peer is asked next time.
+            # Other peers are asked as well.
+            self._reach.note_failure(peer, time.monotonic())
             self._metrics.count(Counter.EXCHANGE_FAILED)
+        else:
+            self._reach.note_answer(peer, time.monotonic())
 
     async def _exchange_kind(self, peer: Address, kind: DocumentKind) -> None:
         ours = self._board.newest(kind)
--- a/rattanvalve/sharedstate/parts.py
+++ b/rattanvalve/sharedstate/parts.py
@@ -25,6 +25,7 @@
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
 from rattanvalve.sharedstate.following import ObjectFollower
 from rattanvalve.sharedstate.members import StoreMember
+from rattanvalve.sharedstate.reach import ReachTable
 from rattanvalve.sharedstate.rules import TrafficRules
 
 __all__ = ('SharedState', 'run_tasks')
@@ -52,6 +53,7 @@
     metrics: Metrics = field(default_factory=Metrics)
     rules: TrafficRules = field(default_factory=TrafficRules)
     members: tuple[StoreMember, ...] = ()
+    reach: ReachTable = field(default_factory=ReachTable)
 
     def __post_init__(self) -> None:
         self.board.listen(DocumentKind.RULES, self._adopt_rules)
--- /dev/null
+++ b/rattanvalve/sharedstate/reach.py
@@ -0,0 +1,65 @@
+"""Which members of the turn store answered their last call."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from rattanvalve.channels import Address
+from rattanvalve.sharedstate.members import StoreMember
+
+__all__ = ('ReachTable',)
+
+
+@dataclass(slots=True)
+class _Contact:
+    answered_s: float = float('-inf')
+    failed_s: float = float('-inf')
+
+
+class ReachTable:
+    """Last answer and last failure of each member, by address."""
+
+    def __init__(self) -> None:
+        self._contacts: dict[Address, _Contact] = {}
+
+    def note_answer(self, address: Address, now_s: float) -> None:
+        """Note that a member answered.
+
+        :param address: the member.
+        :param now_s: monotonic time in seconds.
+        """
+        self._contacts.setdefault(address, _Contact()).answered_s = now_s
+
+    def note_failure(self, address: Address, now_s: float) -> None:
+        """Note that a call of a member failed.
+
+        :param address: the member.
+        :param now_s: monotonic time in seconds.
+        """
+        self._contacts.setdefault(address, _Contact()).failed_s = now_s
+
+    def is_reached(self, address: Address) -> bool:
+        """Return whether the last call of a member was answered.
+
+        :param address: the member.
+        :returns: whether it was; false before the first call.
+        """
+        contact = self._contacts.get(address)
+        return contact is not None and contact.answered_s > contact.failed_s
+
+    def has_failed(self, address: Address) -> bool:
+        """Return whether the last call of a member failed.
+
+        :param address: the member.
+        :returns: whether it did; false before the first call.
+        """
+        contact = self._contacts.get(address)
+        return contact is not None and contact.failed_s > contact.answered_s
+
+    def has_majority(self, members: Sequence[StoreMember]) -> bool:
+        """Return whether most members answer.
+
+        :param members: all members.
+        :returns: whether more than half answered their last call.
+        """
+        reached = sum(self.is_reached(member.address) for member in members)
+        return 2 * reached > len(members)
--- a/rattanvalve/turn_messages.py
+++ b/rattanvalve/turn_messages.py
@@ -144,15 +144,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TakeRate:
-    """Ask for requests within the rate of a workspace."""
+    """Ask for one request within the rate of a workspace.
+
+    ``is_start`` says that a program begins with it.
+    """
 
     workspace: str = ''
-    count: int = 0
+    is_start: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RateGrant:
-    """Whether the requests are within this store's share of the rate.
+    """Whether the request is within this store's share of the rate.
 
     ``is_known`` is false while the store has no configuration.
     """
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -134,6 +134,7 @@
             self._state.peer_addresses,
             self._state.board,
             self._state.metrics,
+            self._state.reach,
         )
         return [
             followers[KIND_CONFIG].run(),
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -6,11 +6,13 @@
 """
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from rattanvalve.ratelimit import Bucket
 from rattanvalve.sharedstate.members import StoreMember, group_of
-from rattanvalve.sharedstate.rules import TrafficRules
-from rattanvalve.turn_messages import RateGrant
+from rattanvalve.sharedstate.rules import TrafficRules, Workspace
+from rattanvalve.turn_messages import RateGrant, TakeRate
+from rattanvalve.turnstore.programdemand import ProgramDemand
 
 __all__ = ('RATE_GROUP_LOSSES', 'RateShares')
 
@@ -18,6 +20,13 @@
 RATE_GROUP_LOSSES = 1
 
 
+@dataclass(slots=True)
+class _Share:
+    bucket: Bucket
+    demand: ProgramDemand
+    rate_per_s: float
+
+
 class RateShares:
     """Token buckets of one store; a bucket starts empty.
 
@@ -26,7 +35,7 @@
 
     def __init__(self, own_name: str) -> None:
         self._own_name = own_name
-        self._buckets: dict[str, Bucket] = {}
+        self._shares: dict[str, _Share] = {}
         self._unlimited: set[str] = set()
         self._is_known = False
 
@@ -49,36 +58,57 @@
                 self._unlimited.add(workspace.name)
                 continue
             group = group_of(workspace.name, members, RATE_GROUP_LOSSES)
-            if self._own_name not in {member.name for member in group}:
-                continue
-            names.add(workspace.name)
-            rate_per_s = workspace.rate_per_s / len(group)
-            burst = max(workspace.burst / len(group), 1)
-            bucket = self._buckets.setdefault(
-                workspace.name,
-                Bucket(rate_per_s, burst, now_s),
-            )
-            bucket.configure(rate_per_s, burst, now_s)
-        for name in self._buckets.keys() - names:
-            del self._buckets[name]
+            if self._own_name in {member.name for member in group}:
+                names.add(workspace.name)
+                self._configure_share(workspace, len(group), now_s)
+        for name in self._shares.keys() - names:
+            del self._shares[name]
         self._is_known = bool(rules.version) and bool(members)
 
-    def take(self, workspace: str, now_s: float) -> RateGrant:
+    def take(self, message: TakeRate, now_s: float) -> RateGrant:
         """Hand out one request.
 
-        :param workspace: name of the workspace.
+        :param message: workspace, and whether a program begins.
         :param now_s: monotonic time in seconds.
         :returns: whether it is within the share, and else how long to wait.
         """
-        if workspace in self._unlimited:
+        if message.workspace in self._unlimited:
             return RateGrant(is_known=True, is_granted=True)
-        bucket = self._buckets.get(workspace)
-        if bucket is None:
+        share = self._shares.get(message.workspace)
+        if share is None or not self._is_known:
             return RateGrant(is_known=False)
-        is_granted = bucket.take(now_s)
-        wait_ms = 0 if is_granted else round(bucket.wait_s(now_s) * 1000) + 1
-        return RateGrant(
-            is_known=self._is_known,
-            is_granted=is_granted,
-            wait_ms=wait_ms,
-        )
+        wait_s = share.bucket.wait_s(now_s)
+        if message.is_start:
+            missing = share.demand.missing_for_start(
+                share.bucket.level,
+                share.rate_per_s,
+                now_s,
+            )
+            wait_s = max(wait_s, missing / share.rate_per_s)
+        if wait_s > 0 or not share.bucket.take(now_s):
+            wait_ms = int(wait_s * 1000) + 1
+            return RateGrant(is_known=True, wait_ms=wait_ms)
+        if message.is_start:
+            share.demand.note_start(now_s)
+        else:
+            share.demand.note_continuation(now_s)
+        return RateGrant(is_known=True, is_granted=True)
+
+    def _configure_share(
+        self,
+        workspace: Workspace,
+        part_count: int,
+        now_s: float,
+    ) -> None:
+        rate_per_s = workspace.rate_per_s / part_count
+        burst = max(workspace.burst / part_count, 1)
+        share = self._shares.get(workspace.name)
+        if share is None:
+            share = _Share(
+                Bucket(rate_per_s, burst, now_s),
+                ProgramDemand(now_s),
+                rate_per_s,
+            )
+            self._shares[workspace.name] = share
+        share.bucket.configure(rate_per_s, burst, now_s)
+        share.rate_per_s = rate_per_s
--- a/rattanvalve/turnstore/service.py
+++ b/rattanvalve/turnstore/service.py
@@ -97,4 +97,4 @@
         await send(RecordBatch(records=records))
 
     async def _take_rate(self, message: TakeRate, send: Send) -> None:
-        await send(self._shares.take(message.workspace, time.monotonic()))
+        await send(self._shares.take(message, time.monotonic()))
--- a/rattanvalve/wire_gen/ttypes.py
+++ b/rattanvalve/wire_gen/ttypes.py
@@ -4042,14 +4042,14 @@
     """
     Attributes:
      - workspace
-     - count
+     - is_start
 
     """
 
 
-    def __init__(self, workspace=None, count=None,):
+    def __init__(self, workspace=None, is_start=None,):
         self.workspace = workspace
-        self.count = count
+        self.is_start = is_start
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4066,8 +4066,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.count = iprot.readI32()
+                if ftype == TType.BOOL:
+                    self.is_start = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -4084,9 +4084,9 @@
             oprot.writeFieldBegin('workspace', TType.STRING, 1)
             oprot.writeString(self.workspace.encode('utf-8') if sys.version_info[0] == 2 else self.workspace)
             oprot.writeFieldEnd()
-        if self.count is not None:
-            oprot.writeFieldBegin('count', TType.I32, 2)
-            oprot.writeI32(self.count)
+        if self.is_start is not None:
+            oprot.writeFieldBegin('is_start', TType.BOOL, 2)
+            oprot.writeBool(self.is_start)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -4535,7 +4535,7 @@
 TakeRate.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'workspace', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'count', None, None, ),  # 2
+    (2, TType.BOOL, 'is_start', None, None, ),  # 2
 )
 all_structs.append(RateGrant)
 RateGrant.thrift_spec = (
