--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -46,6 +46,9 @@
 class Trace:
     """What became of one request, for its log line."""
 
+    workspace: str = ''
+    is_start: bool = False
+    rate_wait_ms: int = 0
     endpoints: list[str] = field(default_factory=list)
     reasons: list[str] = field(default_factory=list)
     run_count: int = 0
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -172,21 +172,38 @@
         except TimeoutError:
             return Refusal(ResultCode.REQUEST_TIMEOUT)
         call = _call_of(request, body, route, workspace, received_s)
+        trace.workspace = call.workspace_name
         if self._client.is_cut_off():
             return self._refuse_cut_off(sink)
-        try:
-            refusal = await self._take_rate(call)
-        except QuorumError:
-            return self._refuse_cut_off(sink)
+        refusal = await self._prepare(call, sink, trace)
         if refusal is not None:
             return refusal
-        if route.keeps_turns:
+        refusal = await self._forwarder.forward(call, sink, trace)
+        if refusal is not None and not trace.run_count and route.keeps_turns:
+            self._turns.release(call)
+        return refusal
+
+    async def _prepare(
+        self,
+        call: Call,
+        sink: _AioSink,
+        trace: Trace,
+    ) -> Refusal | None:
+        """Get all that a request needs before it is sent.
+
+        The budget comes before the rate: a program without a budget uses up
+        nothing of its workspace's rate.
+        """
+        if call.route.keeps_turns:
             event_tokens = self._forwarder.event_tokens(call)
             refusal = await self._turns.prepare(call, event_tokens)
             if refusal is not None:
                 return refusal
-        refusal = await self._forwarder.forward(call, sink, trace)
-        if refusal is not None and not trace.run_count and route.keeps_turns:
+        try:
+            refusal = await self._take_rate(call, trace)
+        except QuorumError:
+            refusal = self._refuse_cut_off(sink)
+        if refusal is not None and call.route.keeps_turns:
             self._turns.release(call)
         return refusal
 
@@ -232,17 +249,19 @@
                 parts.append(part)
         return b''.join(parts)
 
-    async def _take_rate(self, call: Call) -> Refusal | None:
+    async def _take_rate(self, call: Call, trace: Trace) -> Refusal | None:
         workspace = call.workspace
         if workspace is None or not workspace.rate_per_s:
             return None
         is_start = call.route.keeps_turns and not call.turn.previous_id
+        trace.is_start = is_start
         until_s = time.monotonic() + RATE_WAIT_MAX_S
         while True:
             grant = await self._client.take_rate(
                 workspace.name,
                 is_start=is_start,
             )
+            trace.rate_wait_ms = grant.wait_ms
             if grant.is_granted:
                 return None
             wait_s = grant.wait_ms / 1000
@@ -263,7 +282,10 @@
             extra={
                 'request': request.headers.get(names.REQUEST_ID, ''),
                 'program': request.headers.get(names.PROGRAM_ID, ''),
+                'workspace': trace.workspace,
                 'outcome': outcome,
+                'is_start': trace.is_start,
+                'wait_ms': trace.rate_wait_ms,
                 'status': trace.status,
                 'endpoints': trace.endpoints,
                 'reasons': trace.reasons,
--- a/rattanvalve/turnstore/programdemand.py
+++ b/rattanvalve/turnstore/programdemand.py
@@ -13,6 +13,8 @@
 AVERAGE_TIME_S = 20.0
 #: Time after which requests that have not come are not expected any more.
 EXPECTED_TIME_S = 5.0
+#: The room that comes within this time is for the begun programs, too.
+HORIZON_S = 0.7
 REQUESTS_FIRST_GUESS = 12.0
 #: Weight of the first guess, in programs.
 GUESS_WEIGHT = 3.0
@@ -22,10 +24,15 @@
 class ProgramDemand:
     """Requests that the begun programs of one workspace still need.
 
+    Each of ``part_count`` stores sees about one part of the requests of each
+    program, since requests go to the next store where one has no room.
+
     :param updated_s: monotonic time of the last change in seconds.
+    :param part_count: stores among which the rate is divided.
     """
 
     updated_s: float
+    part_count: int
     expected_count: float = 0
     _starts: float = GUESS_WEIGHT
     _requests: float = GUESS_WEIGHT * REQUESTS_FIRST_GUESS
@@ -45,7 +52,7 @@
         self._age(now_s)
         self._starts += 1
         self._requests += 1
-        self.expected_count += self.per_program() - 1
+        self.expected_count += self.per_program() / self.part_count
 
     def note_continuation(self, now_s: float) -> None:
         """Count a later request of a program.
@@ -64,17 +71,15 @@
     ) -> float:
         """Tell how many requests of room a new program lacks.
 
-        The begun programs use the room that comes within a second first.
-
         :param level: requests that may be made at once.
         :param rate_per_s: requests that are added per second.
         :param now_s: monotonic time in seconds.
         :returns: requests; 0 or less if the program may begin.
         """
         self._age(now_s)
-        needed = self.expected_count + self.per_program()
-        horizon_s = EXPECTED_TIME_S / 2
-        return needed - level - rate_per_s * horizon_s
+        own_part = self.per_program() / self.part_count
+        needed = self.expected_count + max(own_part, 1)
+        return needed - level - rate_per_s * HORIZON_S
 
     def _age(self, now_s: float) -> None:
         elapsed_s = max(now_s - self.updated_s, 0)
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -106,7 +106,7 @@
         if share is None:
             share = _Share(
                 Bucket(rate_per_s, burst, now_s),
-                ProgramDemand(now_s),
+                ProgramDemand(now_s, part_count),
                 rate_per_s,
             )
             self._shares[workspace.name] = share
