--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -125,6 +125,8 @@
         self.is_stopping = False
         #: Requests that are being answered.
         self.open_requests = WorkSet()
+        #: Connections whose request is being answered.
+        self.busy_transports: set[asyncio.BaseTransport] = set()
         self._state = state
         self._forwarder = forwarder
         self._turns = turns
@@ -141,6 +143,8 @@
         trace = Trace()
         outcome = 'cancelled'
         self.open_requests.add(sink)
+        transport = request.transport
+        self.busy_transports.add(transport)
         try:
             refusal = await self._serve(request, sink, trace, received_s)
             outcome = 'answered'
@@ -150,6 +154,7 @@
                 await sink.refuse(refusal)
         finally:
             self.open_requests.discard(sink)
+            self.busy_transports.discard(transport)
             self._log_outcome(request, trace, outcome, received_s)
         return sink.response
 
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -124,11 +124,9 @@
         )
         await asyncio.sleep(UNREADY_GRACE_S)
         self._listener.close()
-        callers.pre_shutdown()
         until_s = started_s + self._node.grace_s - CLOSE_GRACE_S
-        # A connection without a request may just be getting one, so the
-        # process stays until all connections are closed.
         while callers.connections and time.monotonic() < until_s:
+            self._close_idle(callers)
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         _log.info(
             'requests finished',
@@ -139,6 +137,16 @@
             },
         )
 
+    def _close_idle(self, callers: web.Server) -> None:
+        """Close the connections without a request.
+
+        ``pre_shutdown`` of aiohttp only stops reading from them, so that a
+        request which comes in later would get no answer.
+        """
+        for connection in tuple(callers.connections):
+            if connection.transport not in self._ingress.busy_transports:
+                connection.force_close()
+
     def _tasks(self, store: ObjectStore) -> list:
         followers = self._state.followers(store)
         self._servers = followers[KIND_SERVERS]
