--- a/rattanvalve/gateway/connection_pool.py
+++ b/rattanvalve/gateway/connection_pool.py
@@ -77,4 +77,4 @@
                         connection.close()
                 self._idle[identity] = kept
                 if not kept:
-                    del self._idle[identity]
+                    self._idle.pop(identity)
--- a/rattanvalve/gateway/directory.py
+++ b/rattanvalve/gateway/directory.py
@@ -49,9 +49,7 @@
         newest = dict(listed)
         usable = {name: entry for name, entry in newest.items() if entry}
         gone = [
-            entry
-            for name, entry in self._entries.items()
-            if name not in newest
+            entry for name, entry in self._entries.items() if name not in newest
         ]
         is_lapse = is_store_doubtful or (
             len(gone) >= LAPSE_COUNT_MIN
@@ -96,5 +94,5 @@
     def _drop_vanished(self, now_s: float) -> None:
         for name, vanished in tuple(self._vanished.items()):
             if now_s >= vanished.until_s:
-                del self._vanished[name]
+                self._vanished.pop(name)
                 self._forget(vanished.entry)
--- a/rattanvalve/gateway/events.py
+++ b/rattanvalve/gateway/events.py
@@ -21,7 +21,8 @@
 
         :param chunk: bytes, cut anywhere.
         """
-        *lines, self._rest = (self._rest + chunk).split(_LINE_FEED)
+        lines = (self._rest + chunk).split(_LINE_FEED)
+        self._rest = lines.pop()
         for line in lines:
             self._take_line(line.removesuffix(b'\r'))
 
--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -16,10 +16,8 @@
 from rattanvalve.gateway.events import EventFollower
 from rattanvalve.gateway.loads import LoadTable
 from rattanvalve.gateway.placement import Demand, choose_endpoint
-from rattanvalve.gateway.server_connection import (
-    ResponseHead,
-    ServerConnection,
-)
+from rattanvalve.gateway.response_parser import ResponseHead
+from rattanvalve.gateway.server_connection import ServerConnection
 from rattanvalve.gateway.service_choice import choose_service
 from rattanvalve.gateway.sinks import Sink
 from rattanvalve.gateway.turns import TurnKeeper
@@ -56,7 +54,7 @@
     status: int = 0
 
 
-class _RepeatError(Exception):
+class _AttemptFailedError(Exception):
     """The attempt failed; ``may_have_run`` says whether it may have run."""
 
     def __init__(self, reason: str, *, may_have_run: bool) -> None:
@@ -104,37 +102,57 @@
         demand = self._demand_of(call)
         tried: set[str] = set()
         while True:
-            now_s = time.monotonic()
-            if call.deadline_s - now_s < SEND_TIME_MIN_S:
-                return _timed_out(trace)
-            endpoints = self._directory.usable(demand.service, now_s)
-            endpoint = choose_endpoint(
-                demand,
-                endpoints,
-                self._loads,
-                self._state.node.zone,
-                now_s,
-                tried,
-            )
-            if endpoint is None or len(tried) >= TRIES_MAX:
-                return _none_left(trace, has_tried=bool(tried))
-            trace.endpoints.append(endpoint.name)
-            load = self._loads.of(endpoint)
-            trace.expected_count = load.expected_count(now_s)
+            endpoint = self._choose(call, demand, tried, trace)
+            if isinstance(endpoint, Refusal):
+                return endpoint
             try:
                 await self._attempt(call, demand, endpoint, sink, trace)
-            except _RepeatError as error:
-                trace.reasons.append(str(error))
-                tried.add(endpoint.name)
-                if error.may_have_run:
-                    trace.run_count += 1
-                    if not _may_repeat(call, trace):
-                        return Refusal(ResultCode.OUTCOME_UNKNOWN)
-                continue
             except TimeoutError:
                 trace.run_count += 1
                 return _timed_out(trace)
-            return None
+            except _AttemptFailedError as error:
+                tried.add(endpoint.name)
+                if not _may_go_on(call, error, trace):
+                    return Refusal(ResultCode.OUTCOME_UNKNOWN)
+            else:
+                return None
+
+    def event_tokens(self, call: Call) -> int:
+        """Tell for how many tokens each event of a call is counted.
+
+        :param call: the request.
+        :returns: tokens.
+        """
+        for service, _ in call.route.services:
+            rule = self._state.rules.services.get(service)
+            if rule and rule.engine:
+                return rule.engine.event_tokens
+        return 1
+
+    def _choose(
+        self,
+        call: Call,
+        demand: Demand,
+        tried: set[str],
+        trace: Trace,
+    ) -> EndpointEntry | Refusal:
+        now_s = time.monotonic()
+        if call.deadline_s - now_s < SEND_TIME_MIN_S:
+            return _timed_out(trace)
+        endpoint = choose_endpoint(
+            demand,
+            self._directory.usable(demand.service, now_s),
+            self._loads,
+            self._state.node.zone,
+            now_s,
+            tried,
+        )
+        if endpoint is None or len(tried) >= TRIES_MAX:
+            return _none_left(trace, has_tried=bool(tried))
+        trace.endpoints.append(endpoint.name)
+        load = self._loads.of(endpoint)
+        trace.expected_count = load.expected_count(now_s)
+        return endpoint
 
     def _demand_of(self, call: Call) -> Demand:
         service = choose_service(call.route, call.request_id)
@@ -165,7 +183,7 @@
                 await self._exchange(call, endpoint, connection, sink, trace)
         except ServerBrokenError as error:
             self._avoid(endpoint, BROKEN_AVOID_S)
-            raise _RepeatError('broken', may_have_run=True) from error
+            raise _AttemptFailedError('broken', may_have_run=True) from error
         except BaseException:
             # The caller has gone or the time is over, so the work ends, too.
             connection.close()
@@ -179,7 +197,9 @@
             return await self._pool.take(endpoint)
         except ServerUnreachableError as error:
             self._avoid(endpoint, UNREACHABLE_AVOID_S)
-            raise _RepeatError('unreachable', may_have_run=False) from error
+            raise _AttemptFailedError(
+                'unreachable', may_have_run=False
+            ) from error
 
     async def _exchange(
         self,
@@ -198,7 +218,9 @@
         trace.status = head.status
         if _is_refusal(head):
             await _read_body(connection)
-            raise _RepeatError(f'refused {head.status}', may_have_run=False)
+            raise _AttemptFailedError(
+                f'refused {head.status}', may_have_run=False
+            )
         is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
         if is_success and names.SEAL not in head.headers:
             connection.close()
@@ -208,7 +230,9 @@
             return
         body = await _read_body(connection)
         if not is_success and _may_repeat_failure(call, head, trace):
-            raise _RepeatError(f'failed {head.status}', may_have_run=True)
+            raise _AttemptFailedError(
+                f'failed {head.status}', may_have_run=True
+            )
         await sink.send_whole(head, body)
 
     async def _pass_stream(
@@ -240,18 +264,6 @@
         tokens = follower.event_count * self.event_tokens(call)
         await self._turns.commit(call, follower.output(), tokens)
 
-    def event_tokens(self, call: Call) -> int:
-        """Tell for how many tokens each event of a call is counted.
-
-        :param call: the request.
-        :returns: tokens.
-        """
-        for service, _ in call.route.services:
-            rule = self._state.rules.services.get(service)
-            if rule and rule.engine:
-                return rule.engine.event_tokens
-        return 1
-
     def _avoid(self, endpoint: EndpointEntry, duration_s: float) -> None:
         load = self._loads.of(endpoint)
         load.avoided_until_s = time.monotonic() + duration_s
@@ -276,8 +288,18 @@
     return b''.join(parts)
 
 
-def _may_repeat(call: Call, trace: Trace) -> bool:
-    return call.route.is_repeatable and trace.run_count < call.route.max_attempts
+def _may_go_on(
+    call: Call,
+    error: _AttemptFailedError,
+    trace: Trace,
+) -> bool:
+    """Note a failed attempt and tell whether another one may follow."""
+    trace.reasons.append(str(error))
+    if not error.may_have_run:
+        return True
+    trace.run_count += 1
+    has_attempts = trace.run_count < call.route.max_attempts
+    return call.route.is_repeatable and has_attempts
 
 
 def _may_repeat_failure(call: Call, head: ResponseHead, trace: Trace) -> bool:
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -11,7 +11,7 @@
 from rattanvalve.errors import BodyError, QuorumError
 from rattanvalve.gateway.calls import Call, Refusal, header_number, read_turn
 from rattanvalve.gateway.forwarding import Forwarder, Trace
-from rattanvalve.gateway.server_connection import ResponseHead
+from rattanvalve.gateway.response_parser import ResponseHead
 from rattanvalve.gateway.turn_client import TurnClient
 from rattanvalve.gateway.turns import TurnKeeper
 from rattanvalve.logs import LogPart, part_logger
--- a/rattanvalve/gateway/loads.py
+++ b/rattanvalve/gateway/loads.py
@@ -120,7 +120,9 @@
         :param now_s: monotonic time in seconds.
         """
         numbers = text.split(',')
-        if len(numbers) < 2 or not all(part.strip().isdigit() for part in numbers):
+        if len(numbers) < 2 or not all(
+            part.strip().isdigit() for part in numbers
+        ):
             return
         load = self.of(endpoint)
         load.reported_count = int(numbers[0]) + int(numbers[1])
--- a/rattanvalve/gateway/server_connection.py
+++ b/rattanvalve/gateway/server_connection.py
@@ -1,46 +1,19 @@
-"""One HTTP/1.1 connection to a server.
-
-A response belongs to the request whose id it carries. A server may send a
-late or extra response, so responses with another id are read and dropped.
-The client of aiohttp takes the next response for the answer, whatever its
-id, and repeats requests by their method; that is why the parser is used
-directly here.
-"""
+"""One HTTP/1.1 connection to a server."""
 
 import asyncio
 import socket
-from collections import deque
-from dataclasses import dataclass
-
-import httptools
-from multidict import CIMultiDict
 
 from rattanvalve.channels import Address
 from rattanvalve.errors import ServerBrokenError, ServerUnreachableError
-from rattanvalve.platform.names import REQUEST_ID
+from rattanvalve.gateway.response_parser import ResponseHead, ResponseParser
 
-__all__ = ('ResponseHead', 'ServerConnection', 'open_connection')
+__all__ = ('ServerConnection', 'open_connection')
 
 #: Bytes of a response that wait for the caller before reading pauses.
 BUFFER_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 0.6
 #: How long sent bytes may stay unacknowledged before the kernel gives up.
 UNACKNOWLEDGED_LIMIT_MS = 1500
-#: Idle time for which a connection is kept if the server names none.
-IDLE_DEFAULT_S = 2.0
-#: A connection is not used in the last part of the server's idle timeout.
-IDLE_MARGIN_S = 0.7
-_OK_MIN = 200
-_BODILESS = frozenset((204, 304))
-_END = b''
-
-
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
-    """Status and headers of a response."""
-
-    status: int
-    headers: CIMultiDict[str]
 
 
 class ServerConnection(asyncio.Protocol):
@@ -49,19 +22,9 @@
     def __init__(self) -> None:
         self.idle_since_s: float = 0
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
-        self._request_id: str | None = None
-        self._head: ResponseHead | None = None
-        self._chunks: deque[bytes] = deque()
-        self._buffered_bytes = 0
-        self._is_complete = True
+        self._parser = ResponseParser()
         self._is_broken = False
-        self._is_reusable = True
-        self._idle_limit_s = IDLE_DEFAULT_S
         self._waiter: asyncio.Future | None = None
-        self._headers: CIMultiDict[str] = CIMultiDict()
-        self._is_ours = False
-        self._is_unframed = False
 
     def send(self, request_id: str, payload: bytes) -> None:
         """Send a request.
@@ -72,10 +35,7 @@
         """
         if not self.is_open():
             raise ServerBrokenError('connection closed before the request')
-        self._request_id = request_id
-        self._head = None
-        self._is_complete = False
-        self._is_unframed = False
+        self._parser.expect(request_id)
         self._transport.write(payload)
 
     async def read_head(self) -> ResponseHead:
@@ -84,10 +44,9 @@
         :returns: the head.
         :raises ServerBrokenError: if the server breaks off.
         """
-        while self._head is None:
-            self._check()
+        while self._parser.head is None:
             await self._wait()
-        return self._head
+        return self._parser.head
 
     async def read_chunk(self) -> bytes:
         """Wait for the next part of the body.
@@ -95,14 +54,10 @@
         :returns: bytes; none at the end of a complete body.
         :raises ServerBrokenError: if the server breaks off.
         """
-        while not self._chunks:
-            if self._is_complete:
-                return _END
-            self._check()
+        while not (self._parser.chunks or self._parser.is_complete):
             await self._wait()
-        chunk = self._chunks.popleft()
-        self._buffered_bytes -= len(chunk)
-        if self._buffered_bytes < BUFFER_BYTES and self.is_open():
+        chunk = self._parser.take_chunk()
+        if self._parser.buffered_bytes < BUFFER_BYTES and self.is_open():
             self._transport.resume_reading()
         return chunk
 
@@ -111,9 +66,8 @@
 
         :returns: whether neither side has closed it.
         """
-        return self._transport is not None and not (
-            self._is_broken or self._transport.is_closing()
-        )
+        is_up = self._transport is not None and not self._is_broken
+        return is_up and not self._transport.is_closing()
 
     def is_reusable(self, now_s: float) -> bool:
         """Return whether another request may be sent.
@@ -121,109 +75,57 @@
         :param now_s: monotonic time in seconds.
         :returns: whether the last response ended clean and recently.
         """
-        return (
-            self.is_open()
-            and self._is_complete
-            and self._is_reusable
-            and not self._chunks
-            and now_s - self.idle_since_s < self._idle_limit_s
-        )
+        parser = self._parser
+        is_clean = parser.is_complete and parser.is_reusable
+        is_recent = now_s - self.idle_since_s < parser.idle_limit_s
+        return is_clean and is_recent and not parser.chunks and self.is_open()
 
     def close(self) -> None:
         """Close the connection at once, which cancels its request."""
         if self._transport is not None:
             self._transport.abort()
-        self._is_reusable = False
+        self._is_broken = True
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Take the transport."""
+        """Take the transport.
+
+        :param transport: transport of the event loop.
+        """
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Parse what the server sent."""
+        """Parse what the server sent.
+
+        :param data: bytes, cut anywhere.
+        """
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._is_reusable = False
-            if not self._is_complete:
-                self._is_broken = True
-            self._transport.abort()
+            self._parser.feed(data)
+        except ServerBrokenError:
+            self.close()
+        if self._parser.buffered_bytes >= BUFFER_BYTES:
+            self._transport.pause_reading()
         self._wake()
 
     def eof_received(self) -> bool:
-        """End a response that has no length."""
-        if self._is_unframed and self._is_ours and not self._is_complete:
-            self._is_complete = True
-        self._is_reusable = False
+        """End a response that has no length.
+
+        :returns: false, which lets the event loop close the transport.
+        """
+        self._parser.finish()
         self._wake()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Note that the server has closed the connection."""
-        self._is_reusable = False
+        """Note that the connection is closed.
+
+        :param exc: reason, if it was not closed in order.
+        """
         self._is_broken = True
         self._wake()
 
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Begin a response."""
-        self._headers = CIMultiDict()
-        self._is_ours = False
-        if self._is_complete:
-            # Nothing was asked, so these bytes belong to no request.
-            self._is_reusable = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        self._headers.add(name.decode('latin-1'), value.decode('latin-1'))
-
-    def on_headers_complete(self) -> None:
-        """Find out whose response it is."""
-        status = self._parser.get_status_code()
-        self._is_ours = self._is_expected(status)
-        if not self._is_ours:
-            return
-        headers = self._headers
-        self._is_unframed = (
-            'Content-Length' not in headers
-            and 'chunked' not in headers.get('Transfer-Encoding', '').lower()
-            and status not in _BODILESS
-        )
-        if self._is_unframed or not self._parser.should_keep_alive():
-            self._is_reusable = False
-        self._idle_limit_s = _idle_limit(headers.get('Keep-Alive', ''))
-        self._head = ResponseHead(status, headers)
-
-    def on_body(self, body: bytes) -> None:
-        """Keep a part of the body for the reader."""
-        if not self._is_ours:
-            return
-        self._chunks.append(body)
-        self._buffered_bytes += len(body)
-        if self._buffered_bytes >= BUFFER_BYTES:
-            self._transport.pause_reading()
-
-    def on_message_complete(self) -> None:
-        """End a response; responses of other requests are passed over."""
-        if self._is_ours:
-            self._is_complete = True
-            self._is_ours = False
-
-    def _is_expected(self, status: int) -> bool:
-        if self._is_complete or self._head is not None or status < _OK_MIN:
-            return False
-        answered_id = self._headers.get(REQUEST_ID)
-        if answered_id is None:
-            # Without an id only a refusal can be taken for ours.
-            return status >= 400
-        return answered_id == self._request_id
-
-    def _check(self) -> None:
+    async def _wait(self) -> None:
         if self._is_broken:
             raise ServerBrokenError('connection broken before the end')
-
-    async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
         await self._waiter
 
@@ -257,16 +159,3 @@
         UNACKNOWLEDGED_LIMIT_MS,
     )
     return connection
-
-
-def _idle_limit(keep_alive: str) -> float:
-    """Read how long the server keeps an idle connection.
-
-    :param keep_alive: header such as ``timeout=5``.
-    :returns: seconds for which the connection may be used again.
-    """
-    for part in keep_alive.split(','):
-        name, _, text = part.strip().partition('=')
-        if name.lower() == 'timeout' and text.isdigit():
-            return max(int(text) - IDLE_MARGIN_S, 0)
-    return IDLE_DEFAULT_S
--- a/rattanvalve/gateway/sinks.py
+++ b/rattanvalve/gateway/sinks.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from rattanvalve.gateway.server_connection import ResponseHead
+from rattanvalve.gateway.response_parser import ResponseHead
 
 __all__ = ('Sink',)
 
--- a/rattanvalve/gateway/turns.py
+++ b/rattanvalve/gateway/turns.py
@@ -77,20 +77,13 @@
             self._find_context(call),
             return_exceptions=True,
         )
-        refusal = None
-        for outcome in outcomes:
-            if isinstance(outcome, QuorumError):
-                refusal = refusal or Refusal(
-                    ResultCode.TURN_STORE_UNAVAILABLE,
-                    RETRY_AFTER_S,
-                )
-            elif isinstance(outcome, BaseException):
-                raise outcome
-            else:
-                refusal = refusal or outcome
-        if refusal is not None:
-            self.release(call)
-        return refusal
+        refusals = [
+            refusal for refusal in map(_refusal_of, outcomes) if refusal
+        ]
+        if not refusals:
+            return None
+        self.release(call)
+        return refusals[0]
 
     def release(self, call: Call) -> None:
         """Give the reservation of a turn back that has not run.
@@ -196,3 +189,11 @@
 
 def _ledger_retention_ms(call: Call) -> int:
     return max(call.route.retention_ms, LEDGER_RETENTION_MS)
+
+
+def _refusal_of(outcome: Refusal | BaseException | None) -> Refusal | None:
+    if isinstance(outcome, QuorumError):
+        return Refusal(ResultCode.TURN_STORE_UNAVAILABLE, RETRY_AFTER_S)
+    if isinstance(outcome, BaseException):
+        raise outcome
+    return outcome
--- a/rattanvalve/platform/configuration.py
+++ b/rattanvalve/platform/configuration.py
@@ -87,7 +87,9 @@
     try:
         stored = msgspec.json.decode(body, type=_Configuration)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ConfigurationError(f'unreadable configuration: {error}') from error
+        raise ConfigurationError(
+            f'unreadable configuration: {error}'
+        ) from error
     workspaces = tuple(map(_workspace, stored.tenants or ()))
     return TrafficRules(
         version=stored.version,
--- a/rattanvalve/platform/requests.py
+++ b/rattanvalve/platform/requests.py
@@ -43,7 +43,9 @@
     }
     dropped = _CONNECTION_HEADERS | names.RESERVED_HEADERS | named
     return [
-        (name, content) for name, content in decoded if name.lower() not in dropped
+        (name, content)
+        for name, content in decoded
+        if name.lower() not in dropped
     ]
 
 
--- a/rattanvalve/sharedstate/parts.py
+++ b/rattanvalve/sharedstate/parts.py
@@ -1,4 +1,4 @@
-"""What every process on the platform has: store client, documents, followers."""
+"""State that every process on the platform has, and how it is followed."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -163,10 +163,10 @@
     """
     base_url = f'http://{store_address.host}:{store_address.port}'
     connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=5)
-    async with aiohttp.ClientSession(
-        connector=connector,
-        timeout=aiohttp.ClientTimeout(total=None),
-    ) as session:
-        async with asyncio.TaskGroup() as group:
-            for work in build(ObjectStore(base_url, session)):
-                group.create_task(work)
+    timeout = aiohttp.ClientTimeout(total=None)
+    async with (
+        aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
+        asyncio.TaskGroup() as group,
+    ):
+        for work in build(ObjectStore(base_url, session)):
+            group.create_task(work)
--- a/rattanvalve/sharedstate/rules.py
+++ b/rattanvalve/sharedstate/rules.py
@@ -1,6 +1,5 @@
 """The operators' rules for traffic, as the processes use them."""
 
-from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -108,14 +107,9 @@
     _by_name: dict[str, Workspace] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        by_host = defaultdict(list)
-        for route in sorted(
-            self.routes,
-            key=lambda route: len(route.path_prefix),
-            reverse=True,
-        ):
-            by_host[route.host].append(route)
-        self._by_host.update(by_host)
+        longest_first = sorted(self.routes, key=_prefix_length, reverse=True)
+        for route in longest_first:
+            self._by_host.setdefault(route.host, []).append(route)
         for workspace in self.workspaces:
             self._by_name[workspace.name] = workspace
             self._by_key.update(dict.fromkeys(workspace.keys, workspace))
@@ -147,3 +141,7 @@
         :returns: the workspace, or ``None``.
         """
         return self._by_name.get(name)
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.path_prefix)
--- a/rattanvalve/turnstore/disklog.py
+++ b/rattanvalve/turnstore/disklog.py
@@ -106,7 +106,8 @@
     async def _write_pending(self) -> None:
         loop = asyncio.get_running_loop()
         while self._pending:
-            batch, self._pending = self._pending, []
+            batch = self._pending
+            self._pending = []
             records = [record for record, _ in batch]
             try:
                 locations = await loop.run_in_executor(
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -62,7 +62,7 @@
                 names.add(workspace.name)
                 self._configure_share(workspace, len(group), now_s)
         for name in self._shares.keys() - names:
-            del self._shares[name]
+            self._shares.pop(name)
         self._is_known = bool(rules.version) and bool(members)
 
     def take(self, message: TakeRate, now_s: float) -> RateGrant:
--- a/rattanvalve/turnstore/service.py
+++ b/rattanvalve/turnstore/service.py
@@ -69,7 +69,9 @@
         entries = self._turn_log.ledger_of(message.program_id)
         await send(Ledger(is_complete=self._is_complete(), entries=entries))
 
-    async def _store(self, message: SettleTurn | TurnRecord, send: Send) -> None:
+    async def _store(
+        self, message: SettleTurn | TurnRecord, send: Send
+    ) -> None:
         await self._turn_log.store(message)
         await send(Stored(is_complete=self._is_complete()))
 
--- a/tests/steps/wire_steps.py
+++ b/tests/steps/wire_steps.py
@@ -41,8 +41,9 @@
     if isinstance(message, (list, tuple)):
         return [as_plain(part) for part in message]
     classes = {kind.__name__: kind for kind in MESSAGE_CLASSES}
-    if type(message).__name__ in classes:
-        names = get_type_hints(classes[type(message).__name__])
+    kind = classes.get(type(message).__name__)
+    if kind is not None:
+        names = get_type_hints(kind)
         return {name: as_plain(getattr(message, name)) for name in names}
     return message
 
