Cut a stream at its deadline without a second response

Also: a gateway is not ready while fewer members of the turn store are known than a record needs copies, which a first request right after the start met once in a test (503).

--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -251,11 +251,15 @@
             if not follower.is_between_events():
                 raise ServerBrokenError('stream ended within an event')
             await self._commit(call, follower)
-        except (ServerBrokenError, QuorumError, TimeoutError):
+        except (ServerBrokenError, QuorumError):
             # Nothing else may follow what the caller has already got.
             connection.close()
             sink.abort()
             return
+        except asyncio.CancelledError:
+            # The deadline has passed, or the caller has gone.
+            sink.abort()
+            raise
         await sink.finish()
 
     async def _commit(self, call: Call, follower: EventFollower) -> None:
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -151,7 +151,8 @@
             if refusal is not None:
                 outcome = refusal.code.name.lower()
                 self._state.metrics.count_code(refusal.code)
-                await sink.refuse(refusal)
+                if sink.response is None:
+                    await sink.refuse(refusal)
         finally:
             self.open_requests.discard(sink)
             self.busy_transports.discard(transport)
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -36,6 +36,8 @@
 KEEPALIVE_TIMEOUT_S = 75.0
 #: After readiness has gone, the balancer sends new connections for a while.
 UNREADY_GRACE_S = 3.0
+#: Largest share of the grace of a stop that is spent on that.
+UNREADY_SHARE = 0.4
 #: Kept back from the grace of a stop for closing.
 CLOSE_GRACE_S = 0.5
 #: The store counts as doubtful if its last answer is older than this.
@@ -122,9 +124,10 @@
             'stopping',
             extra={'open_requests': len(self._ingress.open_requests)},
         )
-        await asyncio.sleep(UNREADY_GRACE_S)
+        grace_s = self._node.grace_s
+        await asyncio.sleep(min(UNREADY_GRACE_S, grace_s * UNREADY_SHARE))
         self._listener.close()
-        until_s = started_s + self._node.grace_s - CLOSE_GRACE_S
+        until_s = started_s + grace_s - CLOSE_GRACE_S
         while callers.connections and time.monotonic() < until_s:
             self._close_idle(callers)
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -80,7 +80,9 @@
 
         :returns: whether calls would fail.
         """
-        return not self._reach.has_majority(self._members())
+        members = self._members()
+        is_enough = len(members) >= quorum_size(self._lost_disks_max)
+        return not (is_enough and self._reach.has_majority(members))
 
     async def reserve(
         self,
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,220 @@
+"""Gateways and turn stores on loopback addresses, with stand-ins around."""
+
+import asyncio
+import itertools
+import shutil
+import socket
+import tempfile
+from contextlib import suppress
+from pathlib import Path
+
+import aiohttp
+
+from rattanvalve.channels import Address
+from rattanvalve.gateway.process import GatewayProcess
+from rattanvalve.platform.nodefile import NodeSettings
+from rattanvalve.turnstore.process import TurnStoreProcess
+from tests.platform_servers import PlatformServer
+from tests.platform_store import PlatformStore
+
+SECRET = b's' * 32
+KEY = 'key-of-farm'
+OTHER_KEY = 'key-of-shop'
+WAIT_S = 10.0
+_numbers = itertools.count(1)
+
+
+def free_port():
+    """Give a port that is free on all loopback addresses."""
+    with socket.socket() as probe:
+        probe.bind(('0.0.0.0', 0))
+        return probe.getsockname()[1]
+
+
+async def wait_until(condition):
+    """Wait until a function returns true."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():  # noqa: ASYNC110 - it has no event
+            await asyncio.sleep(0.02)
+
+
+def route(name, kind, service, **fields):
+    """Write one route of the operators."""
+    return {
+        'name': name,
+        'host': 'farm.example',
+        'pathPrefix': f'/{name}/',
+        'kind': kind,
+        'timeoutMs': 3000,
+        'service': service,
+        'maxAttempts': 2,
+        **fields,
+    }
+
+
+def configuration(version=1, keys=(KEY,), rate=0, burst=0, **limits):
+    """Write a configuration of the operators."""
+    turns = {'retainContext': True, 'retentionS': 60}
+    return {
+        'version': version,
+        'routes': [
+            route('chat', 'stream', 'models', **turns),
+            route('look', 'safe', 'app'),
+            route('book', 'unsafe', 'app'),
+            route('open', 'safe', 'app', authExempt=True),
+        ],
+        'services': [
+            {'name': 'models', 'engine': {'slots': 4, 'tokensPerEvent': 9}},
+            {'name': 'app'},
+        ],
+        'limits': limits,
+        'tenants': [
+            {
+                'name': 'farm',
+                'apiKeys': list(keys),
+                'priority': 1,
+                'perS': rate,
+                'burst': burst,
+            },
+            {'name': 'shop', 'apiKeys': [OTHER_KEY]},
+        ],
+    }
+
+
+class PlatformFleet:
+    """A store, servers, three turn stores and gateways in one event loop."""
+
+    def __init__(self):
+        self.store = PlatformStore()
+        self.servers = {}
+        self.callers_port = free_port()
+        self.ready_port = free_port()
+        self.first_port = free_port()
+        self.folder = Path(tempfile.mkdtemp())
+        self.tasks = {}
+        self.first_number = next(_numbers) * 10
+        self.session = None
+
+    async def start(self, server_names=('app-1', 'app-2', 'models-1')):
+        """Start everything and wait until the gateways are ready."""
+        self.store_address = await self.store.start()
+        for name in server_names:
+            await self.add_server(name)
+        self.store.put('config', 'main', configuration())
+        for index in range(3):
+            self.start_turn_store(index)
+        for index in range(2):
+            self.start_gateway(index)
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        await self.wait_ready(0)
+        await self.wait_ready(1)
+
+    async def stop(self):
+        """Stop everything."""
+        await asyncio.gather(*map(self.stop_process, tuple(self.tasks)))
+        await self.session.close()
+        for server in self.servers.values():
+            await server.stop()
+        await self.store.stop()
+        shutil.rmtree(self.folder)
+
+    async def add_server(self, name):
+        """Start a server that registers itself."""
+        server = self.servers[name] = PlatformServer(name)
+        spec = {
+            'service': name.partition('-')[0],
+            'address': await server.start(),
+            'zone': 'z',
+            'slots': 4,
+            'state': 'ready',
+            'born': 1,
+        }
+        self.store.put('servers', name, spec)
+        return server
+
+    def host(self, role, index):
+        """Give the loopback address of a process."""
+        offset = 0 if role == 'store' else 5
+        number = self.first_number + index + offset
+        return f'127.0.{number // 250 + 1}.{number % 250 + 1}'
+
+    def start_turn_store(self, index, is_first_start=True):
+        """Start a turn store on its data folder."""
+        node = self._node('store', index, is_first_start)
+        process = TurnStoreProcess(node, SECRET)
+        self.tasks[f'store-{index}'] = asyncio.ensure_future(process.run())
+
+    def start_gateway(self, index):
+        """Start a gateway."""
+        process = GatewayProcess(self._node('gateway', index, True), SECRET)
+        self.tasks[f'gateway-{index}'] = asyncio.ensure_future(process.run())
+
+    async def stop_process(self, name):
+        """Stop a process in order."""
+        task = self.tasks.pop(name)
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+    def wipe(self, index):
+        """Remove the disk of a turn store that is stopped."""
+        shutil.rmtree(self.folder / f'store-{index}')
+
+    async def wait_ready(self, index, is_ready=True):
+        """Wait until a gateway says that it is ready, or that it is not."""
+        url = f'http://{self.host("gateway", index)}:{self.ready_port}/ready'
+        async with asyncio.timeout(WAIT_S):
+            while not await self._answers(url, is_ready):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    async def request(self, path, index=0, method='POST', body=b'', **headers):
+        """Send a request of a caller; gives status, headers and body.
+
+        A broken answer gives status 0.
+        """
+        named = {
+            'Host': 'farm.example',
+            'Request-Id': f'id-{next(_numbers)}',
+            'Deadline-Ms': '2500',
+            'X-Api-Key': KEY,
+        } | {name.replace('_', '-'): text for name, text in headers.items()}
+        url = f'http://{self.host("gateway", index)}:{self.callers_port}{path}'
+        try:
+            async with self.session.request(
+                method,
+                url,
+                data=body,
+                headers={name: text for name, text in named.items() if text},
+            ) as response:
+                return response.status, response.headers, await response.read()
+        except aiohttp.ClientError:
+            return 0, {}, b''
+
+    async def _answers(self, url, is_ready):
+        try:
+            async with self.session.get(url) as response:
+                return (response.status == 200) == is_ready
+        except aiohttp.ClientError:
+            return False
+
+    def _node(self, role, index, is_first_start):
+        host = self.host(role, index)
+        is_gateway = role == 'gateway'
+        return NodeSettings(
+            name=f'{role}-{index}',
+            host=host,
+            zone='z',
+            first_port=self.first_port,
+            last_port=self.first_port,
+            callers=Address(host, self.callers_port) if is_gateway else None,
+            readiness=Address(host, self.ready_port) if is_gateway else None,
+            seed_hosts=tuple(self.host('store', seed) for seed in range(3)),
+            store=Address('127.0.0.1', int(self.store_address.split(':')[1])),
+            data_folder=None if is_gateway else self.folder / f'store-{index}',
+            is_first_start=is_first_start,
+            lost_disks_max=1,
+            memory_mb=100,
+            max_fds=1000,
+            grace_s=1.5,
+            drain_ms=2000,
+        )
--- /dev/null
+++ b/tests/platform_servers.py
@@ -0,0 +1,134 @@
+"""A server of the platform that does what the path of a request says."""
+
+import asyncio
+from urllib.parse import urlsplit
+
+EVENTS = (
+    b'id: 1\ndata: one\n\n',
+    b'id: 2\ndata: two\n\n',
+    b'id: 3\ndata: three\n\n',
+)
+OUTPUT = b'one\ntwo\nthree\n'
+
+
+class PlatformServer:
+    """Keeps what it got; answers by the last part of the path."""
+
+    def __init__(self, name):
+        self.name = name
+        self.requests = []
+        self.left = asyncio.Event()
+        self.release = asyncio.Event()
+        self.refuses = False
+        self.connection_count = 0
+        self.last_error = None
+
+    async def start(self):
+        """Listen; gives the address as ``HOST:PORT``."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        return self.address
+
+    async def stop(self):
+        """Stop listening."""
+        self._server.close()
+
+    def last_body(self):
+        """Give the body of the newest request."""
+        return self.requests[-1][3]
+
+    async def _serve(self, reader, writer):
+        self.connection_count += 1
+        try:
+            await self._serve_requests(reader, writer)
+        except (asyncio.IncompleteReadError, OSError) as error:
+            self.last_error = error
+        finally:
+            writer.close()
+
+    async def _serve_requests(self, reader, writer):
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            await self._answer(head.decode('latin-1'), reader, writer)
+
+    async def _answer(self, head, reader, writer):
+        start, *lines = head.strip().split('\r\n')
+        headers = dict(line.split(': ', 1) for line in lines)
+        body = await reader.readexactly(int(headers.get('Content-Length', 0)))
+        method, target, _ = start.split(' ')
+        self.requests.append((method, target, headers, body))
+        request_id = headers['Request-Id']
+        if self.refuses:
+            writer.write(self._whole(request_id, b'', 503, 'Not-Executed: 1'))
+            return
+        action = urlsplit(target).path.rpartition('/')[2]
+        handler = getattr(self, f'_do_{action}', self._do_whole)
+        await handler(request_id, reader, writer)
+
+    async def _do_whole(self, request_id, reader, writer):
+        writer.write(self._whole(request_id, self.name.encode()))
+
+    async def _do_extra(self, request_id, reader, writer):
+        late = self._whole('another-id', b'of another request')
+        writer.write(late + self._whole(request_id, b'mine') + late)
+
+    async def _do_unsealed(self, request_id, reader, writer):
+        answer = f'HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n'
+        writer.write(f'{answer}Content-Length: 2\r\n\r\nhi'.encode())
+
+    async def _do_break(self, request_id, reader, writer):
+        writer.transport.abort()
+
+    async def _do_short(self, request_id, reader, writer):
+        whole = self._whole(request_id, b'a whole body')
+        writer.write(whole[:-4])
+        await writer.drain()
+        writer.close()
+
+    async def _do_stream(self, request_id, reader, writer):
+        writer.write(self._stream_head(request_id))
+        for event in EVENTS:
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+        writer.write(b'0\r\n\r\n')
+
+    async def _do_cut(self, request_id, reader, writer):
+        writer.write(self._stream_head(request_id))
+        writer.write(b'%x\r\n%b\r\n' % (len(EVENTS[0]), EVENTS[0]))
+        await writer.drain()
+        writer.close()
+
+    async def _do_stall(self, request_id, reader, writer):
+        writer.write(self._stream_head(request_id))
+        writer.write(b'%x\r\n%b\r\n' % (len(EVENTS[0]), EVENTS[0]))
+        await reader.read(1)
+
+    async def _do_held(self, request_id, reader, writer):
+        closed = asyncio.ensure_future(reader.read(1))
+        release = asyncio.ensure_future(self.release.wait())
+        await asyncio.wait((closed, release), return_when='FIRST_COMPLETED')
+        if closed.done():
+            self.left.set()
+        else:
+            closed.cancel()
+            writer.write(self._whole(request_id, b'released'))
+
+    def _whole(self, request_id, body, status=200, more='Server-Seal: s.1'):
+        lines = (
+            f'HTTP/1.1 {status} Text',
+            f'Request-Id: {request_id}',
+            f'Content-Length: {len(body)}',
+            'Server-Load: 1,0,4',
+            more,
+        )
+        return '\r\n'.join((*lines, '', '')).encode() + body
+
+    def _stream_head(self, request_id):
+        lines = (
+            'HTTP/1.1 200 OK',
+            f'Request-Id: {request_id}',
+            'Server-Seal: s.1',
+            'Content-Type: text/event-stream',
+            'Transfer-Encoding: chunked',
+        )
+        return '\r\n'.join((*lines, '', '')).encode()
--- /dev/null
+++ b/tests/platform_store.py
@@ -0,0 +1,156 @@
+"""A small object store of the platform, with faults that tests switch on."""
+
+import asyncio
+import json
+from contextlib import suppress
+
+from aiohttp import web
+
+PAGE_COUNT = 2
+REFUSED = 503
+
+
+class PlatformStore:
+    """Objects by kind and name; a list is cut into short pages."""
+
+    def __init__(self):
+        self.stored = {}
+        self.revision = 5
+        #: Addresses of callers that get status 503.
+        self.refused_hosts = set()
+        #: Writes that take effect while their answer is lost.
+        self.lost_answers = 0
+        self._history = []
+        self._first_revision = 0
+        self._changed = asyncio.Event()
+
+    def put(self, kind, name, spec):
+        """Write an object as an operator or a server does."""
+        self.revision += 1
+        stored = {
+            'metadata': {'name': name, 'revision': self.revision},
+            'spec': spec,
+        }
+        self.stored[kind, name] = stored
+        self._note(kind, stored, is_removed=False)
+
+    def remove(self, kind, name):
+        """Remove an object."""
+        self.revision += 1
+        stored = self.stored.pop((kind, name))
+        self._note(kind, stored, is_removed=True)
+
+    def drop_history(self):
+        """Forget all changes, so that watches have to begin anew."""
+        self._history.clear()
+        self._first_revision = self.revision
+        self._wake()
+
+    async def start(self, host='127.0.0.1'):
+        """Listen; gives the address as ``HOST:PORT``."""
+        app = web.Application()
+        app.router.add_route('*', '/objects/{kind}', self._serve)
+        app.router.add_route('*', '/objects/{kind}/{name}', self._serve)
+        app.router.add_route(
+            'PUT', '/objects/{kind}/{name}/status', self._status
+        )
+        self._runner = web.AppRunner(app, handler_cancellation=True)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, 0, shutdown_timeout=0)
+        await site.start()
+        return f'{host}:{self._runner.addresses[0][1]}'
+
+    async def stop(self):
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def _status(self, request):
+        key = request.match_info['kind'], request.match_info['name']
+        if key not in self.stored:
+            return web.json_response({}, status=404)
+        body = await request.json()
+        self.stored[key]['status'] = body['status']
+        return web.json_response(self.stored[key])
+
+    async def _serve(self, request):
+        if request.remote in self.refused_hosts:
+            return web.Response(status=REFUSED)
+        handlers = {
+            'GET': self._read,
+            'POST': self._write,
+            'PUT': self._write,
+            'DELETE': self._delete,
+        }
+        response = await handlers[request.method](request)
+        if request.method != 'GET' and self.lost_answers:
+            self.lost_answers -= 1
+            request.transport.abort()
+        return response
+
+    async def _read(self, request):
+        kind = request.match_info['kind']
+        if 'watch' in request.query:
+            return await self._watch(request, kind)
+        after = request.query.get('after', '')
+        names = sorted(name for known, name in self.stored if known == kind)
+        rest = [name for name in names if name > after]
+        page = [self.stored[kind, name] for name in rest[:PAGE_COUNT]]
+        return web.json_response(
+            {
+                'items': page,
+                'hasMore': len(rest) > PAGE_COUNT,
+                'storeRevision': self.revision,
+            },
+        )
+
+    async def _watch(self, request, kind):
+        since = int(request.query['watch'])
+        with suppress(TimeoutError):
+            async with asyncio.timeout(int(request.query['waitMs']) / 1000):
+                while not self._events(kind, since):
+                    if since < self._first_revision:
+                        return web.Response(status=410)
+                    await self._changed.wait()
+        events = self._events(kind, since)
+        return web.json_response(
+            {'events': events, 'storeRevision': self.revision},
+        )
+
+    async def _write(self, request):
+        body = await request.json()
+        kind, name = request.match_info['kind'], body['metadata']['name']
+        stored = self.stored.get((kind, name))
+        wanted = body['metadata'].get('revision')
+        is_create = request.method == 'POST'
+        if is_create == (stored is not None):
+            return web.json_response(stored, status=409)
+        if wanted and wanted != stored['metadata']['revision']:
+            return web.json_response(stored, status=409)
+        self.put(kind, name, body['spec'])
+        return web.json_response(self.stored[kind, name])
+
+    async def _delete(self, request):
+        key = request.match_info['kind'], request.match_info['name']
+        if key not in self.stored:
+            return web.Response(status=404)
+        self.remove(*key)
+        return web.json_response({})
+
+    def _events(self, kind, since):
+        return [
+            event
+            for event_kind, revision, event in self._history
+            if event_kind == kind and revision > since
+        ]
+
+    def _note(self, kind, stored, is_removed):
+        event = {
+            'object': json.loads(json.dumps(stored)),
+            'removed': is_removed,
+        }
+        self._history.append((kind, self.revision, event))
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
