--- /dev/null
+++ b/tests/gateway/decisions.feature
@@ -0,0 +1,59 @@
+Feature: decisions of the gateway
+
+  Scenario: an engine that has read the prompt is preferred until it is full
+    Given two engines with 4 slots, of which one has read a prompt of 4000 tokens
+    Then a request with that prompt goes to the engine that has read it
+    When that engine has 30 requests
+    Then a request with that prompt goes to the other engine
+
+  Scenario: a load report counts less the older it is
+    Given an endpoint that reported 10 requests while we have 2 there
+    Then it is expected to have 10 requests at once and 2 a second later
+
+  Scenario: load reports that cannot be read are passed over
+    Then reports "", "1", "a,b,c" and "1;2;3" change nothing
+
+  Scenario: endpoints that failed a moment ago are the last choice
+    Given two endpoints of which the idle one failed a moment ago
+    Then the other one is chosen, and the idle one once the other was tried
+
+  Scenario: entries that lapse together are kept for two seconds
+    Given a directory with 6 endpoints
+    When 5 of them vanish at once
+    Then 6 endpoints are usable at once and 1 after two seconds
+
+  Scenario: one entry that vanishes is gone at once
+    Given a directory with 6 endpoints
+    When 1 of them vanish at once
+    Then 5 endpoints are usable at once and 5 after two seconds
+
+  Scenario: an entry that vanishes while the store is doubtful may come back
+    Given a directory with 6 endpoints
+    When 1 of them vanishes while the store is doubtful and comes back
+    Then 6 endpoints are usable at once and 6 after two seconds
+
+  Scenario: a server that starts again under its name is another one
+    Given a directory with 6 endpoints
+    When one of them starts again
+    Then what was known of its former start is forgotten
+
+  Scenario: events that are cut anywhere give the same output
+    Then a stream cut at each byte gives the same events and output
+    And a stream that ends within an event may not end there
+
+  Scenario: responses are told apart by their ids
+    Then responses of other requests before and after ours are dropped
+    And bytes that come while nothing was asked spoil the connection
+    And a response without a length ends with its connection
+    And bytes that are no response break the connection
+
+  Scenario: budgets count the most of what has not ended
+    Then a turn is counted in whole events
+    And a settled count goes before a reservation, whatever the order
+
+  Scenario: a route is split by weights
+    Then about 9 of 10 requests go to a service with weight 90 of 100
+    And the same request goes to the same service each time
+
+  Scenario: headers of callers that are malformed are left out
+    Then odd numbers and prompt parts in headers are passed over
--- /dev/null
+++ b/tests/steps/gateway_decisions_steps.py
@@ -0,0 +1,297 @@
+"""Steps of gateway/decisions.feature."""
+
+from behave import given, then, when
+
+from rattanvalve.channels import Address
+from rattanvalve.errors import ServerBrokenError
+from rattanvalve.gateway.calls import header_number, read_turn
+from rattanvalve.gateway.directory import EndpointDirectory
+from rattanvalve.gateway.events import EventFollower
+from rattanvalve.gateway.loads import LoadTable, PromptPart
+from rattanvalve.gateway.placement import Demand, choose_endpoint
+from rattanvalve.gateway.response_parser import ResponseParser
+from rattanvalve.gateway.service_choice import choose_service
+from rattanvalve.gateway.turn_client import merge_ledgers
+from rattanvalve.gateway.turns import is_within_budget, most_tokens
+from rattanvalve.sharedstate.endpoints import EndpointEntry
+from rattanvalve.sharedstate.rules import Route
+from rattanvalve.turn_messages import Ledger, LedgerEntry
+
+PROMPT = (PromptPart('shared', 3000), PromptPart('own', 1000))
+ENGINE_DEMAND = Demand('models', is_generation=True, parts=PROMPT)
+STREAM = (
+    b'id: 1\r\ndata: a\r\n\r\n'
+    b': comment\n\n'
+    b'weight-versions: 3\nid: 2\ndata:b\ndata: c\n\n'
+)
+OURS = b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\nContent-Length: 2\r\n\r\nhi'
+OTHERS = OURS.replace(b'ours', b'late').replace(b'hi', b'no')
+
+
+def endpoint(name, born_ms=1):
+    """Make an endpoint."""
+    return EndpointEntry(
+        name=name,
+        service='models',
+        address=Address('127.0.0.1', 1),
+        zone='z',
+        slots=4,
+        born_ms=born_ms,
+    )
+
+
+def choose(context, demand, now_s=0, tried=()):
+    """Choose among the endpoints of the scenario."""
+    chosen = choose_endpoint(
+        demand,
+        context.endpoints,
+        context.loads,
+        'z',
+        now_s,
+        tried,
+    )
+    return chosen and chosen.name
+
+
+@given(
+    'two engines with 4 slots, of which one has read a prompt of 4000 tokens',
+)
+def step_engines(context):
+    context.endpoints = [endpoint('cold'), endpoint('warm')]
+    context.loads = LoadTable()
+    context.loads.of(context.endpoints[1]).remember(PROMPT, 100_000)
+
+
+@then('a request with that prompt goes to the engine that has read it')
+def step_warm(context):
+    assert choose(context, ENGINE_DEMAND) == 'warm'
+
+
+@when('that engine has {count:d} requests')
+def step_full(context, count):
+    context.loads.report(context.endpoints[1], f'4,{count - 4},4', 0)
+
+
+@then('a request with that prompt goes to the other engine')
+def step_cold(context):
+    assert choose(context, ENGINE_DEMAND) == 'cold'
+
+
+@given('an endpoint that reported {reported:d} requests while we have 2 there')
+def step_reported(context, reported):
+    context.loads = LoadTable()
+    context.endpoints = [endpoint('one')]
+    for _ in range(2):
+        context.loads.begin(context.endpoints[0])
+    context.loads.report(context.endpoints[0], f'4,{reported - 4},4', 5)
+
+
+@then('it is expected to have {first:d} requests at once and 2 a second later')
+def step_expected(context, first):
+    load = context.loads.of(context.endpoints[0])
+    assert load.expected_count(5) == first
+    assert 2 < load.expected_count(5.5) < first
+    assert load.expected_count(6) == 2
+
+
+@then('reports "", "1", "a,b,c" and "1;2;3" change nothing')
+def step_odd_reports(context):
+    loads = LoadTable()
+    for text in ('', '1', 'a,b,c', '1;2;3', '-1,2,3'):
+        loads.report(endpoint('one'), text, 1)
+    assert loads.of(endpoint('one')).expected_count(1) == 0
+
+
+@given('two endpoints of which the idle one failed a moment ago')
+def step_failed(context):
+    context.endpoints = [endpoint('failed'), endpoint('busy')]
+    context.loads = LoadTable()
+    context.loads.of(context.endpoints[0]).avoided_until_s = 1
+    for _ in range(10):
+        context.loads.begin(context.endpoints[1])
+
+
+@then('the other one is chosen, and the idle one once the other was tried')
+def step_last_choice(context):
+    demand = Demand('models')
+    assert choose(context, demand) == 'busy'
+    assert choose(context, demand, tried={'busy'}) == 'failed'
+    assert choose(context, demand, now_s=2) == 'failed'
+    assert choose(context, demand, tried={'busy', 'failed'}) is None
+
+
+@given('a directory with {count:d} endpoints')
+def step_directory(context, count):
+    context.forgotten = []
+    context.directory = EndpointDirectory(context.forgotten.append)
+    context.listed = {f's-{n}': endpoint(f's-{n}') for n in range(count)}
+    update(context, 0)
+
+
+def update(context, now_s, is_store_doubtful=False):
+    """Take the list of the scenario."""
+    context.directory.update(
+        context.listed.items(),
+        now_s,
+        is_store_doubtful=is_store_doubtful,
+    )
+
+
+@when('{count:d} of them vanish at once')
+def step_vanish(context, count):
+    for number in range(count):
+        context.listed.pop(f's-{number}')
+    update(context, 1)
+
+
+@when('1 of them vanishes while the store is doubtful and comes back')
+def step_return(context):
+    entry = context.listed.pop('s-0')
+    update(context, 1, is_store_doubtful=True)
+    assert len(context.directory.usable('models', 1)) == 6
+    context.listed['s-0'] = entry
+    update(context, 1.5)
+
+
+@when('one of them starts again')
+def step_reborn(context):
+    context.listed['s-0'] = endpoint('s-0', born_ms=2)
+    update(context, 1)
+
+
+@then('what was known of its former start is forgotten')
+def step_forgotten(context):
+    assert [entry.born_ms for entry in context.forgotten] == [1]
+
+
+@then('{first:d} endpoints are usable at once and {later:d} after two seconds')
+def step_usable(context, first, later):
+    assert len(context.directory.usable('models', 1)) == first
+    assert len(context.directory.usable('models', 3.5)) == later
+
+
+def follow(*chunks):
+    """Follow a stream."""
+    follower = EventFollower()
+    for chunk in chunks:
+        follower.feed(chunk)
+    return follower
+
+
+@then('a stream cut at each byte gives the same events and output')
+def step_cuts(context):
+    for cut in range(len(STREAM)):
+        follower = follow(STREAM[:cut], STREAM[cut:])
+        assert follower.event_count == 2, cut
+        assert follower.output() == b'a\nb\nc\n', cut
+        assert follower.is_between_events(), cut
+
+
+@then('a stream that ends within an event may not end there')
+def step_within(context):
+    assert not follow(b'id: 1\n').is_between_events()
+    assert not follow(b'data: a\n\ndata').is_between_events()
+
+
+def parse(*chunks):
+    """Feed bytes to a parser that waits for our response."""
+    parser = ResponseParser()
+    parser.expect('ours')
+    for chunk in chunks:
+        parser.feed(chunk)
+    return parser
+
+
+@then('responses of other requests before and after ours are dropped')
+def step_others(context):
+    parser = parse(OTHERS, OURS)
+    assert parser.is_complete and parser.take_chunk() == b'hi'
+    assert parser.is_reusable
+    parser = parse(OURS + OTHERS)
+    assert parser.take_chunk() == b'hi' and not parser.take_chunk()
+
+
+@then('bytes that come while nothing was asked spoil the connection')
+def step_unasked(context):
+    assert not parse(OURS, OTHERS).is_reusable
+
+
+@then('a response without a length ends with its connection')
+def step_unframed(context):
+    parser = parse(b'HTTP/1.1 200 OK\r\nRequest-Id: ours\r\n\r\nab')
+    assert not parser.is_complete
+    parser.finish()
+    assert parser.is_complete and parser.take_chunk() == b'ab'
+    cut = parse(OURS[:-1])
+    cut.finish()
+    assert not cut.is_complete
+
+
+@then('bytes that are no response break the connection')
+def step_junk(context):
+    try:
+        parse(b'\x00\x01 no response\r\n\r\n')
+    except ServerBrokenError:
+        return
+    raise AssertionError('the bytes were taken for a response')
+
+
+@then('a turn is counted in whole events')
+def step_whole_events(context):
+    assert most_tokens(80, 9) == 81
+    assert most_tokens(81, 9) == 81
+    assert most_tokens(0, 9) == 0
+
+
+@then('a settled count goes before a reservation, whatever the order')
+def step_settled(context):
+    reserved = LedgerEntry(turn_id='a', tokens=90)
+    settled = LedgerEntry(turn_id='a', tokens=18, is_settled=True)
+    other = LedgerEntry(turn_id='b', tokens=27)
+    for first, second in ((reserved, settled), (settled, reserved)):
+        merged = merge_ledgers(
+            [Ledger(entries=(first, other)), Ledger(entries=(second,))],
+        )
+        assert is_within_budget(merged, 45)
+        assert not is_within_budget(merged, 44)
+
+
+def split_route():
+    """Make a route that is split between two services."""
+    return Route(
+        name='r',
+        host='h',
+        path_prefix='/',
+        kind='safe',
+        timeout_ms=1,
+        target_ms=1,
+        priority=0,
+        services=(('large', 90), ('small', 10)),
+    )
+
+
+@then('about 9 of 10 requests go to a service with weight 90 of 100')
+def step_split(context):
+    chosen = [choose_service(split_route(), f'id-{n}') for n in range(2000)]
+    assert 1740 < chosen.count('large') < 1860
+
+
+@then('the same request goes to the same service each time')
+def step_split_stable(context):
+    assert len({choose_service(split_route(), 'id') for _ in range(9)}) == 1
+
+
+@then('odd numbers and prompt parts in headers are passed over')
+def step_odd_headers(context):
+    assert header_number('-1') is None
+    assert header_number('x') is None
+    assert header_number(None) is None
+    turn = read_turn(
+        {
+            'Token-Usage': 'x',
+            'Token-Budget': 'many',
+            'Prompt-Prefix': 'a:1,b,:3,c:x, d:4',
+        },
+    )
+    assert turn.output_tokens_max == 0 and turn.budget_tokens is None
+    assert turn.parts == (PromptPart('a', 1), PromptPart('d', 4))
--- /dev/null
+++ b/tests/steps/turnstore_steps.py
@@ -0,0 +1,251 @@
+"""Steps of turnstore/turnstore.feature."""
+
+import random
+import shutil
+import tempfile
+import time
+from pathlib import Path
+
+from behave import given, then, when
+
+from rattanvalve.channels import Address
+from rattanvalve.gateway.ingress import RATE_WAIT_MAX_S
+from rattanvalve.sharedstate.members import StoreMember, group_of
+from rattanvalve.sharedstate.rules import TrafficRules, Workspace
+from rattanvalve.turn_messages import Reserve, TakeRate, TurnRecord
+from rattanvalve.turnstore.disklog import DiskLog
+from rattanvalve.turnstore.membership import SILENT_LIMIT_S, silent_members
+from rattanvalve.turnstore.rateshares import RateShares
+from rattanvalve.turnstore.replication import (
+    MembersView,
+    PullState,
+    is_caught_up,
+)
+from rattanvalve.turnstore.turnlog import TurnLog
+from rattanvalve.turnstore.turnrecords import KEEP_MARGIN_S
+
+RETENTION_MS = 60_000
+TURN_IDS = ('a', 'b', 'c')
+SEED = 7
+LOAD_S = 30
+
+
+def member(name, is_leaving=False):
+    """Make a member."""
+    return StoreMember(name, Address('h', 1), is_leaving=is_leaving)
+
+
+@given('a turn log with a chain of 3 turns and a reservation')
+def step_log(context):
+    context.folder = Path(tempfile.mkdtemp())
+    context.closers.append(lambda: shutil.rmtree(context.folder))
+    context.turn_log = TurnLog(DiskLog(context.folder))
+
+    async def fill():
+        previous = ''
+        for turn_id in TURN_IDS:
+            await context.turn_log.store(
+                TurnRecord(
+                    turn_id=turn_id,
+                    program_id='p',
+                    previous_id=previous,
+                    prompt=turn_id.encode(),
+                    tokens=9,
+                    retention_ms=RETENTION_MS,
+                ),
+            )
+            previous = turn_id
+        await context.turn_log.store(
+            Reserve(
+                program_id='p',
+                turn_id='d',
+                tokens=90,
+                retention_ms=RETENTION_MS,
+            ),
+        )
+
+    context.run(fill())
+
+
+def reopen(context):
+    """Open the log again."""
+    context.turn_log.close()
+    context.turn_log = TurnLog(DiskLog(context.folder))
+
+
+def chain_ids(context):
+    """Give the ids of the chain, newest first."""
+    return [turn.turn_id for turn in context.turn_log.chain_of('c')]
+
+
+@when('the log is opened again')
+def step_reopen(context):
+    reopen(context)
+
+
+@then('the chain and the ledger are as before')
+def step_same(context):
+    assert chain_ids(context) == ['c', 'b', 'a']
+    tokens = {
+        entry.turn_id: (entry.tokens, entry.is_settled)
+        for entry in context.turn_log.ledger_of('p')
+    }
+    settled = dict.fromkeys(TURN_IDS, (9, True))
+    assert tokens == settled | {'d': (90, False)}
+
+
+@when('the last bytes of the log are {damage}')
+def step_damage(context, damage):
+    context.turn_log.close()
+    path = next(context.folder.glob('*.log'))
+    whole = path.read_bytes()
+    changed = whole[:-1] + bytes((whole[-1] ^ 1,))
+    path.write_bytes(whole[:-3] if damage == 'missing' else changed)
+    context.turn_log = TurnLog(DiskLog(context.folder))
+
+
+@then('the log opens and the records before them are there')
+def step_intact(context):
+    assert chain_ids(context) == ['c', 'b', 'a']
+    ids = {entry.turn_id for entry in context.turn_log.ledger_of('p')}
+    assert ids == set(TURN_IDS)
+
+
+@then("before the end of the newest turn's time the whole chain is there")
+def step_kept(context):
+    end_s = time.time() + RETENTION_MS / 1000 + KEEP_MARGIN_S
+    context.turn_log.sweep(end_s - 1)
+    assert chain_ids(context) == ['c', 'b', 'a']
+    context.end_s = end_s
+
+
+@then('after it nothing is left and its segments are deleted')
+def step_expired(context):
+    reopen(context)
+    context.turn_log.sweep(context.end_s + 1)
+    assert not chain_ids(context)
+    assert not context.turn_log.ledger_of('p')
+    assert len(list(context.folder.glob('*.log'))) == 1
+
+
+@then('listing in pages of 2 gives each key once and then no more')
+def step_pages(context):
+    index = context.turn_log.index
+    after, keys = 0, []
+    for _ in range(3):
+        after, page = index.listed_after(after, 2)
+        keys.extend(key.key for key in page)
+    assert keys == ['t:a', 't:b', 't:c', 'r:d']
+    assert after == index.end()
+
+
+@then('with one loss allowed, a store is caught up as follows')
+def step_caught_up(context):
+    for row in context.table:
+        read, unread = int(row['others read']), int(row['others unread'])
+        names = ['own', *(f'm{n}' for n in range(read + unread))]
+        pulled = {f'm{n}': PullState(is_at_end=True) for n in range(read)}
+        verdict = is_caught_up(
+            'own',
+            row['lost own disk'] == 'yes',
+            MembersView(1, tuple(map(member, names))),
+            pulled,
+            1,
+        )
+        assert verdict == (row['caught up'] == 'yes'), row
+
+
+@then('of 3 members, 1 silent one is removed and 2 silent ones are not')
+def step_silent(context):
+    view = MembersView(1, tuple(map(member, ('own', 'm1', 'm2'))))
+    now_s = 100
+    early_s = now_s - SILENT_LIMIT_S - 1
+    silent, heard = PullState(reached_s=early_s), PullState(reached_s=now_s)
+    one = {'m1': silent, 'm2': heard}
+    assert silent_members(view, 'own', one, now_s) == ['m1']
+    both = {'m1': silent, 'm2': silent}
+    assert not silent_members(view, 'own', both, now_s)
+
+
+@then('removing a member changes only the groups that it was in')
+def step_groups(context):
+    members = [member(f'm{n}') for n in range(8)]
+    for number in range(200):
+        before = group_of(f'p{number}', members, 2)
+        after = group_of(f'p{number}', members[1:], 2)
+        leaving = [member('m0', is_leaving=True), *members[1:]]
+        assert len(before) == 5
+        assert group_of(f'p{number}', leaving, 2) == after
+        if members[0] not in before:
+            assert before == after
+
+
+def rules_with(**limits):
+    """Make rules with one workspace."""
+    return TrafficRules(version=1, workspaces=(Workspace('w', **limits),))
+
+
+@given('a share of {rate:d} requests a second with a burst of {burst:d}')
+def step_share(context, rate, burst):
+    context.shares = RateShares('own')
+    context.rate = rate
+    rules = rules_with(rate_per_s=rate, burst=burst)
+    context.shares.configure(rules, (member('own'),), 0)
+
+
+@when('programs of {size:d} requests begin 6 times as often as the rate allows')
+def step_overload(context, size):
+    rng = random.Random(SEED)
+    starts_per_s = 6 * context.rate / size
+    context.whole = context.begun = context.handed_out = 0
+    # Time, requests left, and time up to which the gateway would wait.
+    due = []
+    start_s = 0.0
+    while start_s < LOAD_S:
+        start_s += rng.expovariate(starts_per_s)
+        due.append((start_s, size, start_s))
+    while due:
+        due.sort(reverse=True)
+        now_s, left, until_s = due.pop()
+        is_start = left == size
+        message = TakeRate(workspace='w', is_start=is_start)
+        grant = context.shares.take(message, now_s)
+        again_s = now_s + grant.wait_ms / 1000
+        if grant.is_granted:
+            context.handed_out += 1
+            context.begun += is_start
+            context.whole += left == 1
+            next_s = now_s + rng.uniform(0.05, 0.3)
+            due.append((next_s, left - 1, next_s + RATE_WAIT_MAX_S))
+        elif again_s <= until_s:
+            due.append((again_s, left, until_s))
+        due = [entry for entry in due if entry[1]]
+
+
+@then('at least {share:d} of 10 begun programs get all their requests')
+def step_whole(context, share):
+    assert context.begun > 20, context.begun
+    assert context.whole >= share / 10 * context.begun, (
+        context.whole,
+        context.begun,
+    )
+
+
+@then('the share hands out most of its rate and never more')
+def step_used(context):
+    most = LOAD_S * context.rate + context.rate
+    # Programs that begin late end after the 30 seconds.
+    assert context.handed_out <= most + 3 * context.rate
+    assert context.handed_out >= 0.8 * LOAD_S * context.rate, context.handed_out
+
+
+@then(
+    'a workspace without a limit gets all and an unknown one is not known',
+)
+def step_unlimited(context):
+    shares = RateShares('own')
+    assert not shares.take(TakeRate(workspace='w'), 0).is_known
+    shares.configure(rules_with(), (member('own'),), 0)
+    message = TakeRate(workspace='w')
+    assert all(shares.take(message, 0).is_granted for _ in range(100))
+    assert not shares.take(TakeRate(workspace='x'), 0).is_known
--- /dev/null
+++ b/tests/turnstore/turnstore.feature
@@ -0,0 +1,48 @@
+Feature: decisions and records of the turn store
+
+  Scenario: records are found again after a restart
+    Given a turn log with a chain of 3 turns and a reservation
+    When the log is opened again
+    Then the chain and the ledger are as before
+
+  Scenario Outline: what follows a torn record does not count
+    Given a turn log with a chain of 3 turns and a reservation
+    When the last bytes of the log are <damage>
+    Then the log opens and the records before them are there
+
+    Examples:
+      | damage  |
+      | missing |
+      | changed |
+
+  Scenario: records are forgotten with their time, chains as a whole
+    Given a turn log with a chain of 3 turns and a reservation
+    Then before the end of the newest turn's time the whole chain is there
+    And after it nothing is left and its segments are deleted
+
+  Scenario: listing in pages gives each record once
+    Given a turn log with a chain of 3 turns and a reservation
+    Then listing in pages of 2 gives each key once and then no more
+
+  Scenario: a store that lost its disk does not answer for what it misses
+    Then with one loss allowed, a store is caught up as follows
+      | lost own disk | others read | others unread | caught up |
+      | yes           | 2           | 0             | yes       |
+      | yes           | 1           | 1             | no        |
+      | no            | 2           | 1             | yes       |
+      | no            | 1           | 2             | no        |
+
+  Scenario: silent members are removed only by a majority
+    Then of 3 members, 1 silent one is removed and 2 silent ones are not
+
+  Scenario: a group of stores is found again and leaving ones are left out
+    Then removing a member changes only the groups that it was in
+
+  Scenario: a tenant at many times its rate ends whole programs
+    Given a share of 30 requests a second with a burst of 30
+    When programs of 10 requests begin 6 times as often as the rate allows
+    Then at least 8 of 10 begun programs get all their requests
+    And the share hands out most of its rate and never more
+
+  Scenario: without a limit or a configuration
+    Then a workspace without a limit gets all and an unknown one is not known
