Do not count leaving members of the turn store; a retired one removes itself

The retired member now deletes its object before it reports 'done', and leaving ones do not count. The new scenario fails on the former code (the object stays).

--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -80,7 +80,10 @@
 
         :returns: whether calls would fail.
         """
-        members = self._members()
+        # A leaving member takes no records and may be gone already.
+        members = [
+            member for member in self._members() if not member.is_leaving
+        ]
         is_enough = len(members) >= quorum_size(self._lost_disks_max)
         return not (is_enough and self._reach.has_majority(members))
 
--- a/rattanvalve/turnstore/membership.py
+++ b/rattanvalve/turnstore/membership.py
@@ -85,6 +85,7 @@
         self._pulled = pulled
         self._pulled_versions = pulled_versions
         self._written_status = ''
+        self._is_emptied = False
 
     async def run(self) -> None:
         """Keep the objects until cancelled."""
@@ -108,9 +109,14 @@
         if is_retiring != self._own.is_leaving:
             self._own = replace(self._own, is_leaving=is_retiring)
             self._written_status = ''
+            self._is_emptied = False
+        if is_retiring and self._is_emptied:
+            await self._leave()
+            return
         await self._write_own()
         if is_retiring:
-            await self._report_retirement()
+            await self._report('running')
+            self._is_emptied = self._is_pulled_by_all()
         else:
             await self._remove_silent()
 
@@ -130,8 +136,14 @@
                 },
             )
 
-    async def _report_retirement(self) -> None:
-        state = 'done' if self._is_emptied() else 'running'
+    async def _leave(self) -> None:
+        """Remove the own object, and only then let the VM be taken away."""
+        stored = self._members.entries.get(self._own.name)
+        if stored is not None:
+            await self._store.delete(KIND_MEMBERS, stored)
+        await self._report('done')
+
+    async def _report(self, state: str) -> None:
         if state == self._written_status:
             return
         await self._store.write_status(
@@ -142,7 +154,7 @@
         self._written_status = state
         _log.info('retirement reported', extra={'state': state})
 
-    def _is_emptied(self) -> bool:
+    def _is_pulled_by_all(self) -> bool:
         view = self._view()
         if self._own not in view.members:
             return False
--- a/tests/gateway/whole_path.feature
+++ b/tests/gateway/whole_path.feature
@@ -22,6 +22,16 @@
     And turn c continues b with "third" through gateway 1
     Then the model got the prompts and outputs of a and b before "third"
 
+  Scenario: a retired turn store hands its records over before it leaves
+    When turn a begins with "hello " through gateway 0
+    And turn store 0 is retired and reports that it is done
+    And turn store 0 stops and turn store 1 stops
+    Then gateway 0 is not ready
+    When turn store 1 starts again
+    And turn b continues a with "again " through gateway 1
+    And turn c continues b with "third" through gateway 0
+    Then the model got the prompts and outputs of a and b before "third"
+
   Scenario: a gateway that cannot be certain does not say that a turn is gone
     When turn a begins with "hello " through gateway 0
     And two turn stores stop
--- a/tests/steps/gateway_whole_path_steps.py
+++ b/tests/steps/gateway_whole_path_steps.py
@@ -104,6 +104,35 @@
     context.run(restart())
 
 
+@when('turn store 0 is retired and reports that it is done')
+def step_retire(context):
+    store = context.fleet.store
+    store.put('retirements', 'store-0', {'durationS': 10})
+
+    def is_done():
+        status = store.stored['retirements', 'store-0'].get('status') or {}
+        return status.get('state') == 'done'
+
+    context.run(wait_until(is_done))
+    assert ('turnstores', 'store-0') not in store.stored
+
+
+@when('turn store 0 stops and turn store 1 stops')
+def step_stop_both(context):
+    for index in range(2):
+        context.run(context.fleet.stop_process(f'store-{index}'))
+
+
+@when('turn store 1 starts again')
+def step_start_again(context):
+    async def start():
+        context.fleet.start_turn_store(1, is_first_start=False)
+        await context.fleet.wait_ready(0)
+        await context.fleet.wait_ready(1)
+
+    context.run(start())
+
+
 @when('two turn stores stop')
 def step_two_stop(context):
     for index in range(2):
