--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -18,6 +18,7 @@
 from rattanvalve.platform import names
 from rattanvalve.platform.requests import forwarded_headers
 from rattanvalve.resultcodes import ResultCode, info_of
+from rattanvalve.sharedstate.exposition import MetricsPage
 from rattanvalve.sharedstate.parts import SharedState
 from rattanvalve.sharedstate.rules import Route, Workspace
 from rattanvalve.workset import WorkSet
@@ -113,6 +114,7 @@
     :param forwarder: sends requests to endpoints.
     :param turns: keeper of turns.
     :param client: client of the turn store.
+    :param page: metrics of this process.
     """
 
     def __init__(
@@ -121,7 +123,9 @@
         forwarder: Forwarder,
         turns: TurnKeeper,
         client: TurnClient,
+        page: MetricsPage,
     ) -> None:
+        self._page = page
         self.is_stopping = False
         #: Requests that are being answered.
         self.open_requests = WorkSet()
@@ -283,6 +287,8 @@
         outcome: str,
         received_s: float,
     ) -> None:
+        duration_s = time.monotonic() - received_s
+        self._page.observe(outcome, duration_s)
         _log.info(
             'request ended',
             extra={
@@ -297,7 +303,7 @@
                 'reasons': trace.reasons,
                 'expected_count': round(trace.expected_count, 1),
                 'rules_version': self._state.rules.version,
-                'duration_ms': round((time.monotonic() - received_s) * 1000),
+                'duration_ms': round(duration_s * 1000),
             },
         )
 
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -24,6 +24,7 @@
 from rattanvalve.platform.servers import decode_servers
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.endpoints import EndpointEntry
+from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.following import ObjectFollower, PeerExchange
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.parts import SharedState, run_tasks
@@ -84,7 +85,14 @@
             self._pool,
             turns,
         )
-        self._ingress = Ingress(self._state, forwarder, turns, client)
+        self._page = MetricsPage(self._state.metrics)
+        self._ingress = Ingress(
+            self._state,
+            forwarder,
+            turns,
+            client,
+            self._page,
+        )
         self._state.board.listen(DocumentKind.SERVERS, self._take_servers)
 
     async def run(self) -> None:
@@ -101,9 +109,11 @@
             auto_decompress=False,
         )
         readiness = web.Server(self._answer_ready, access_log=None)
+        servers: list[asyncio.Server] = []
         try:
             self._listener = await _listen(callers, self._node.callers)
-            await _listen(readiness, self._node.readiness)
+            servers.append(await _listen(readiness, self._node.readiness))
+            servers.append(await serve_metrics(self._page, self._node))
             _log.info('gateway started')
             await asyncio.wait((work, stop), return_when='FIRST_COMPLETED')
             work.result()
@@ -111,6 +121,8 @@
             await self._stop(callers)
             raise
         finally:
+            for server in servers:
+                server.close()
             work.cancel()
             with suppress(asyncio.CancelledError):
                 await work
--- a/rattanvalve/logs.py
+++ b/rattanvalve/logs.py
@@ -54,13 +54,18 @@
     )
 
 
-def configure_logging(level: str, process_name: str) -> None:
-    """Send JSON log lines to standard error.
+def configure_logging(
+    level: str,
+    process_name: str,
+    handler: logging.Handler | None = None,
+) -> None:
+    """Send JSON log lines to a handler.
 
     :param level: name of the lowest level to write, such as ``INFO``.
     :param process_name: name of this process, written on each line.
+    :param handler: where lines go; by default to standard error.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             '{asctime}{levelname}{message}',
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -16,6 +16,7 @@
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.platform.objects import ObjectStore
 from rattanvalve.sharedstate.documents import DocumentKind
+from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.following import (
     ObjectFollower,
     PeerExchange,
@@ -92,6 +93,8 @@
         server = PeerServer(self._secret, handlers, self._state.metrics)
         address = Address(self._node.host, self._node.first_port)
         await server.start(address)
+        page = MetricsPage(self._state.metrics)
+        metrics_server = await serve_metrics(page, self._node)
         _log.info(
             'turn store started',
             extra={
@@ -103,6 +106,7 @@
             await run_tasks(self._node.store, self._tasks)
         finally:
             await server.stop()
+            metrics_server.close()
             self._pool.close()
             self._turn_log.close()
 
