--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -216,6 +216,7 @@
   1: string kind
   2: i64 version
   3: binary body
+  4: i64 age_ms
 }
 
 struct Handover {
@@ -315,6 +316,7 @@
 struct TakeRate {
   1: string workspace
   2: bool is_start
+  3: i32 priority
 }
 
 struct RateGrant {
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -21,6 +21,7 @@
 from rattanvalve.sharedstate.exposition import MetricsPage
 from rattanvalve.sharedstate.parts import SharedState
 from rattanvalve.sharedstate.rules import Route, Workspace
+from rattanvalve.turn_messages import TakeRate
 from rattanvalve.workset import WorkSet
 
 __all__ = ('Ingress',)
@@ -265,12 +266,14 @@
             return None
         is_start = call.route.keeps_turns and not call.turn.previous_id
         trace.is_start = is_start
+        message = TakeRate(
+            workspace=workspace.name,
+            is_start=is_start,
+            priority=call.route.priority,
+        )
         until_s = time.monotonic() + RATE_WAIT_MAX_S
         while True:
-            grant = await self._client.take_rate(
-                workspace.name,
-                is_start=is_start,
-            )
+            grant = await self._client.take_rate(message)
             trace.rate_wait_ms = grant.wait_ms
             if grant.is_granted:
                 return None
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -18,14 +18,13 @@
 from rattanvalve.gateway.turns import TurnKeeper
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.peers import PeerPool
-from rattanvalve.platform.names import KIND_SERVERS
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.platform.objects import ObjectStore
 from rattanvalve.platform.servers import decode_servers
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
-from rattanvalve.sharedstate.following import ObjectFollower, PeerExchange
+from rattanvalve.sharedstate.following import PeerExchange
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.parts import SharedState, run_tasks
 
@@ -41,8 +40,9 @@
 UNREADY_SHARE = 0.4
 #: Kept back from the grace of a stop for closing.
 CLOSE_GRACE_S = 0.5
-#: The store counts as doubtful if its last answer is older than this.
-STORE_DOUBT_S = 4.0
+#: The store counts as doubtful if its last confirmation is older than this,
+#: which is longer than a watch.
+STORE_DOUBT_S = 4.5
 MAX_LINE_BYTES = 16_384
 LISTEN_BACKLOG = 512
 STOP_CHECK_INTERVAL_S = 0.05
@@ -67,7 +67,6 @@
         self._pool = ConnectionPool()
         self._loads = LoadTable()
         self._directory = EndpointDirectory(self._forget)
-        self._servers: ObjectFollower | None = None
         self._listener: asyncio.Server | None = None
         client = self._client = TurnClient(
             self._peers,
@@ -163,8 +162,7 @@
                 connection.force_close()
 
     def _tasks(self, store: ObjectStore) -> list:
-        followers = self._state.followers(store)
-        self._servers = followers[KIND_SERVERS]
+        followers = self._state.followers(store, is_spare=True)
         exchange = PeerExchange(
             self._peers,
             self._state.peer_addresses,
@@ -200,11 +198,11 @@
 
     def _take_servers(self, body: bytes) -> None:
         now_s = time.monotonic()
-        reached_s = self._servers.reached_s if self._servers else 0
+        age_s = self._state.board.age_s(DocumentKind.SERVERS, now_s)
         self._directory.update(
             decode_servers(body),
             now_s,
-            is_store_doubtful=now_s - reached_s > STORE_DOUBT_S,
+            is_store_doubtful=age_s > STORE_DOUBT_S,
         )
 
     def _forget(self, endpoint: EndpointEntry) -> None:
--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -142,21 +142,22 @@
                 raise QuorumError(f'turn {turn_id} is not known for sure')
             await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def take_rate(self, workspace: str, *, is_start: bool) -> RateGrant:
+    async def take_rate(self, message: TakeRate) -> RateGrant:
         """Take one request of a workspace's rate.
 
-        :param workspace: name of the workspace.
-        :param is_start: whether a program begins with the request.
+        :param message: workspace, and whether a program begins.
         :returns: whether it is within the rate.
         :raises QuorumError: if no member could tell.
         """
-        group = group_of(workspace, self._members(), RATE_GROUP_LOSSES)
+        members = self._members()
+        group = group_of(message.workspace, members, RATE_GROUP_LOSSES)
         refusals = []
-        for member in self._ordered(group):
+        # The main store goes first, unless it has failed.
+        for member in sorted(group, key=self._has_failed):
             try:
                 grant = await self._call(
                     member,
-                    TakeRate(workspace=workspace, is_start=is_start),
+                    message,
                     RateGrant,
                     RATE_TIMEOUT_S,
                 )
@@ -167,7 +168,9 @@
             if grant.is_known:
                 refusals.append(grant)
         if not refusals:
-            raise QuorumError(f'no member knows the rate of {workspace}')
+            raise QuorumError(
+                f'no member knows the rate of {message.workspace}'
+            )
         return min(refusals, key=lambda grant: grant.wait_ms)
 
     async def _fetch_once(
@@ -298,11 +301,14 @@
             raise PeerError(f'unexpected {type(answer).__name__}')
         return answer
 
+    def _has_failed(self, member: StoreMember) -> bool:
+        return self._reach.has_failed(member.address)
+
     def _ordered(self, members: Sequence[StoreMember]) -> list[StoreMember]:
         return sorted(
             members,
             key=lambda member: (
-                self._reach.has_failed(member.address),
+                self._has_failed(member),
                 member.zone != self._zone,
             ),
         )
--- a/rattanvalve/messages.py
+++ b/rattanvalve/messages.py
@@ -328,11 +328,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Document:
-    """A versioned JSON document: view, configuration or explanation."""
+    """A versioned JSON document: view, configuration or explanation.
+
+    ``age_ms`` is the time since the store last confirmed the version; only
+    documents between gateways and turn stores have it.
+    """
 
     kind: str = ''
     version: int = 0
     body: bytes = b''
+    age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/rattanvalve/sharedstate/documents.py
+++ b/rattanvalve/sharedstate/documents.py
@@ -17,6 +17,8 @@
     RULES = 'rules'
     SERVERS = 'servers'
     MEMBERS = 'members'
+    #: Never exchanged: only the turn stores follow retirements.
+    RETIREMENTS = 'retirements'
 
 
 class DocumentBoard:
@@ -27,8 +29,34 @@
         self._listeners: dict[str, list[Listener]] = {
             kind: [] for kind in DocumentKind
         }
+        self._confirmed_s = dict.fromkeys(DocumentKind, float('-inf'))
         self._changed = asyncio.Event()
 
+    def confirm(self, kind: str, confirmed_s: float) -> None:
+        """Note when the store last confirmed the newest version.
+
+        :param kind: kind of document.
+        :param confirmed_s: monotonic time in seconds.
+        """
+        known_s = self._confirmed_s.get(kind, confirmed_s)
+        self._confirmed_s[kind] = max(known_s, confirmed_s)
+
+    def doubt(self, kind: str) -> None:
+        """Note that this process has lost the store, until it is confirmed.
+
+        :param kind: kind of document.
+        """
+        self._confirmed_s[kind] = float('-inf')
+
+    def age_s(self, kind: str, now_s: float) -> float:
+        """Tell how old the confirmation of the newest version is.
+
+        :param kind: kind of document.
+        :param now_s: monotonic time in seconds.
+        :returns: seconds; infinite if there was none.
+        """
+        return now_s - self._confirmed_s[kind]
+
     def listen(self, kind: DocumentKind, listener: Listener) -> None:
         """Call a function with each new document of a kind.
 
--- a/rattanvalve/sharedstate/following.py
+++ b/rattanvalve/sharedstate/following.py
@@ -24,14 +24,26 @@
 
 __all__ = ('ObjectFollower', 'PeerExchange')
 
-#: Longest wait of one watch. A silent connection is noticed after this time
-#: and the grace of the store client.
-WATCH_WAIT_MS = 2500
+#: Wait of one watch, drawn anew each time, so that of several processes one
+#: soon notices that its connection has gone silent.
+WATCH_WAIT_MIN_MS = 2000
+WATCH_WAIT_MAX_MS = 3500
+#: A process that learns from peers calls the store itself if what the peers
+#: know was confirmed longer ago. Longer than a watch with its grace.
+FRESH_LIMIT_S = 5.0
+FRESH_CHECK_INTERVAL_S = 0.25
+#: Stands for a document that was never confirmed.
+AGE_MAX_MS = 1_000_000_000
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 0.5
 #: How often a process compares its documents with those of some peers.
 EXCHANGE_INTERVAL_S = 0.4
 EXCHANGE_PEERS = 3
+EXCHANGED_KINDS = (
+    DocumentKind.RULES,
+    DocumentKind.SERVERS,
+    DocumentKind.MEMBERS,
+)
 EXCHANGE_TIMEOUT_S = 0.5
 
 _log = part_logger(LogPart.CONFIG)
@@ -44,25 +56,31 @@
 
     :param store: client of the store.
     :param kind: kind of objects.
+    :param document_kind: kind of the document.
     :param assemble: builds the document from all objects and the revision of
         the store; ``None`` if there is no document yet.
     :param board: where the document is offered.
     :param metrics: counters.
+    :param is_spare: whether the store is only called while the peers have
+        not confirmed the document.
     """
 
     def __init__(
         self,
         store: ObjectStore,
         kind: str,
+        document_kind: str,
         assemble: Assemble,
         board: DocumentBoard,
         metrics: Metrics,
+        *,
+        is_spare: bool = False,
     ) -> None:
         self.entries: dict[str, StoredEntry] = {}
-        #: Monotonic time of the last answer of the store.
-        self.reached_s: float = 0
+        self._is_spare = is_spare
         self._store = store
         self._kind = kind
+        self._document_kind = document_kind
         self._assemble = assemble
         self._board = board
         self._metrics = metrics
@@ -73,6 +91,7 @@
         """Follow the objects until cancelled."""
         delay_s = RETRY_FIRST_S
         while True:
+            await self._wait_needed()
             try:
                 await self._advance()
             except HistoryGoneError:
@@ -85,18 +104,36 @@
             else:
                 delay_s = RETRY_FIRST_S
 
+    def is_reached(self) -> bool:
+        """Return whether the store answered the last call.
+
+        :returns: whether it did.
+        """
+        return self._is_reached
+
+    async def _wait_needed(self) -> None:
+        while self._is_spare and self._is_fresh():
+            # What is read after a pause begins with a list.
+            self._revision = 0
+            await asyncio.sleep(FRESH_CHECK_INTERVAL_S)
+
+    def _is_fresh(self) -> bool:
+        age_s = self._board.age_s(self._document_kind, time.monotonic())
+        return age_s < FRESH_LIMIT_S
+
     async def _advance(self) -> None:
         if self._revision:
             changes = await self._store.watch(
                 self._kind,
                 self._revision,
-                WATCH_WAIT_MS,
+                random.randint(WATCH_WAIT_MIN_MS, WATCH_WAIT_MAX_MS),
             )
         else:
             changes = await self._store.list_objects(self._kind)
             self.entries.clear()
         self._note_reached(changes)
         self._apply(changes)
+        self._board.confirm(self._document_kind, time.monotonic())
 
     def _apply(self, changes: Changes) -> None:
         for name in changes.removed:
@@ -113,7 +150,6 @@
         offer_document(self._board, document, 'store', self._metrics)
 
     def _note_reached(self, changes: Changes) -> None:
-        self.reached_s = time.monotonic()
         if not self._is_reached:
             self._is_reached = True
             _log.info(
@@ -123,6 +159,7 @@
 
     def _note_lost(self, error: StoreError) -> None:
         self._metrics.count(Counter.STORE_ERROR)
+        self._board.doubt(self._document_kind)
         if self._is_reached:
             self._is_reached = False
             _log.warning(
@@ -205,7 +242,7 @@
 
     async def _exchange(self, peer: Address) -> None:
         try:
-            for kind in DocumentKind:
+            for kind in EXCHANGED_KINDS:
                 await self._exchange_kind(peer, kind)
         except PeerError:
             # Other peers are asked as well.
@@ -223,10 +260,13 @@
         )
         if not isinstance(theirs, Document):
             raise PeerError('no document in the answer to a pull')
+        now_s = time.monotonic()
+        if theirs.version < ours.version:
+            await self._pool.call(peer, ours, EXCHANGE_TIMEOUT_S)
+            return
         if theirs.version > ours.version:
             offer_document(self._board, theirs, peer.host, self._metrics)
-        elif theirs.version < ours.version:
-            await self._pool.call(peer, ours, EXCHANGE_TIMEOUT_S)
+        self._board.confirm(kind, now_s - theirs.age_ms / 1000)
 
 
 def document_handlers(board: DocumentBoard, metrics: Metrics) -> dict:
@@ -239,9 +279,16 @@
 
     async def pull(message: Pull, send) -> None:
         newest = board.newest(message.kind)
-        if newest.version <= message.newer_than:
-            newest = Document(kind=message.kind, version=newest.version)
-        await send(newest)
+        age_ms = board.age_s(message.kind, time.monotonic()) * 1000
+        is_newer = newest.version > message.newer_than
+        await send(
+            Document(
+                kind=message.kind,
+                version=newest.version,
+                body=newest.body if is_newer else b'',
+                age_ms=int(min(age_ms, AGE_MAX_MS)),
+            ),
+        )
 
     async def take(message: Document, send) -> None:
         offer_document(board, message, 'peer', metrics)
--- a/rattanvalve/sharedstate/parts.py
+++ b/rattanvalve/sharedstate/parts.py
@@ -81,21 +81,30 @@
         own = Address(self.node.host, self.node.first_port)
         return [address for address in addresses if address != own]
 
-    def followers(self, store: ObjectStore) -> dict[str, ObjectFollower]:
+    def followers(
+        self,
+        store: ObjectStore,
+        *,
+        is_spare: bool,
+    ) -> dict[str, ObjectFollower]:
         """Make the followers of all documents.
 
         :param store: client of the platform's store.
+        :param is_spare: whether they call the store only while the peers
+            have not confirmed the documents.
         :returns: followers by kind of object.
         """
         return {
             kind: ObjectFollower(
                 store,
                 kind,
+                document_kind,
                 assemble,
                 self.board,
                 self.metrics,
+                is_spare=is_spare,
             )
-            for kind, assemble in _ASSEMBLERS.items()
+            for kind, (document_kind, assemble) in _DOCUMENTS.items()
         }
 
     def _adopt_rules(self, body: bytes) -> None:
@@ -145,10 +154,10 @@
     )
 
 
-_ASSEMBLERS = {
-    KIND_CONFIG: _rules_document,
-    KIND_SERVERS: _servers_document,
-    KIND_MEMBERS: _members_document,
+_DOCUMENTS = {
+    KIND_CONFIG: (DocumentKind.RULES, _rules_document),
+    KIND_SERVERS: (DocumentKind.SERVERS, _servers_document),
+    KIND_MEMBERS: (DocumentKind.MEMBERS, _members_document),
 }
 
 
--- a/rattanvalve/turn_messages.py
+++ b/rattanvalve/turn_messages.py
@@ -146,11 +146,13 @@
 class TakeRate:
     """Ask for one request within the rate of a workspace.
 
-    ``is_start`` says that a program begins with it.
+    ``is_start`` says that a program begins with it; ``priority`` is its rank,
+    0 first.
     """
 
     workspace: str = ''
     is_start: bool = False
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/rattanvalve/turnstore/membership.py
+++ b/rattanvalve/turnstore/membership.py
@@ -103,7 +103,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     async def _check(self) -> None:
-        if not self._members.reached_s:
+        if not self._members.is_reached():
             return
         is_retiring = self._own.name in self._retirements.entries
         if is_retiring != self._own.is_leaving:
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -9,7 +9,6 @@
 from rattanvalve.peer_server import PeerServer
 from rattanvalve.peers import PeerPool
 from rattanvalve.platform.names import (
-    KIND_CONFIG,
     KIND_MEMBERS,
     KIND_RETIREMENTS,
 )
@@ -111,10 +110,11 @@
             self._turn_log.close()
 
     def _tasks(self, store: ObjectStore) -> list:
-        followers = self._state.followers(store)
+        followers = self._state.followers(store, is_spare=False)
         retirements = ObjectFollower(
             store,
             KIND_RETIREMENTS,
+            DocumentKind.RETIREMENTS,
             lambda entries, revision: None,
             self._state.board,
             self._state.metrics,
@@ -141,8 +141,7 @@
             self._state.reach,
         )
         return [
-            followers[KIND_CONFIG].run(),
-            followers[KIND_MEMBERS].run(),
+            *(follower.run() for follower in followers.values()),
             retirements.run(),
             membership.run(),
             exchange.run(),
--- a/rattanvalve/turnstore/programdemand.py
+++ b/rattanvalve/turnstore/programdemand.py
@@ -24,15 +24,10 @@
 class ProgramDemand:
     """Requests that the begun programs of one workspace still need.
 
-    Each of ``part_count`` stores sees about one part of the requests of each
-    program, since requests go to the next store where one has no room.
-
     :param updated_s: monotonic time of the last change in seconds.
-    :param part_count: stores among which the rate is divided.
     """
 
     updated_s: float
-    part_count: int
     expected_count: float = 0
     _starts: float = GUESS_WEIGHT
     _requests: float = GUESS_WEIGHT * REQUESTS_FIRST_GUESS
@@ -52,7 +47,7 @@
         self._age(now_s)
         self._starts += 1
         self._requests += 1
-        self.expected_count += self.per_program() / self.part_count
+        self.expected_count += self.per_program() - 1
 
     def note_continuation(self, now_s: float) -> None:
         """Count a later request of a program.
@@ -68,17 +63,19 @@
         level: float,
         rate_per_s: float,
         now_s: float,
+        more_programs: float = 0,
     ) -> float:
         """Tell how many requests of room a new program lacks.
 
         :param level: requests that may be made at once.
         :param rate_per_s: requests that are added per second.
         :param now_s: monotonic time in seconds.
+        :param more_programs: room that is to be left, in programs.
         :returns: requests; 0 or less if the program may begin.
         """
         self._age(now_s)
-        own_part = self.per_program() / self.part_count
-        needed = self.expected_count + max(own_part, 1)
+        programs = 1 + more_programs
+        needed = self.expected_count + programs * self.per_program()
         return needed - level - rate_per_s * HORIZON_S
 
     def _age(self, now_s: float) -> None:
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -1,8 +1,10 @@
 """Shares of the workspaces' rates that one store hands out.
 
-Each workspace's rate is divided evenly and for good among a group of stores,
-so that the sum of what they hand out keeps to the rate without their talking
-to each other, also through splits and restarts.
+Each workspace's rate is divided for good among a group of stores, so that the
+sum of what they hand out keeps to the rate without their talking to each
+other, also through splits and restarts. The first store of the group has most
+of it, as a small rate in equal parts would hardly hold one program; the
+others serve while the first one is away.
 """
 
 from collections.abc import Sequence
@@ -14,10 +16,34 @@
 from rattanvalve.turn_messages import RateGrant, TakeRate
 from rattanvalve.turnstore.programdemand import ProgramDemand
 
-__all__ = ('RATE_GROUP_LOSSES', 'RateShares')
+__all__ = ('RATE_GROUP_LOSSES', 'RateShares', 'share_of')
 
-#: A group of three shares: with more, each share of a burst would be small.
+#: A group of three: one main store and two that stand in for it.
 RATE_GROUP_LOSSES = 1
+#: Part of a rate that each store has which stands in for the main one.
+SPARE_PART = 0.1
+#: More room that a program needs to begin for each rank of its priority, in
+#: programs, so that the more urgent ones find the room that is left.
+PRIORITY_ROOM = 1.5
+
+
+def share_of(rank: int, size: int, burst: float) -> tuple[float, float]:
+    """Divide a rate and its burst.
+
+    :param rank: place of the store in the group, 0 first.
+    :param size: number of stores in the group.
+    :param burst: burst of the workspace.
+    :returns: part of the rate, and burst; the parts of a group add up to 1
+        and the bursts to the burst.
+    """
+    spare_burst = max(burst * SPARE_PART, 1)
+    main_burst = burst - (size - 1) * spare_burst
+    if main_burst < spare_burst:
+        # Too small to be divided.
+        return (1, burst) if rank == 0 else (0, 0)
+    if rank == 0:
+        return 1 - (size - 1) * SPARE_PART, main_burst
+    return SPARE_PART, spare_burst
 
 
 @dataclass(slots=True)
@@ -58,9 +84,17 @@
                 self._unlimited.add(workspace.name)
                 continue
             group = group_of(workspace.name, members, RATE_GROUP_LOSSES)
-            if self._own_name in {member.name for member in group}:
+            group_names = [member.name for member in group]
+            if self._own_name not in group_names:
+                continue
+            part, burst = share_of(
+                group_names.index(self._own_name),
+                len(group),
+                workspace.burst,
+            )
+            if part:
                 names.add(workspace.name)
-                self._configure_share(workspace, len(group), now_s)
+                self._configure_share(workspace, part, burst, now_s)
         for name in self._shares.keys() - names:
             self._shares.pop(name)
         self._is_known = bool(rules.version) and bool(members)
@@ -83,6 +117,7 @@
                 share.bucket.level,
                 share.rate_per_s,
                 now_s,
+                PRIORITY_ROOM * message.priority,
             )
             wait_s = max(wait_s, missing / share.rate_per_s)
         if wait_s > 0 or not share.bucket.take(now_s):
@@ -97,16 +132,16 @@
     def _configure_share(
         self,
         workspace: Workspace,
-        part_count: int,
+        part: float,
+        burst: float,
         now_s: float,
     ) -> None:
-        rate_per_s = workspace.rate_per_s / part_count
-        burst = max(workspace.burst / part_count, 1)
+        rate_per_s = workspace.rate_per_s * part
         share = self._shares.get(workspace.name)
         if share is None:
             share = _Share(
                 Bucket(rate_per_s, burst, now_s),
-                ProgramDemand(now_s, part_count),
+                ProgramDemand(now_s),
                 rate_per_s,
             )
             self._shares[workspace.name] = share
--- a/rattanvalve/wire_gen/ttypes.py
+++ b/rattanvalve/wire_gen/ttypes.py
@@ -2680,14 +2680,16 @@
      - kind
      - version
      - body
+     - age_ms
 
     """
 
 
-    def __init__(self, kind=None, version=None, body=None,):
+    def __init__(self, kind=None, version=None, body=None, age_ms=None,):
         self.kind = kind
         self.version = version
         self.body = body
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2713,6 +2715,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2735,6 +2742,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 3)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4043,13 +4054,15 @@
     Attributes:
      - workspace
      - is_start
+     - priority
 
     """
 
 
-    def __init__(self, workspace=None, is_start=None,):
+    def __init__(self, workspace=None, is_start=None, priority=None,):
         self.workspace = workspace
         self.is_start = is_start
+        self.priority = priority
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4070,6 +4083,11 @@
                     self.is_start = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4088,6 +4106,10 @@
             oprot.writeFieldBegin('is_start', TType.BOOL, 2)
             oprot.writeBool(self.is_start)
             oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 3)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4420,6 +4442,7 @@
     (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
 )
 all_structs.append(Handover)
 Handover.thrift_spec = (
@@ -4536,6 +4559,7 @@
     None,  # 0
     (1, TType.STRING, 'workspace', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'is_start', None, None, ),  # 2
+    (3, TType.I32, 'priority', None, None, ),  # 3
 )
 all_structs.append(RateGrant)
 RateGrant.thrift_spec = (
