--- a/rattanvalve/turnstore/programdemand.py
+++ b/rattanvalve/turnstore/programdemand.py
@@ -13,8 +13,13 @@
 AVERAGE_TIME_S = 20.0
 #: Time after which requests that have not come are not expected any more.
 EXPECTED_TIME_S = 5.0
-#: The room that comes within this time is for the begun programs, too.
-HORIZON_S = 0.7
+#: The room that comes within the horizon is for the begun programs, too. The
+#: horizon shrinks with each request of a begun program that finds no room,
+#: and grows again in time.
+HORIZON_MAX_S = 2.5
+HORIZON_MIN_S = 0.3
+HORIZON_SHRINK = 0.8
+HORIZON_GROWTH = 0.15
 REQUESTS_FIRST_GUESS = 12.0
 #: Weight of the first guess, in programs.
 GUESS_WEIGHT = 3.0
@@ -29,6 +34,7 @@
 
     updated_s: float
     expected_count: float = 0
+    horizon_s: float = HORIZON_MAX_S
     _starts: float = GUESS_WEIGHT
     _requests: float = GUESS_WEIGHT * REQUESTS_FIRST_GUESS
 
@@ -58,6 +64,15 @@
         self._requests += 1
         self.expected_count = max(self.expected_count - 1, 0)
 
+    def note_shortage(self, now_s: float) -> None:
+        """Count a later request of a program that found no room.
+
+        :param now_s: monotonic time in seconds.
+        """
+        self._age(now_s)
+        shorter_s = self.horizon_s * HORIZON_SHRINK
+        self.horizon_s = max(shorter_s, HORIZON_MIN_S)
+
     def missing_for_start(
         self,
         level: float,
@@ -75,12 +90,17 @@
         """
         self._age(now_s)
         programs = 1 + more_programs
+        if self.expected_count < 1:
+            # Nobody else needs the room.
+            return 0
         needed = self.expected_count + programs * self.per_program()
-        return needed - level - rate_per_s * HORIZON_S
+        return needed - level - rate_per_s * self.horizon_s
 
     def _age(self, now_s: float) -> None:
         elapsed_s = max(now_s - self.updated_s, 0)
         self.updated_s = now_s
+        longer_s = self.horizon_s + elapsed_s * HORIZON_GROWTH
+        self.horizon_s = min(longer_s, HORIZON_MAX_S)
         self.expected_count *= math.exp(-elapsed_s / EXPECTED_TIME_S)
         kept = math.exp(-elapsed_s / AVERAGE_TIME_S)
         self._starts = GUESS_WEIGHT + (self._starts - GUESS_WEIGHT) * kept
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -24,7 +24,7 @@
 SPARE_PART = 0.1
 #: More room that a program needs to begin for each rank of its priority, in
 #: programs, so that the more urgent ones find the room that is left.
-PRIORITY_ROOM = 1.5
+PRIORITY_ROOM = 0.5
 
 
 def share_of(rank: int, size: int, burst: float) -> tuple[float, float]:
@@ -121,6 +121,8 @@
             )
             wait_s = max(wait_s, missing / share.rate_per_s)
         if wait_s > 0 or not share.bucket.take(now_s):
+            if not message.is_start:
+                share.demand.note_shortage(now_s)
             wait_ms = int(wait_s * 1000) + 1
             return RateGrant(is_known=True, wait_ms=wait_ms)
         if message.is_start:
