--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -153,7 +153,7 @@
         group = group_of(message.workspace, members, RATE_GROUP_LOSSES)
         refusals = []
         # The main store goes first, unless it has failed.
-        for member in sorted(group, key=self._has_failed):
+        for member in self._reach.failed_last(group):
             try:
                 grant = await self._call(
                     member,
@@ -178,30 +178,51 @@
         turn_id: str,
         program_id: str,
     ) -> tuple[TurnRecord, ...] | None:
-        """Ask the program's group, then all members.
+        """Put a chain together from what the members hold.
+
+        A member may lack any turn of a chain, so the first missing one is
+        asked for until none is missing.
 
         :returns: the chain, empty if there is none, ``None`` if unknown.
         """
+        known: dict[str, TurnRecord] = {}
+        wanted = turn_id
+        while wanted:
+            is_absent = await self._find_turn(wanted, program_id, known)
+            if wanted not in known:
+                # A turn that others continue exists, wherever it may be.
+                return () if is_absent and wanted == turn_id else None
+            wanted = _first_missing(turn_id, known)
+        return _chain_of(turn_id, known)
+
+    async def _find_turn(
+        self,
+        turn_id: str,
+        program_id: str,
+        known: dict[str, TurnRecord],
+    ) -> bool:
+        """Ask the nearest member of the program's group, then all others.
+
+        :param turn_id: turn to find.
+        :param program_id: program of the caller.
+        :param known: gets the turns that are found.
+        :returns: whether there is no such turn for sure.
+        """
         members = self._members()
-        group = self._ordered(
-            group_of(program_id, members, self._lost_disks_max),
-        )
-        nearest = group[:1]
-        chains = await self._ask_all(nearest, turn_id)
-        found = _whole_chain(chains, turn_id)
-        if found is not None:
-            return found
-        asked = {member.name for member in nearest}
-        others = [member for member in members if member.name not in asked]
-        chains += await self._ask_all(others, turn_id)
-        found = _whole_chain(chains, turn_id)
-        if found is not None:
-            return found
-        known_nothing = sum(
-            chain.is_complete and not chain.turns for chain in chains
-        )
-        unknown = len(members) - known_nothing
-        return () if members and unknown <= self._lost_disks_max else None
+        group = group_of(program_id, members, self._lost_disks_max)
+        nearest = self._reach.nearest_first(group, self._zone)[:1]
+        others = [member for member in members if member not in nearest]
+        denials = 0
+        for asked in (nearest, others):
+            chains = await self._ask_all(asked, turn_id)
+            known.update(
+                (turn.turn_id, turn) for chain in chains for turn in chain.turns
+            )
+            if turn_id in known:
+                return False
+            denials += sum(chain.is_complete for chain in chains)
+        unknown = len(members) - denials
+        return bool(members) and unknown <= self._lost_disks_max
 
     async def _ask_all(
         self,
@@ -241,12 +262,13 @@
 
     async def _store_once(self, message, answer_class: type) -> list[Any]:
         """Send a record to the nearest members, and to more if they fail."""
-        group = self._ordered(
+        group = self._reach.nearest_first(
             group_of(
                 message.program_id,
                 self._members(),
                 self._lost_disks_max,
             ),
+            self._zone,
         )
         needed = quorum_size(self._lost_disks_max)
         waiting = group[needed:]
@@ -301,36 +323,23 @@
             raise PeerError(f'unexpected {type(answer).__name__}')
         return answer
 
-    def _has_failed(self, member: StoreMember) -> bool:
-        return self._reach.has_failed(member.address)
 
-    def _ordered(self, members: Sequence[StoreMember]) -> list[StoreMember]:
-        return sorted(
-            members,
-            key=lambda member: (
-                self._has_failed(member),
-                member.zone != self._zone,
-            ),
-        )
+def _first_missing(turn_id: str, known: dict[str, TurnRecord]) -> str:
+    """Name the first turn of a chain that is not known; empty if none is."""
+    while turn_id in known:
+        turn_id = known[turn_id].previous_id
+    return turn_id
 
 
-def _whole_chain(
-    chains: Sequence[TurnChain],
+def _chain_of(
     turn_id: str,
-) -> tuple[TurnRecord, ...] | None:
-    """Put a chain together from parts that several members have.
-
-    :returns: newest first; ``None`` if a turn is missing.
-    """
-    known = {turn.turn_id: turn for chain in chains for turn in chain.turns}
-    whole = []
+    known: dict[str, TurnRecord],
+) -> tuple[TurnRecord, ...]:
+    chain = []
     while turn_id:
-        turn = known.get(turn_id)
-        if turn is None:
-            return None
-        whole.append(turn)
-        turn_id = turn.previous_id
-    return tuple(whole)
+        chain.append(known[turn_id])
+        turn_id = known[turn_id].previous_id
+    return tuple(chain)
 
 
 def _ignore_result(task: asyncio.Task) -> None:
--- a/rattanvalve/sharedstate/reach.py
+++ b/rattanvalve/sharedstate/reach.py
@@ -55,6 +55,31 @@
         contact = self._contacts.get(address)
         return contact is not None and contact.failed_s > contact.answered_s
 
+    def failed_last(self, members: Sequence[StoreMember]) -> list[StoreMember]:
+        """Order members by whether their last call failed.
+
+        :param members: members.
+        :returns: those that did not fail first, else in the order given.
+        """
+        return sorted(
+            members,
+            key=lambda member: self.has_failed(member.address),
+        )
+
+    def nearest_first(
+        self,
+        members: Sequence[StoreMember],
+        zone: str,
+    ) -> list[StoreMember]:
+        """Order members by failure and zone.
+
+        :param members: members.
+        :param zone: zone of this process.
+        :returns: members, best first.
+        """
+        own_first = sorted(members, key=lambda member: member.zone != zone)
+        return self.failed_last(own_first)
+
     def has_majority(self, members: Sequence[StoreMember]) -> bool:
         """Return whether most members answer.
 
--- a/tests/gateway/decisions.feature
+++ b/tests/gateway/decisions.feature
@@ -51,6 +51,15 @@
     Then a turn is counted in whole events
     And a settled count goes before a reservation, whatever the order
 
+  Scenario: a chain that is spread over several stores is put together
+    Given three stores that hold turns "a c", "b" and "" of the chain a, b, c
+    Then fetching c gives the chain c, b, a
+
+  Scenario: a chain with a missing turn is not known, a missing turn does not exist
+    Given three stores that hold turns "a c", "" and "" of the chain a, b, c
+    Then whether c exists is not known for sure
+    And a turn x does not exist
+
   Scenario: a route is split by weights
     Then about 9 of 10 requests go to a service with weight 90 of 100
     And the same request goes to the same service each time
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from rattanvalve.channels import Address
-from rattanvalve.errors import ServerBrokenError
+from rattanvalve.errors import QuorumError, ServerBrokenError
 from rattanvalve.gateway.calls import header_number, read_turn
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.events import EventFollower
@@ -11,11 +11,18 @@
 from rattanvalve.gateway.placement import Demand, choose_endpoint
 from rattanvalve.gateway.response_parser import ResponseParser
 from rattanvalve.gateway.service_choice import choose_service
-from rattanvalve.gateway.turn_client import merge_ledgers
+from rattanvalve.gateway.turn_client import TurnClient, merge_ledgers
 from rattanvalve.gateway.turns import is_within_budget, most_tokens
 from rattanvalve.sharedstate.endpoints import EndpointEntry
+from rattanvalve.sharedstate.members import StoreMember
+from rattanvalve.sharedstate.reach import ReachTable
 from rattanvalve.sharedstate.rules import Route
-from rattanvalve.turn_messages import Ledger, LedgerEntry
+from rattanvalve.turn_messages import (
+    Ledger,
+    LedgerEntry,
+    TurnChain,
+    TurnRecord,
+)
 
 PROMPT = (PromptPart('shared', 3000), PromptPart('own', 1000))
 ENGINE_DEMAND = Demand('models', is_generation=True, parts=PROMPT)
@@ -256,6 +263,70 @@
         assert not is_within_budget(merged, 44)
 
 
+class FakePool:
+    """Stores by the port of their address, each with some turns."""
+
+    def __init__(self, stores):
+        self.stores = stores
+
+    async def call(self, address, message, timeout_s):
+        """Give the part of a chain that a store knows."""
+        known = self.stores[address.port]
+        turns = []
+        turn_id = message.turn_id
+        while turn_id in known:
+            turns.append(known[turn_id])
+            turn_id = known[turn_id].previous_id
+        return TurnChain(is_complete=True, turns=tuple(turns))
+
+
+@given(
+    'three stores that hold turns "{a}", "{b}" and "{c}" of the chain a, b, c',
+)
+@given('three stores that hold turns "{a}", "{b}" and "" of the chain a, b, c')
+@given('three stores that hold turns "{a}", "" and "" of the chain a, b, c')
+def step_spread(context, a, b='', c=''):
+    previous = {'a': '', 'b': 'a', 'c': 'b'}
+    stores = [
+        {
+            name: TurnRecord(turn_id=name, previous_id=previous[name])
+            for name in names.split()
+        }
+        for names in (a, b, c)
+    ]
+    members = [
+        StoreMember(f'm{port}', Address('h', port))
+        for port in range(len(stores))
+    ]
+    context.client = TurnClient(
+        FakePool(stores),
+        lambda: members,
+        'z',
+        1,
+        ReachTable(),
+    )
+
+
+@then('fetching c gives the chain c, b, a')
+def step_put_together(context):
+    chain = context.run(context.client.fetch('c', 'p', 0))
+    assert [turn.turn_id for turn in chain] == ['c', 'b', 'a']
+
+
+@then('whether c exists is not known for sure')
+def step_not_sure(context):
+    try:
+        context.run(context.client.fetch('c', 'p', 0))
+    except QuorumError:
+        return
+    raise AssertionError('a chain with a gap was taken for known')
+
+
+@then('a turn x does not exist')
+def step_not_there(context):
+    assert context.run(context.client.fetch('x', 'p', 0)) is None
+
+
 def split_route():
     """Make a route that is split between two services."""
     return Route(
