--- a/rattanvalve/docpages.py
+++ b/rattanvalve/docpages.py
@@ -17,7 +17,8 @@
 __all__ = ('PAGES', 'main')
 
 _DOCS = Path(__file__).resolve().parent.parent / 'docs'
-_FEATURE = re.compile(r'`(tests/[a-z_]+\.feature)`')
+_GENERATED_CODE = 'wire_gen'
+_FEATURE = re.compile(r'`(tests/[a-z_/]+\.feature)`')
 _LINK = re.compile(r'\]\(([a-zA-Z0-9_/-]+\.md)\)')
 
 
@@ -51,8 +52,9 @@
 def _logs_page() -> str:
     return _page(
         'Log prefixes',
-        'Logs are JSON lines on standard error. Each message starts with the '
-        'prefix of its part.',
+        'Logs are JSON lines, of gateways and turn stores on standard output '
+        'and of the other programs on standard error. Each message starts '
+        'with the prefix of its part.',
         '| prefix |',
         [f'| `{part}:` |' for part in LogPart],
     )
@@ -77,18 +79,27 @@
 
 
 def _modules_page() -> str:
-    rows = []
-    for path in sorted(Path(__file__).parent.glob('*.py')):
-        docstring = ast.get_docstring(ast.parse(path.read_text())) or ''
-        rows.append(f'| `{path.stem}` | {docstring.splitlines()[0]} |')
+    package = Path(__file__).parent
+    paths = sorted(
+        path
+        for pattern in ('*.py', '*/*.py')
+        for path in package.glob(pattern)
+        if path.parent.name != _GENERATED_CODE
+    )
     return _page(
         'Modules',
-        'The package is flat; `wire_gen` holds generated code.',
+        'Families of modules are subpackages; `wire_gen` holds generated code.',
         '| module | job |',
-        rows,
+        [_module_row(package, path) for path in paths],
     )
 
 
+def _module_row(package: Path, path: Path) -> str:
+    docstring = ast.get_docstring(ast.parse(path.read_text())) or ''
+    name = '.'.join(path.relative_to(package).with_suffix('').parts)
+    return f'| `{name}` | {docstring.splitlines()[0]} |'
+
+
 def _default_text(field: msgspec.structs.FieldInfo) -> str:
     if field.required:
         return 'required'
--- a/tests/run_checks.py
+++ b/tests/run_checks.py
@@ -92,7 +92,7 @@
     :returns: names tagged in features, names recorded in ``KNOWN-RED.txt``.
     """
     tagged = set()
-    for path in sorted((ROOT / 'tests').glob('*.feature')):
+    for path in sorted((ROOT / 'tests').rglob('*.feature')):
         lines = path.read_text().splitlines()
         tagged.update(
             following.partition(':')[2].strip()
