--- /dev/null
+++ b/rattanvalve/gateway/caller_sink.py
@@ -0,0 +1,110 @@
+"""Writes the response of one request to its caller."""
+
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from rattanvalve.gateway.calls import Refusal
+from rattanvalve.gateway.response_parser import ResponseHead
+from rattanvalve.platform import names
+from rattanvalve.platform.requests import forwarded_headers
+from rattanvalve.resultcodes import info_of
+
+__all__ = ('CallerSink',)
+
+#: Least value of a Retry-After, so that a caller does not come back at once.
+RETRY_AFTER_MIN_S = 0.05
+
+
+class CallerSink:
+    """Writes one response with aiohttp.
+
+    :param request: request of the caller.
+    :param is_last: whether the connection closes after this response.
+    """
+
+    def __init__(self, request: web.BaseRequest, *, is_last: bool) -> None:
+        self.response: web.StreamResponse | None = None
+        self._request = request
+        self._is_last = is_last
+
+    async def send_whole(self, head: ResponseHead, body: bytes) -> None:
+        """Send a complete response.
+
+        :param head: status and headers of the server.
+        :param body: its body.
+        """
+        response = web.Response(
+            status=head.status,
+            body=body,
+            headers=_response_headers(head),
+        )
+        await self._prepare(response)
+        await response.write_eof()
+
+    async def begin(self, head: ResponseHead) -> None:
+        """Begin a stream.
+
+        :param head: status and headers of the server.
+        """
+        response = web.StreamResponse(
+            status=head.status,
+            headers=_response_headers(head),
+        )
+        await self._prepare(response)
+
+    async def write(self, chunk: bytes) -> None:
+        """Pass a part of a stream on.
+
+        :param chunk: bytes of the server.
+        """
+        await self.response.write(chunk)
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+        await self.response.write_eof()
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Send a refusal of our own.
+
+        :param refusal: why the request is not served.
+        """
+        info = info_of(refusal.code)
+        headers = {'Content-Type': 'application/json'}
+        if refusal.retry_after_s is not None:
+            seconds = max(refusal.retry_after_s, RETRY_AFTER_MIN_S)
+            headers[names.RETRY_AFTER] = f'{seconds:.2f}'
+        body = msgspec.json.encode(
+            {'code': int(refusal.code), 'message': info.text},
+        )
+        response = web.Response(
+            status=info.http_status,
+            body=body,
+            headers=headers,
+        )
+        await self._prepare(response)
+        await response.write_eof()
+
+    def close_after(self) -> None:
+        """Close the connection after the response."""
+        self._is_last = True
+
+    def abort(self) -> None:
+        """Close the connection, so that the stream is incomplete."""
+        if self._request.transport is not None:
+            self._request.transport.close()
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
+        self.response = response
+        if self._is_last:
+            response.force_close()
+        await response.prepare(self._request)
+
+
+def _response_headers(head: ResponseHead) -> Any:
+    raw = tuple(
+        (name.encode('latin-1'), content.encode('latin-1'))
+        for name, content in head.headers.items()
+    )
+    return forwarded_headers(raw)
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -3,26 +3,23 @@
 import asyncio
 import time
 from http import HTTPStatus
-from typing import Any
 
-import msgspec
 from aiohttp import web
 
 from rattanvalve.errors import BodyError, QuorumError
+from rattanvalve.gateway.caller_sink import CallerSink
 from rattanvalve.gateway.calls import Call, Refusal, header_number, read_turn
 from rattanvalve.gateway.forwarding import Forwarder, Trace
-from rattanvalve.gateway.response_parser import ResponseHead
 from rattanvalve.gateway.turn_client import TurnClient
 from rattanvalve.gateway.turns import TurnKeeper
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.platform import names
 from rattanvalve.platform.requests import forwarded_headers
-from rattanvalve.resultcodes import ResultCode, info_of
+from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.exposition import MetricsPage
 from rattanvalve.sharedstate.parts import SharedState
 from rattanvalve.sharedstate.rules import Route, Workspace
 from rattanvalve.turn_messages import TakeRate
-from rattanvalve.workset import WorkSet
 
 __all__ = ('Ingress',)
 
@@ -31,83 +28,11 @@
 CUT_OFF_RETRY_AFTER_S = 0.1
 #: Longest wait of a request of a begun program for the rate.
 RATE_WAIT_MAX_S = 0.25
-#: Least value of a Retry-After, so that a caller does not come back at once.
-RETRY_AFTER_MIN_S = 0.05
 PRIORITY_MAX = 9
 
 _log = part_logger(LogPart.GATEWAY)
 
 
-class _AioSink:
-    """Writes one response with aiohttp.
-
-    :param request: request of the caller.
-    :param is_last: whether the connection closes after this response.
-    """
-
-    def __init__(self, request: web.BaseRequest, *, is_last: bool) -> None:
-        self.response: web.StreamResponse | None = None
-        self._request = request
-        self._is_last = is_last
-
-    async def send_whole(self, head: ResponseHead, body: bytes) -> None:
-        response = web.Response(
-            status=head.status,
-            body=body,
-            headers=_response_headers(head),
-        )
-        await self._prepare(response)
-        await response.write_eof()
-
-    async def begin(self, head: ResponseHead) -> None:
-        response = web.StreamResponse(
-            status=head.status,
-            headers=_response_headers(head),
-        )
-        await self._prepare(response)
-
-    async def write(self, chunk: bytes) -> None:
-        await self.response.write(chunk)
-
-    async def finish(self) -> None:
-        await self.response.write_eof()
-
-    async def refuse(self, refusal: Refusal) -> None:
-        """Send a refusal of our own.
-
-        :param refusal: why the request is not served.
-        """
-        info = info_of(refusal.code)
-        headers = {'Content-Type': 'application/json'}
-        if refusal.retry_after_s is not None:
-            seconds = max(refusal.retry_after_s, RETRY_AFTER_MIN_S)
-            headers[names.RETRY_AFTER] = f'{seconds:.2f}'
-        body = msgspec.json.encode(
-            {'code': int(refusal.code), 'message': info.text},
-        )
-        response = web.Response(
-            status=info.http_status,
-            body=body,
-            headers=headers,
-        )
-        await self._prepare(response)
-        await response.write_eof()
-
-    def close_after(self) -> None:
-        """Close the connection after the response."""
-        self._is_last = True
-
-    def abort(self) -> None:
-        if self._request.transport is not None:
-            self._request.transport.close()
-
-    async def _prepare(self, response: web.StreamResponse) -> None:
-        self.response = response
-        if self._is_last:
-            response.force_close()
-        await response.prepare(self._request)
-
-
 class Ingress:
     """Handler of the callers' requests.
 
@@ -128,8 +53,6 @@
     ) -> None:
         self._page = page
         self.is_stopping = False
-        #: Requests that are being answered.
-        self.open_requests = WorkSet()
         #: Connections whose request is being answered.
         self.busy_transports: set[asyncio.BaseTransport] = set()
         self._state = state
@@ -144,10 +67,9 @@
         :returns: the response, which was sent.
         """
         received_s = time.monotonic()
-        sink = _AioSink(request, is_last=self.is_stopping)
+        sink = CallerSink(request, is_last=self.is_stopping)
         trace = Trace()
         outcome = 'cancelled'
-        self.open_requests.add(sink)
         transport = request.transport
         self.busy_transports.add(transport)
         try:
@@ -159,7 +81,6 @@
                 if sink.response is None:
                     await sink.refuse(refusal)
         finally:
-            self.open_requests.discard(sink)
             self.busy_transports.discard(transport)
             self._log_outcome(request, trace, outcome, received_s)
         return sink.response
@@ -167,7 +88,7 @@
     async def _serve(
         self,
         request: web.BaseRequest,
-        sink: _AioSink,
+        sink: CallerSink,
         trace: Trace,
         received_s: float,
     ) -> Refusal | None:
@@ -197,7 +118,7 @@
     async def _prepare(
         self,
         call: Call,
-        sink: _AioSink,
+        sink: CallerSink,
         trace: Trace,
     ) -> Refusal | None:
         """Get all that a request needs before it is sent.
@@ -218,7 +139,7 @@
             self._turns.release(call)
         return refusal
 
-    def _refuse_cut_off(self, sink: _AioSink) -> Refusal:
+    def _refuse_cut_off(self, sink: CallerSink) -> Refusal:
         """Refuse a request; the caller's next one goes to another gateway."""
         sink.close_after()
         return Refusal(
@@ -339,14 +260,6 @@
     )
 
 
-def _response_headers(head: ResponseHead) -> Any:
-    raw = tuple(
-        (name.encode('latin-1'), content.encode('latin-1'))
-        for name, content in head.headers.items()
-    )
-    return forwarded_headers(raw)
-
-
 async def answer_ready(*, is_ready: bool) -> web.Response:
     """Answer a question whether this process takes requests.
 
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -133,7 +133,7 @@
         self._ingress.is_stopping = True
         _log.info(
             'stopping',
-            extra={'open_requests': len(self._ingress.open_requests)},
+            extra={'open_requests': len(self._ingress.busy_transports)},
         )
         grace_s = self._node.grace_s
         await asyncio.sleep(min(UNREADY_GRACE_S, grace_s * UNREADY_SHARE))
@@ -146,7 +146,7 @@
             'requests finished',
             extra={
                 'connections': len(callers.connections),
-                'open_requests': len(self._ingress.open_requests),
+                'open_requests': len(self._ingress.busy_transports),
                 'duration_ms': round((time.monotonic() - started_s) * 1000),
             },
         )
