--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -32,7 +32,7 @@
 #: A member that has not answered after this time is not waited for alone.
 HEDGE_S = 0.06
 CALL_TIMEOUT_S = 0.8
-RATE_TIMEOUT_S = 0.15
+RATE_TIMEOUT_S = 0.3
 RETRY_PAUSE_S = 0.05
 
 
@@ -85,7 +85,8 @@
             member for member in self._members() if not member.is_leaving
         ]
         is_enough = len(members) >= quorum_size(self._lost_disks_max)
-        return not (is_enough and self._reach.has_majority(members))
+        now_s = time.monotonic()
+        return not (is_enough and self._reach.has_majority(members, now_s))
 
     async def reserve(
         self,
--- a/rattanvalve/sharedstate/reach.py
+++ b/rattanvalve/sharedstate/reach.py
@@ -8,6 +8,10 @@
 
 __all__ = ('ReachTable',)
 
+#: A member that answered within this time counts as reached, whatever became
+#: of its last call: a short stall of this process lets many calls time out.
+RECENT_ANSWER_S = 0.6
+
 
 @dataclass(slots=True)
 class _Contact:
@@ -37,15 +41,6 @@
         """
         self._contacts.setdefault(address, _Contact()).failed_s = now_s
 
-    def is_reached(self, address: Address) -> bool:
-        """Return whether the last call of a member was answered.
-
-        :param address: the member.
-        :returns: whether it was; false before the first call.
-        """
-        contact = self._contacts.get(address)
-        return contact is not None and contact.answered_s > contact.failed_s
-
     def has_failed(self, address: Address) -> bool:
         """Return whether the last call of a member failed.
 
@@ -80,11 +75,26 @@
         own_first = sorted(members, key=lambda member: member.zone != zone)
         return self.failed_last(own_first)
 
-    def has_majority(self, members: Sequence[StoreMember]) -> bool:
+    def has_majority(
+        self,
+        members: Sequence[StoreMember],
+        now_s: float,
+    ) -> bool:
         """Return whether most members answer.
 
         :param members: all members.
-        :returns: whether more than half answered their last call.
+        :param now_s: monotonic time in seconds.
+        :returns: whether more than half answered their last call, or did so
+            a moment ago.
         """
-        reached = sum(self.is_reached(member.address) for member in members)
+        reached = sum(
+            self._has_answered(member.address, now_s) for member in members
+        )
         return 2 * reached > len(members)
+
+    def _has_answered(self, address: Address, now_s: float) -> bool:
+        contact = self._contacts.get(address)
+        if contact is None:
+            return False
+        is_recent = now_s - contact.answered_s < RECENT_ANSWER_S
+        return is_recent or contact.answered_s > contact.failed_s
--- a/tests/gateway/decisions.feature
+++ b/tests/gateway/decisions.feature
@@ -60,6 +60,11 @@
     Then whether c exists is not known for sure
     And a turn x does not exist
 
+  Scenario: calls that time out in a short stall do not cut a gateway off
+    Given three stores that answered at 10 s and whose calls failed at 10.3 s
+    Then most of them count as reached at 10.4 s but not at 11 s
+    And not if only one of them ever answered
+
   Scenario: a route is split by weights
     Then about 9 of 10 requests go to a service with weight 90 of 100
     And the same request goes to the same service each time
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -327,6 +327,30 @@
     assert context.run(context.client.fetch('x', 'p', 0)) is None
 
 
+@given('three stores that answered at 10 s and whose calls failed at 10.3 s')
+def step_stall(context):
+    context.reach = ReachTable()
+    context.members = [
+        StoreMember(f'm{port}', Address('h', port)) for port in range(3)
+    ]
+    for known in context.members:
+        context.reach.note_answer(known.address, 10)
+        context.reach.note_failure(known.address, 10.3)
+
+
+@then('most of them count as reached at 10.4 s but not at 11 s')
+def step_stall_verdict(context):
+    assert context.reach.has_majority(context.members, 10.4)
+    assert not context.reach.has_majority(context.members, 11)
+
+
+@then('not if only one of them ever answered')
+def step_one_answered(context):
+    reach = ReachTable()
+    reach.note_answer(context.members[0].address, 10)
+    assert not reach.has_majority(context.members, 10.1)
+
+
 def split_route():
     """Make a route that is split between two services."""
     return Route(
