--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -96,7 +96,6 @@
 
     async def run(self) -> None:
         """Serve until cancelled, then finish what has begun."""
-        stop = asyncio.get_running_loop().create_future()
         work = asyncio.create_task(run_tasks(self._node.store, self._tasks))
         callers = web.Server(
             self._ingress.handle,
@@ -114,7 +113,8 @@
             servers.append(await _listen(readiness, self._node.readiness))
             servers.append(await serve_metrics(self._page, self._node))
             _log.info('gateway started')
-            await asyncio.wait((work, stop), return_when='FIRST_COMPLETED')
+            # A stop must not cancel the work before the open requests end.
+            await asyncio.wait((work,))
             work.result()
         except asyncio.CancelledError:
             await self._stop(callers)
