Remove dead code of the document board; one list of known members

Nobody waited for the board's change event, and answer_ready only wrapped one line. The members that stand in for a missing list, made of the seeds, were built in the gateway and in the shared state; both now call known_members. Behaviour is as before.

--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from http import HTTPStatus
 
 from aiohttp import web
 
@@ -258,13 +257,3 @@
         turn=read_turn(headers),
         priority=min(max(priority, 0), PRIORITY_MAX),
     )
-
-
-async def answer_ready(*, is_ready: bool) -> web.Response:
-    """Answer a question whether this process takes requests.
-
-    :param is_ready: whether it does.
-    :returns: the response.
-    """
-    status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
-    return web.Response(status=status)
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from contextlib import suppress
+from http import HTTPStatus
 
 from aiohttp import web
 
@@ -11,7 +12,7 @@
 from rattanvalve.gateway.connection_pool import ConnectionPool
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.forwarding import Forwarder
-from rattanvalve.gateway.ingress import Ingress, answer_ready
+from rattanvalve.gateway.ingress import Ingress
 from rattanvalve.gateway.loads import LoadTable
 from rattanvalve.gateway.turn_cache import TurnCache
 from rattanvalve.gateway.turn_client import TurnClient
@@ -25,7 +26,6 @@
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.following import PeerExchange
-from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.parts import SharedState, run_tasks
 
 __all__ = ('GatewayProcess',)
@@ -70,7 +70,7 @@
         self._listener: asyncio.Server | None = None
         client = self._client = TurnClient(
             self._peers,
-            self._members,
+            self._state.known_members,
             node.zone,
             node.lost_disks_max,
             self._state.reach,
@@ -183,17 +183,10 @@
             and not self._ingress.is_stopping
             and not self._client.is_cut_off()
         )
-        return await answer_ready(is_ready=is_ready)
-
-    def _members(self) -> tuple[StoreMember, ...]:
-        if self._state.members:
-            return self._state.members
-        return tuple(
-            StoreMember(
-                name=host,
-                address=Address(host, self._node.first_port),
-            )
-            for host in self._node.seed_hosts
+        return web.Response(
+            status=(
+                HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+            ),
         )
 
     def _take_servers(self, body: bytes) -> None:
--- a/rattanvalve/sharedstate/documents.py
+++ b/rattanvalve/sharedstate/documents.py
@@ -1,6 +1,5 @@
 """Versioned documents that processes learn from the store or from peers."""
 
-import asyncio
 import enum
 from collections.abc import Callable
 
@@ -30,7 +29,6 @@
             kind: [] for kind in DocumentKind
         }
         self._confirmed_s = dict.fromkeys(DocumentKind, float('-inf'))
-        self._changed = asyncio.Event()
 
     def confirm(self, kind: str, confirmed_s: float) -> None:
         """Note when the store last confirmed the newest version.
@@ -86,10 +84,4 @@
         for listener in self._listeners[document.kind]:
             listener(document.body)
         self._documents[document.kind] = document
-        self._changed.set()
-        self._changed = asyncio.Event()
         return True
-
-    async def wait_changed(self) -> None:
-        """Wait until a document is adopted."""
-        await self._changed.wait()
--- a/rattanvalve/sharedstate/parts.py
+++ b/rattanvalve/sharedstate/parts.py
@@ -72,15 +72,20 @@
 
         :returns: addresses of the other members, or else of the seeds.
         """
-        addresses = [member.address for member in self.members]
-        if not addresses:
-            addresses = [
-                Address(host, self.node.first_port)
-                for host in self.node.seed_hosts
-            ]
         own = Address(self.node.host, self.node.first_port)
+        addresses = [member.address for member in self.known_members()]
         return [address for address in addresses if address != own]
 
+    def known_members(self) -> tuple[StoreMember, ...]:
+        """List the members of the turn store.
+
+        :returns: the members, or else the seeds under their addresses.
+        """
+        return self.members or tuple(
+            StoreMember(name=host, address=Address(host, self.node.first_port))
+            for host in self.node.seed_hosts
+        )
+
     def followers(
         self,
         store: ObjectStore,
