Keep callers' keys out of the error log; command for the story of a request

Cause: aiohttp logs the line that its HTTP parser refuses, with a traceback; a key in an unreadable header line reached the log, without a bound. A filter on that logger writes one short line, at most two a second, and counts the rest; the gateways count unreadable requests as the entries do.

rattanvalvectl story ID LOGS prints the lines of a request, of its program and of its processes, by time.

--- a/rattanvalve/ctl_main.py
+++ b/rattanvalve/ctl_main.py
@@ -1,10 +1,12 @@
 """Program ``rattanvalvectl``: the operators' command line."""
 
+import itertools
 import json
 import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import TextIO
 
 import click
 import msgspec
@@ -19,12 +21,15 @@
 from rattanvalve.ctl_files import changes_text, read_config
 from rattanvalve.ctl_status import cell_text, entries_behind, status_text
 from rattanvalve.inventory import parse_config
+from rattanvalve.logstory import parse_lines, story_of, story_text
 from rattanvalve.tables import format_table
 
 __all__ = ('main',)
 
 #: Pause between two looks at the generations in force.
 WAIT_INTERVAL_S = 0.5
+#: The logs say nothing of the request.
+EXIT_NOT_FOUND = 7
 
 
 _existing_file = click.Path(exists=True, dir_okay=False, path_type=Path)
@@ -257,6 +262,19 @@
     connection.show(body, json.dumps(body, indent=2))
 
 
+@main.command()
+@click.argument('request')
+@click.argument('logs', nargs=-1, required=True, type=click.File())
+def story(request: str, logs: tuple[TextIO, ...]) -> None:
+    """Print from LOGS what became of REQUEST; - reads standard input."""
+    entries = parse_lines(itertools.chain.from_iterable(logs))
+    chosen = story_of(entries, request)
+    if not chosen:
+        click.echo(f'no line of request {request}', err=True)
+        sys.exit(EXIT_NOT_FOUND)
+    click.echo(story_text(chosen, request))
+
+
 def _show_generation(connection: Connection, method: str, path: str) -> None:
     body = connection.ask(method, path)
     connection.show(body, f'generation {body["generation"]}')
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -17,6 +17,7 @@
 from rattanvalve.gateway.turn_cache import TurnCache
 from rattanvalve.gateway.turn_client import TurnClient
 from rattanvalve.gateway.turns import TurnKeeper
+from rattanvalve.http_errors import malformed_http_counter
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.peers import PeerPool
 from rattanvalve.platform.nodefile import NodeSettings
@@ -100,7 +101,7 @@
         callers = web.Server(
             self._ingress.handle,
             handler_cancellation=True,
-            access_log=None,
+            access_log_class=malformed_http_counter(self._state.metrics),
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -130,6 +130,11 @@
         'UNREADABLE_METHOD',
         '',
     ),
+    'lines about unreadable requests are not shortened': (
+        http_errors.MalformedHttpFilter,
+        'filter',
+        lambda keeper, record: True,
+    ),
     'broken certificates are taken': (
         tls,
         'make_tls_context',
--- a/tests/http_errors.feature
+++ b/tests/http_errors.feature
@@ -19,3 +19,15 @@
     And a listener of the callers' API
     When the bytes g@rbage\r\n\r\n arrive
     Then the status is 400 and 0 malformed requests are counted
+
+  Scenario: no key of an unreadable request reaches a log
+    Given a listener of the callers' API
+    When 40 requests with a key arrive that cannot be read
+    Then 40 malformed requests are counted
+    And at most 4 lines are logged, each short and without the key
+
+  Scenario: the checks notice a key in the log
+    Given a break: lines about unreadable requests are not shortened
+    And a listener of the callers' API
+    When 40 requests with a key arrive that cannot be read
+    Then the logged lines contain the key
--- a/tests/steps/http_errors_steps.py
+++ b/tests/steps/http_errors_steps.py
@@ -1,15 +1,22 @@
 """Steps of http_errors.feature."""
 
 import asyncio
+import io
+import logging
 
 from aiohttp import web
 from behave import given, then, when
 
 from rattanvalve.caller_api import RUNNER_OPTIONS
 from rattanvalve.counters import Counter, Metrics
-from rattanvalve.http_errors import malformed_http_counter
+from rattanvalve.http_errors import (
+    hide_malformed_http,
+    malformed_http_counter,
+)
 
 TIMEOUT_S = 30
+KEY = 'rv-secret-key-of-a-caller'
+LINE_CHARS_MAX = 300
 
 
 async def answer_healthy(_request):
@@ -37,9 +44,8 @@
     context.port = context.run(start())
 
 
-@when('the bytes {text} arrive')
-def step_bytes(context, text):
-    raw = text.replace(r'\r\n', '\r\n').encode()
+def send_raw(context, raw):
+    """Send the bytes of one request and give the status of the answer."""
 
     async def send():
         reader, writer = await asyncio.open_connection(
@@ -55,7 +61,48 @@
         writer.close()
         return int(head.split()[1])
 
-    context.status = context.run(send())
+    return context.run(send())
+
+
+@when('the bytes {text} arrive')
+def step_bytes(context, text):
+    raw = text.replace(r'\r\n', '\r\n').encode()
+    context.status = send_raw(context, raw)
+
+
+@when('{count:d} requests with a key arrive that cannot be read')
+def step_unreadable_keys(context, count):
+    hide_malformed_http()
+    output = io.StringIO()
+    handler = logging.StreamHandler(output)
+    logging.getLogger().addHandler(handler)
+    logging.disable(logging.NOTSET)
+    raw = f'GET /healthz HTTP/1.1\r\nAuthorization: {KEY}\x01\r\n\r\n'.encode()
+    try:
+        for _ in range(count):
+            assert send_raw(context, raw) == 400
+    finally:
+        logging.disable(logging.CRITICAL)
+        logging.getLogger().removeHandler(handler)
+    context.logged = output.getvalue()
+
+
+@then('{count:d} malformed requests are counted')
+def step_count_only(context, count):
+    assert context.metrics.counts[Counter.HTTP_MALFORMED] == count
+
+
+@then('at most {count:d} lines are logged, each short and without the key')
+def step_no_key(context, count):
+    lines = context.logged.splitlines()
+    assert 1 <= len(lines) <= count, lines
+    assert KEY not in context.logged
+    assert max(map(len, lines)) <= LINE_CHARS_MAX
+
+
+@then('the logged lines contain the key')
+def step_key_logged(context):
+    assert KEY in context.logged
 
 
 @then('the status is {status:d} and {count:d} malformed requests are counted')
