--- a/rattanvalve/caller_api.py
+++ b/rattanvalve/caller_api.py
@@ -43,8 +43,13 @@
 
 #: Options of ``AppRunner`` that the application relies on: handlers are
 #: cancelled when their caller disconnects, and headers up to this size reach
-#: our own check, which answers in the protocol's format.
-RUNNER_OPTIONS = {'handler_cancellation': True, 'max_field_size': 65_536}
+#: our own check, which answers in the protocol's format. At the end of a stop
+#: open requests have had their time already, so they are soon cancelled.
+RUNNER_OPTIONS = {
+    'handler_cancellation': True,
+    'max_field_size': 65_536,
+    'shutdown_timeout': 1.0,
+}
 
 _METHODS = frozenset(
     ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'),
--- a/tests/shutdown.feature
+++ b/tests/shutdown.feature
@@ -15,3 +15,8 @@
     Given an ingress
     When the process stops with a stream that never ends
     Then the stop reports what was left open
+
+  Scenario: a request that never ends does not hold the listener open
+    Given a listener with a request that never ends
+    When the listener is closed
+    Then it is closed within 3 seconds and the request was cancelled
--- a/tests/steps/shutdown_steps.py
+++ b/tests/steps/shutdown_steps.py
@@ -1,14 +1,20 @@
 """Steps of shutdown.feature."""
 
 import asyncio
+import time
 
-from behave import then, when
+from aiohttp import web
+from behave import given, then, when
 
+from rattanvalve.caller_api import RUNNER_OPTIONS
 from rattanvalve.errors import StoreError
 from rattanvalve.shutdown import Shutdown
 from tests.ingress_bench import TEXT, eventually, text_of
 from tests.ingress_checks import read_all
 
+#: Time for a request to reach its handler.
+START_S = 0.2
+
 
 async def stop(context, *, leave_fails=False, timeout_s=60, is_released=True):
     """Stop while a stream is open."""
@@ -78,3 +84,41 @@
 @then('the stop reports what was left open')
 def step_left_open(context):
     assert not context.is_complete
+
+
+@given('a listener with a request that never ends')
+def step_endless(context):
+    context.endings = []
+
+    async def wait_forever(_request):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            context.endings.append('cancelled')
+
+    async def start():
+        app = web.Application()
+        app.router.add_get('/', wait_forever)
+        runner = web.AppRunner(app, **RUNNER_OPTIONS)
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        _, writer = await asyncio.open_connection(*runner.addresses[0][:2])
+        writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        await asyncio.sleep(START_S)
+        return runner, writer
+
+    context.runner, context.writer = context.run(start())
+
+
+@when('the listener is closed')
+def step_close_listener(context):
+    started_s = time.monotonic()
+    context.run(context.runner.cleanup())
+    context.took_s = time.monotonic() - started_s
+    context.writer.close()
+
+
+@then('it is closed within {limit_s:d} seconds and the request was cancelled')
+def step_closed_soon(context, limit_s):
+    assert context.took_s < limit_s, context.took_s
+    assert context.endings == ['cancelled'], context.endings
