Soak of the platform's programs under faults

Real gateways and turn stores as processes, a stand-in of the platform's store and servers behind proxies; 19 kinds of faults drawn by a seed in overlapping series; eight promises checked while it runs from what callers and servers saw. Each check has forged evidence that it must notice; four mechanisms are broken in real processes. make platform-soak SEED= COUNT= SECONDS_EACH=. Clocks: the programs use the monotonic clock only, so there is no fault of it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: help install demo test format lint docs generate soak capacity
+.PHONY: help install demo test format lint docs generate soak platform-soak capacity
 
 help:
 	@echo "make demo      install, then run the product with stand-ins and check the result"
@@ -13,6 +13,7 @@
 	@echo "make docs      rewrite the generated docs pages"
 	@echo "make generate  regenerate the thrift code (needs the thrift compiler)"
 	@echo "make capacity  measure messages, memory, decisions and idle cells"
+	@echo "make platform-soak  run gateways and turn stores under faults: SEED, COUNT, SECONDS_EACH"
 	@echo "make soak      run the randomised features with SEED and ROUNDS"
 
 install: $(VENV)/.installed
@@ -52,5 +53,10 @@
 soak: install
 	SOAK_SEED=$(SEED) SOAK_ROUNDS=$(ROUNDS) $(BIN)/behave --no-capture --tags=randomised tests
 
+SECONDS_EACH ?= 20
+COUNT ?= 1
+platform-soak: install
+	$(BIN)/python -m tests.platform_soak.main --seed $(SEED) --count $(COUNT) --seconds $(SECONDS_EACH)
+
 capacity: install
 	$(BIN)/python -m rattanvalve.load_main capacity
--- a/rattanvalve/child_processes.py
+++ b/rattanvalve/child_processes.py
@@ -26,13 +26,15 @@
     """Processes started by this one, by name; only these are ever ended.
 
     ``log_folder`` receives one log file for each child; ``root`` is the
-    checkout whose programs are started.
+    checkout whose programs are started; ``environment`` is added to that of
+    this process.
     """
 
     log_folder: Path
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
     commands: dict[str, tuple[str, ...]] = field(default_factory=dict)
     root: Path = _ROOT
+    environment: dict[str, str] = field(default_factory=dict)
 
     def start(self, name: str, module: str, *arguments: str) -> None:
         """Start a program of this package.
@@ -53,7 +55,11 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env=os.environ | {'PYTHONPATH': python_path},
+                env={
+                    **os.environ,
+                    **self.environment,
+                    'PYTHONPATH': python_path,
+                },
                 # Ctrl-C in a terminal reaches only this process, which then
                 # ends its children in order.
                 start_new_session=True,
--- /dev/null
+++ b/tests/platform_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak of the programs that run on the users' platform."""
--- /dev/null
+++ b/tests/platform_soak/broken_program.py
@@ -0,0 +1,39 @@
+"""Runs a gateway or a turn store with one mechanism broken on purpose.
+
+The first arguments are the program and the name of the break.
+"""
+
+import sys
+
+from rattanvalve.gateway import forwarding, turns
+from rattanvalve.gateway import main as gateway_main
+from rattanvalve.turn_messages import RateGrant
+from rattanvalve.turnstore import main as turnstore_main
+from rattanvalve.turnstore.rateshares import RateShares
+
+BREAKS = {
+    'turns are repeated': (
+        (forwarding, '_may_go_on', lambda call, error, trace: True),
+    ),
+    'budgets are not counted': (
+        (turns, 'is_within_budget', lambda entries, budget_tokens: True),
+    ),
+    'context is left out': ((turns.CachedTurn, 'context', lambda turn: ()),),
+    'rates are not counted': (
+        (
+            RateShares,
+            'take',
+            lambda shares, message, now_s: RateGrant(
+                is_known=True,
+                is_granted=True,
+            ),
+        ),
+    ),
+}
+PROGRAMS = {'gateway': gateway_main.main, 'store': turnstore_main.main}
+
+if __name__ == '__main__':
+    program, break_name = sys.argv[1:3]
+    for owner, name, broken in BREAKS[break_name]:
+        setattr(owner, name, broken)
+    PROGRAMS[program](sys.argv[3:])
--- /dev/null
+++ b/tests/platform_soak/main.py
@@ -0,0 +1,41 @@
+"""Command line of the soak: ``python -m tests.platform_soak.main``."""
+
+import sys
+
+import click
+import uvloop
+
+from tests.platform_soak.run import soak
+
+
+@click.command()
+@click.option('--seed', default=1, show_default=True, help='First seed.')
+@click.option('--count', default=1, show_default=True, help='Seeds to run.')
+@click.option(
+    '--seconds',
+    default=20.0,
+    show_default=True,
+    help='How long faults begin, for each seed.',
+)
+@click.option('--gateways', default=3, show_default=True)
+@click.option('--stores', default=3, show_default=True)
+@click.option('--callers', default=12, show_default=True)
+def main(
+    seed: int,
+    count: int,
+    seconds: float,
+    gateways: int,
+    stores: int,
+    callers: int,
+) -> None:
+    """Run real gateways and turn stores under faults and check promises."""
+    is_broken = False
+    for number in range(seed, seed + count):
+        report = uvloop.run(soak(number, seconds, gateways, stores, callers))
+        click.echo(report.text())
+        is_broken = is_broken or bool(report.found)
+    sys.exit(int(is_broken))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/platform_soak/soak.feature
@@ -0,0 +1,39 @@
+Feature: soak of the platform's programs under faults
+
+  Scenario Outline: each check notices a broken promise
+    Given evidence in which <break>
+    Then exactly "<promise>" is reported
+
+    Examples:
+      | break                           | promise                              |
+      | an unsafe request ran again     | nothing runs twice                   |
+      | a refused request ran           | a refusal that says "not run" is true |
+      | an answer lacks its end         | a success is one whole answer        |
+      | a turn ran without its context  | turns run on their whole context     |
+      | a whole turn was denied         | no whole turn is forgotten           |
+      | a program got more tokens       | no program exceeds its budget        |
+      | a workspace ran too much        | no workspace exceeds its rate        |
+      | a request ran that nobody sent  | nothing runs that nobody sent        |
+
+  Scenario: evidence without faults is clean
+    Given evidence without faults
+    Then nothing is reported
+
+  Scenario Outline: real processes keep their promises under faults
+    When the soak runs for <seconds> seconds with seed <seed>
+    Then nothing is found
+
+    Examples: a short run, and seeds that failed before
+      | seed | seconds |
+      | 7    | 6       |
+
+  Scenario Outline: the soak notices a broken mechanism in real processes
+    When the soak runs for 4 seconds with seed 7 and the break <break>
+    Then the soak reports "<promise>"
+
+    Examples:
+      | break                       | promise                          |
+      | turns are repeated          | nothing runs twice               |
+      | budgets are not counted     | no program exceeds its budget    |
+      | context is left out         | turns run on their whole context |
+      | rates are not counted       | no workspace exceeds its rate    |
--- /dev/null
+++ b/tests/platform_soak/world.py
@@ -0,0 +1,227 @@
+"""Real gateways and turn stores as processes, with stand-ins around them."""
+
+import asyncio
+import json
+import random
+import shutil
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+
+from rattanvalve.child_processes import Children
+from rattanvalve.fault_proxy import FaultProxy
+from rattanvalve.fleet_settings import Address
+from rattanvalve.platform.nodefile import ENVIRONMENT_VARIABLE
+from tests.platform_fleet import configuration, free_port
+from tests.platform_soak.callers import Caller
+from tests.platform_soak.evidence import Evidence
+from tests.platform_soak.servers import SoakServer
+from tests.platform_store import PlatformStore
+
+__all__ = ('SoakWorld',)
+
+SECRET = 'secret-of-the-soak-' * 2
+RATE_PER_S = 25
+BURST = 10
+START_LIMIT_S = 20.0
+GRACE_S = 3.0
+MODULES = {
+    'gateway': 'rattanvalve.gateway.main',
+    'store': 'rattanvalve.turnstore.main',
+}
+#: Loopback networks of soaks that run at the same time differ.
+NETWORKS = range(20, 250)
+NODE_FILE = """
+nodeName = "{name}"
+ip = "{host}"
+zone = "z{zone}"
+internalPorts = [{port}, {port}]
+seeds = {seeds}
+bootstrap = {bootstrap}
+dataDir = "{data}"
+[limits]
+memoryMb = 200
+maxFds = 4000
+[platform]
+address = "127.0.0.1:{store_port}"
+[listen]
+front = "{front}"
+readyAddr = "{ready}"
+[faultTolerance]
+machines = 1
+[bounds]
+graceS = {grace_s}
+"""
+
+
+class SoakWorld:
+    """Everything of one soak.
+
+    :param seed: seed of callers, servers and faults.
+    :param gateway_count: number of gateways.
+    :param store_count: number of turn stores.
+    :param break_name: mechanism that all processes have broken.
+    """
+
+    def __init__(self, seed, gateway_count=3, store_count=3, break_name=''):
+        self.rng = random.Random(seed)
+        self.folder = Path(tempfile.mkdtemp(prefix='soak-'))
+        self.children = Children(self.folder)
+        self.evidence = Evidence(rate_per_s=RATE_PER_S, burst=BURST)
+        self.store = PlatformStore()
+        self.gateways = [f'gateway-{index}' for index in range(gateway_count)]
+        self.stores = [f'store-{index}' for index in range(store_count)]
+        self.server_proxies = {}
+        self.store_proxies = {}
+        self._break_name = break_name
+        self._network = self.rng.choice(NETWORKS)
+        self._ports = {
+            name: free_port() for name in ('internal', 'front', 'ready')
+        }
+        self._servers = []
+        self._callers = []
+
+    async def start(self, caller_count):
+        """Start all parts, wait until the gateways are ready, send requests."""
+        address = await self.store.start()
+        self._store_port = int(address.split(':')[1])
+        for server_name in ('models-1', 'models-2', 'app-1', 'app-2'):
+            await self._add_server(server_name)
+        self.store.put(
+            'config',
+            'main',
+            configuration(rate=RATE_PER_S, burst=BURST),
+        )
+        for process_name in (*self.stores, *self.gateways):
+            await self._start_process(process_name)
+        await asyncio.gather(*map(self.wait_ready, self.gateways))
+        urls = [
+            f'http://{self._host(name)}:{self._ports["front"]}'
+            for name in self.gateways
+        ]
+        for number in range(caller_count):
+            rng = random.Random(self.rng.random())
+            caller = Caller(number, rng, urls, self.evidence)
+            self._callers.append(asyncio.ensure_future(caller.run()))
+
+    async def stop(self):
+        """End callers, processes and stand-ins; the folder is removed."""
+        for caller in self._callers:
+            caller.cancel()
+        await asyncio.gather(*self._callers, return_exceptions=True)
+        for name in self.children.alive():
+            self.children.signal(name, signal.SIGCONT)
+        self.children.stop_all(GRACE_S + 1)
+        proxies = (*self.server_proxies.values(), *self.store_proxies.values())
+        for part in proxies:
+            part.stop()
+        for server in self._servers:
+            await server.stop()
+        await self.store.stop()
+
+    def remove_folder(self):
+        """Remove logs and data, once nothing was found."""
+        shutil.rmtree(self.folder)
+
+    def restart(self, name):
+        """Start a process again that has ended."""
+        self._write_node(name, is_first_start=False)
+        self._environment(name)
+        self.children.restart(name)
+
+    def wipe(self, name):
+        """Remove the disk of a turn store that has ended."""
+        shutil.rmtree(self.folder / f'data-{name}')
+
+    async def is_ready(self, name):
+        """Tell whether a gateway answers that it is ready."""
+        url = f'http://{self._host(name)}:{self._ports["ready"]}/ready'
+        timeout = aiohttp.ClientTimeout(total=1)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            try:
+                async with session.get(url) as response:
+                    return response.status == 200
+            except (aiohttp.ClientError, TimeoutError):
+                return False
+
+    async def wait_ready(self, name, limit_s=START_LIMIT_S):
+        """Wait until a gateway is ready; gives the time it took."""
+        started_s = time.monotonic()
+        while not await self.is_ready(name):
+            if time.monotonic() - started_s > limit_s:
+                raise TimeoutError(f'{name} is not ready after {limit_s} s')
+            await asyncio.sleep(0.1)
+        return time.monotonic() - started_s
+
+    async def _add_server(self, name):
+        rng = random.Random(self.rng.random())
+        server = SoakServer(name, rng, self.evidence)
+        target = await server.start()
+        host, _, port = target.rpartition(':')
+        proxy = FaultProxy(
+            Address(host='127.0.0.1', port=free_port()),
+            Address(host=host, port=int(port)),
+        )
+        await proxy.start()
+        self.server_proxies[name] = proxy
+        self._servers.append(server)
+        spec = {
+            'service': name.partition('-')[0],
+            'address': f'127.0.0.1:{proxy.listen.port}',
+            'zone': 'z0',
+            'slots': 8,
+            'state': 'ready',
+            'born': 1,
+        }
+        self.store.put('servers', name, spec)
+
+    async def _start_process(self, name):
+        proxy = FaultProxy(
+            Address(host='127.0.0.1', port=free_port()),
+            Address(host='127.0.0.1', port=self._store_port),
+        )
+        await proxy.start()
+        self.store_proxies[name] = proxy
+        self._write_node(name, is_first_start=True)
+        self._environment(name)
+        role = name.partition('-')[0]
+        if self._break_name:
+            module = 'tests.platform_soak.broken_program'
+            self.children.start(name, module, role, self._break_name)
+        else:
+            self.children.start(name, MODULES[role])
+
+    def _environment(self, name):
+        self.children.environment = {
+            ENVIRONMENT_VARIABLE: str(self.folder / f'{name}.toml'),
+            'RATTANVALVE_PEER_SECRET': SECRET,
+        }
+
+    def _host(self, name):
+        order = (*self.stores, *self.gateways).index(name)
+        return f'127.1.{self._network}.{order + 1}'
+
+    def _write_node(self, name, *, is_first_start):
+        is_gateway = name in self.gateways
+        host = self._host(name)
+        seeds = [
+            f'{self._host(store)}:{self._ports["internal"]}'
+            for store in self.stores
+        ]
+        text = NODE_FILE.format(
+            name=name,
+            host=host,
+            zone=name[-1],
+            port=self._ports['internal'],
+            seeds=json.dumps(seeds),
+            bootstrap=str(is_first_start).lower(),
+            data='' if is_gateway else self.folder / f'data-{name}',
+            store_port=self.store_proxies[name].listen.port,
+            front=f'{host}:{self._ports["front"]}' if is_gateway else '',
+            ready=f'{host}:{self._ports["ready"]}' if is_gateway else '',
+            grace_s=GRACE_S,
+        )
+        (self.folder / f'{name}.toml').write_text(text)
