Pass no request on whose connection was closed by the stop

Cause: the process was late, the timer that closes idle connections ran before the socket was read, and the handler then passed the request on without a connection to answer on. Ruled out: the grace (the request was 2.9 s into it), the server (cut by us). A handler without a connection does nothing now, and the stop lets requests that have arrived reach their handlers before it looks for idle connections. The new scenario failed before.

--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from http import HTTPStatus
 
 from aiohttp import web
 
@@ -68,10 +69,14 @@
         :returns: the response, which was sent.
         """
         received_s = time.monotonic()
+        transport = request.transport
+        if transport is None:
+            # We closed the connection while the request came in, so it must
+            # not run; nobody gets this response.
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         sink = CallerSink(request, is_last=self.is_stopping)
         trace = Trace()
         outcome = 'cancelled'
-        transport = request.transport
         self.busy_transports.add(transport)
         try:
             refusal = await self._serve(request, sink, trace, received_s)
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -47,6 +47,8 @@
 MAX_LINE_BYTES = 16_384
 LISTEN_BACKLOG = 512
 STOP_CHECK_INTERVAL_S = 0.05
+#: Turns of the event loop from a readable socket to the handler.
+READ_TURNS = 4
 
 _log = part_logger(LogPart.PROCESS)
 
@@ -141,6 +143,7 @@
         self._listener.close()
         until_s = started_s + grace_s - CLOSE_GRACE_S
         while callers.connections and time.monotonic() < until_s:
+            await _read_arrived()
             self._close_idle(callers)
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         _log.info(
@@ -204,6 +207,15 @@
         self._loads.forget(endpoint)
 
 
+async def _read_arrived() -> None:
+    """Let requests reach their handlers that have arrived.
+
+    After a delay of the process, timers go before sockets.
+    """
+    for _ in range(READ_TURNS):
+        await asyncio.sleep(0)
+
+
 async def _listen(server: web.Server, address: Address) -> asyncio.Server:
     return await asyncio.get_running_loop().create_server(
         server,
--- a/tests/gateway/decisions.feature
+++ b/tests/gateway/decisions.feature
@@ -71,3 +71,6 @@
 
   Scenario: headers of callers that are malformed are left out
     Then odd numbers and prompt parts in headers are passed over
+
+  Scenario: a request whose connection was closed meanwhile is not passed on
+    Then an ingress with a closed connection asks no other part
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -1,5 +1,7 @@
 """Steps of gateway/decisions.feature."""
 
+from unittest import mock
+
 from behave import given, then, when
 
 from rattanvalve.channels import Address
@@ -7,6 +9,7 @@
 from rattanvalve.gateway.calls import header_number, read_turn
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.events import EventFollower
+from rattanvalve.gateway.ingress import Ingress
 from rattanvalve.gateway.loads import LoadTable, PromptPart
 from rattanvalve.gateway.placement import Demand, choose_endpoint
 from rattanvalve.gateway.response_parser import ResponseParser
@@ -390,3 +393,13 @@
     )
     assert turn.output_tokens_max == 0 and turn.budget_tokens is None
     assert turn.parts == (PromptPart('a', 1), PromptPart('d', 4))
+
+
+@then('an ingress with a closed connection asks no other part')
+def step_closed_connection(context):
+    # Any use of the parts would fail, as there are none.
+    ingress = Ingress(None, None, None, None, None)
+    request = mock.Mock(transport=None, headers={})
+    response = context.run(ingress.handle(request))
+    assert response.status == 503
+    assert not ingress.busy_transports
