Reach the turn stores through other gateways when cut off from them

Readiness cannot help, nor can Retry-After: a caller's next connection meets another gateway that is cut off.

Gateways take frames now, make themselves known to the turn stores, and learn of each other there. The new scenario: a gateway cut off from all turn stores continues a chain.

--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -325,3 +325,27 @@
   2: bool is_granted
   3: i64 wait_ms
 }
+
+struct Introduce {
+  1: string host
+  2: i32 port
+}
+
+struct GatewayList {
+  1: list<string> hosts
+}
+
+struct ProbeRelay {
+}
+
+struct RelayState {
+  1: bool reaches_stores
+}
+
+struct Relayed {
+  1: string host
+  2: i32 port
+  3: i32 kind
+  4: binary payload
+  5: i64 timeout_ms
+}
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -14,11 +14,13 @@
 from rattanvalve.gateway.forwarding import Forwarder
 from rattanvalve.gateway.ingress import Ingress
 from rattanvalve.gateway.loads import LoadTable
+from rattanvalve.gateway.relays import RelayService
 from rattanvalve.gateway.turn_cache import TurnCache
 from rattanvalve.gateway.turn_client import TurnClient
 from rattanvalve.gateway.turns import TurnKeeper
 from rattanvalve.http_errors import malformed_http_counter
 from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.peer_server import PeerServer
 from rattanvalve.peers import PeerPool
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.platform.objects import ObjectStore
@@ -71,12 +73,24 @@
         self._loads = LoadTable()
         self._directory = EndpointDirectory(self._forget)
         self._listener: asyncio.Server | None = None
+        self._address = Address(node.host, node.first_port)
         client = self._client = TurnClient(
             self._peers,
             self._state.known_members,
             node.zone,
             node.lost_disks_max,
             self._state.reach,
+            self._address,
+        )
+        relay_service = RelayService(
+            self._peers,
+            self._state.known_members,
+            client.reaches_stores,
+        )
+        self._peer_server = PeerServer(
+            peer_secret,
+            relay_service.handlers(),
+            self._state.metrics,
         )
         cache = TurnCache(int(node.memory_mb * CACHE_SHARE * 1_000_000))
         turns = TurnKeeper(client, cache)
@@ -115,6 +129,7 @@
             self._listener = await _listen(callers, self._node.callers)
             servers.append(await _listen(readiness, self._node.readiness))
             servers.append(await serve_metrics(self._page, self._node))
+            await self._peer_server.start(self._address)
             _log.info('gateway started')
             # A stop must not cancel the work before the open requests end.
             await asyncio.wait((work,))
@@ -128,6 +143,7 @@
             work.cancel()
             with suppress(asyncio.CancelledError):
                 await work
+            await self._peer_server.stop()
             self._peers.close()
 
     async def _stop(self, callers: web.Server) -> None:
@@ -177,6 +193,7 @@
         return [
             *(follower.run() for follower in followers.values()),
             exchange.run(),
+            self._client.relays.run(),
             self._pool.run(),
         ]
 
--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -6,7 +6,9 @@
 from dataclasses import replace
 from typing import Any
 
+from rattanvalve.channels import Address
 from rattanvalve.errors import PeerError, QuorumError
+from rattanvalve.gateway.relays import RelayTable
 from rattanvalve.peers import PeerPool
 from rattanvalve.sharedstate.members import (
     StoreMember,
@@ -62,6 +64,7 @@
     :param zone: zone of this process.
     :param lost_disks_max: disks that may be lost at once.
     :param reach: which members answer.
+    :param own: address at which this gateway takes frames.
     """
 
     def __init__(
@@ -71,7 +74,9 @@
         zone: str,
         lost_disks_max: int,
         reach: ReachTable,
+        own: Address,
     ) -> None:
+        self.relays = RelayTable(own, pool, members, self.reaches_stores)
         self._pool = pool
         self._members = members
         self._zone = zone
@@ -83,13 +88,21 @@
 
         :returns: whether calls would fail.
         """
+        is_reached = self.reaches_stores()
+        return not (is_reached or self.relays.is_usable(time.monotonic()))
+
+    def reaches_stores(self) -> bool:
+        """Return whether enough members answer without another gateway.
+
+        :returns: whether most of them do.
+        """
         # A leaving member takes no records and may be gone already.
         members = [
             member for member in self._members() if not member.is_leaving
         ]
         is_enough = len(members) >= quorum_size(self._lost_disks_max)
         now_s = time.monotonic()
-        return not (is_enough and self._reach.has_majority(members, now_s))
+        return is_enough and self._reach.has_majority(members, now_s)
 
     async def reserve(
         self,
@@ -327,6 +340,31 @@
         message: Any,
         answer_class: type,
         timeout_s: float,
+    ) -> Any:
+        if self._needs_relay(member):
+            answer = await self.relays.call(
+                member.address,
+                message,
+                timeout_s,
+            )
+        else:
+            answer = await self._call_direct(member, message, timeout_s)
+        if not isinstance(answer, answer_class):
+            raise PeerError(f'unexpected {type(answer).__name__}')
+        return answer
+
+    def _needs_relay(self, member: StoreMember) -> bool:
+        return (
+            self._reach.has_failed(member.address)
+            and not self.reaches_stores()
+            and self.relays.is_usable(time.monotonic())
+        )
+
+    async def _call_direct(
+        self,
+        member: StoreMember,
+        message: Any,
+        timeout_s: float,
     ) -> Any:
         try:
             answer = await self._pool.call(member.address, message, timeout_s)
@@ -334,8 +372,6 @@
             self._reach.note_failure(member.address, time.monotonic())
             raise
         self._reach.note_answer(member.address, time.monotonic())
-        if not isinstance(answer, answer_class):
-            raise PeerError(f'unexpected {type(answer).__name__}')
         return answer
 
 
--- a/rattanvalve/turn_messages.py
+++ b/rattanvalve/turn_messages.py
@@ -9,13 +9,18 @@
 __all__ = (
     'FetchRecords',
     'FetchTurn',
+    'GatewayList',
+    'Introduce',
     'Ledger',
     'LedgerEntry',
     'ListRecords',
+    'ProbeRelay',
     'RateGrant',
     'RecordBatch',
     'RecordKey',
     'RecordList',
+    'RelayState',
+    'Relayed',
     'Reserve',
     'SettleTurn',
     'Stored',
@@ -168,3 +173,44 @@
     is_known: bool = False
     is_granted: bool = False
     wait_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Introduce:
+    """Tell a member that a gateway takes frames at an address."""
+
+    host: str = ''
+    port: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewayList:
+    """Hosts of the gateways that made themselves known a moment ago."""
+
+    hosts: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ProbeRelay:
+    """Ask another gateway whether it reaches the turn stores."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayState:
+    """Whether a gateway reaches the turn stores, or a call through it did."""
+
+    reaches_stores: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Relayed:
+    """A message to a member of the turn store, sent through a gateway.
+
+    ``kind`` is the wire number of the message in ``payload``.
+    """
+
+    host: str = ''
+    port: int = 0
+    kind: int = 0
+    payload: bytes = b''
+    timeout_ms: int = 0
--- a/rattanvalve/turnstore/service.py
+++ b/rattanvalve/turnstore/service.py
@@ -8,6 +8,8 @@
 from rattanvalve.turn_messages import (
     FetchRecords,
     FetchTurn,
+    GatewayList,
+    Introduce,
     Ledger,
     ListRecords,
     RecordBatch,
@@ -25,6 +27,8 @@
 __all__ = ('TurnService',)
 
 LIST_COUNT = 2000
+#: A gateway makes itself known to one of the stores every second.
+GATEWAY_KNOWN_S = 30.0
 
 
 class TurnService:
@@ -48,6 +52,8 @@
         self._shares = shares
         self._is_complete = is_complete
         self._incarnation = secrets.token_hex(8)
+        #: Hosts of gateways with the time until which they count as known.
+        self._gateways: dict[str, float] = {}
 
     def handlers(self) -> dict[type, Handler]:
         """Give the handler of each class of message.
@@ -62,6 +68,7 @@
             ListRecords: self._list,
             FetchRecords: self._fetch_records,
             TakeRate: self._take_rate,
+            Introduce: self._introduce,
         }
 
     async def _reserve(self, message: Reserve, send: Send) -> None:
@@ -100,3 +107,11 @@
 
     async def _take_rate(self, message: TakeRate, send: Send) -> None:
         await send(self._shares.take(message, time.monotonic()))
+
+    async def _introduce(self, message: Introduce, send: Send) -> None:
+        now_s = time.monotonic()
+        self._gateways[message.host] = now_s + GATEWAY_KNOWN_S
+        for host, until_s in tuple(self._gateways.items()):
+            if until_s < now_s:
+                self._gateways.pop(host)
+        await send(GatewayList(hosts=tuple(self._gateways)))
--- a/rattanvalve/wire.py
+++ b/rattanvalve/wire.py
@@ -26,6 +26,7 @@
     'MAX_FRAME_BYTES',
     'NONCE_BYTES',
     'FrameSealer',
+    'class_of',
     'decode_struct',
     'encode_struct',
     'kind_of',
@@ -78,6 +79,11 @@
     34: turn_messages.RecordBatch,
     35: turn_messages.TakeRate,
     36: turn_messages.RateGrant,
+    37: turn_messages.Introduce,
+    38: turn_messages.GatewayList,
+    39: turn_messages.ProbeRelay,
+    40: turn_messages.RelayState,
+    41: turn_messages.Relayed,
 }
 _KIND_NUMBERS = {kind: number for number, kind in _KINDS.items()}
 
@@ -95,6 +101,15 @@
 )
 
 
+def class_of(number: int) -> type | None:
+    """Give the class of a wire number.
+
+    :param number: number of the message's class.
+    :returns: the class, ``None`` if there is none.
+    """
+    return _KINDS.get(number)
+
+
 def kind_of(message: Any) -> int:
     """Give the wire number of a message.
 
--- a/rattanvalve/wire_gen/ttypes.py
+++ b/rattanvalve/wire_gen/ttypes.py
@@ -4216,6 +4216,337 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Introduce(object):
+    """
+    Attributes:
+     - host
+     - port
+
+    """
+
+
+    def __init__(self, host=None, port=None,):
+        self.host = host
+        self.port = port
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Introduce')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 2)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GatewayList(object):
+    """
+    Attributes:
+     - hosts
+
+    """
+
+
+    def __init__(self, hosts=None,):
+        self.hosts = hosts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.hosts = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.hosts.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GatewayList')
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.hosts))
+            for iter90 in self.hosts:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ProbeRelay(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ProbeRelay')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayState(object):
+    """
+    Attributes:
+     - reaches_stores
+
+    """
+
+
+    def __init__(self, reaches_stores=None,):
+        self.reaches_stores = reaches_stores
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.reaches_stores = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayState')
+        if self.reaches_stores is not None:
+            oprot.writeFieldBegin('reaches_stores', TType.BOOL, 1)
+            oprot.writeBool(self.reaches_stores)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Relayed(object):
+    """
+    Attributes:
+     - host
+     - port
+     - kind
+     - payload
+     - timeout_ms
+
+    """
+
+
+    def __init__(self, host=None, port=None, kind=None, payload=None, timeout_ms=None,):
+        self.host = host
+        self.port = port
+        self.kind = kind
+        self.payload = payload
+        self.timeout_ms = timeout_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.kind = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.payload = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.timeout_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Relayed')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 2)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 3)
+            oprot.writeI32(self.kind)
+            oprot.writeFieldEnd()
+        if self.payload is not None:
+            oprot.writeFieldBegin('payload', TType.STRING, 4)
+            oprot.writeBinary(self.payload)
+            oprot.writeFieldEnd()
+        if self.timeout_ms is not None:
+            oprot.writeFieldBegin('timeout_ms', TType.I64, 5)
+            oprot.writeI64(self.timeout_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -4580,5 +4911,33 @@
     (2, TType.BOOL, 'is_granted', None, None, ),  # 2
     (3, TType.I64, 'wait_ms', None, None, ),  # 3
 )
+all_structs.append(Introduce)
+Introduce.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'port', None, None, ),  # 2
+)
+all_structs.append(GatewayList)
+GatewayList.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'hosts', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(ProbeRelay)
+ProbeRelay.thrift_spec = (
+)
+all_structs.append(RelayState)
+RelayState.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'reaches_stores', None, None, ),  # 1
+)
+all_structs.append(Relayed)
+Relayed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'port', None, None, ),  # 2
+    (3, TType.I32, 'kind', None, None, ),  # 3
+    (4, TType.STRING, 'payload', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'timeout_ms', None, None, ),  # 5
+)
 fix_spec(all_structs)
 del all_structs
--- a/tests/gateway/whole_path.feature
+++ b/tests/gateway/whole_path.feature
@@ -105,3 +105,11 @@
   Scenario: the history of the store is dropped
     When the store drops its history and app-1 is removed
     Then soon only app-2 answers
+
+  Scenario: a gateway that is cut off from the turn stores uses another one
+    When turn a begins with "hello " through gateway 0
+    And gateway 0 is cut off from the turn stores
+    And turn b continues a with "again " through gateway 0
+    And turn c continues b with "more" through gateway 1
+    Then the model got the prompts and outputs of a and b before "more"
+    And gateway 0 is ready, and not ready once gateway 1 is cut off, too
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from rattanvalve.channels import Address
+from rattanvalve.errors import PeerError
 from rattanvalve.gateway.process import GatewayProcess
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.turnstore.process import TurnStoreProcess
@@ -92,6 +93,7 @@
         self.first_port = free_port()
         self.folder = Path(tempfile.mkdtemp())
         self.tasks = {}
+        self.gateways = {}
         self.first_number = next(_numbers) * 10
         self.session = None
 
@@ -147,8 +149,23 @@
     def start_gateway(self, index):
         """Start a gateway."""
         process = GatewayProcess(self._node('gateway', index, True), SECRET)
+        self.gateways[index] = process
         self.tasks[f'gateway-{index}'] = asyncio.ensure_future(process.run())
 
+    def cut_off(self, index):
+        """Let no call of a gateway reach a turn store any more."""
+        peers = self.gateways[index]._peers
+        call = peers.call
+        stores = {self.host('store', number) for number in range(3)}
+
+        async def call_or_fail(address, message, timeout_s):
+            if address.host in stores:
+                await asyncio.sleep(timeout_s)
+                raise PeerError('cut off')
+            return await call(address, message, timeout_s)
+
+        peers.call = call_or_fail
+
     async def stop_process(self, name):
         """Stop a process in order."""
         task = self.tasks.pop(name)
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -307,6 +307,7 @@
         'z',
         1,
         ReachTable(),
+        Address('127.0.0.1', 9),
     )
 
 
--- a/tests/steps/gateway_whole_path_steps.py
+++ b/tests/steps/gateway_whole_path_steps.py
@@ -494,3 +494,30 @@
     status, headers, _ = context.run(context.fleet.request('/book/whole'))
     assert status == 503, status
     assert float(headers['Retry-After']) > 0
+
+
+@when('gateway 0 is cut off from the turn stores')
+def step_cut_off(context):
+    async def cut():
+        fleet = context.fleet
+        client = fleet.gateways[0]._client
+        await wait_until(lambda: client.relays.is_known())
+        fleet.cut_off(0)
+        await wait_until(lambda: not client.reaches_stores())
+        await wait_until(lambda: not client.is_cut_off())
+
+    context.run(cut())
+
+
+@then('gateway 0 is ready, and not ready once gateway 1 is cut off, too')
+def step_both_cut_off(context):
+    async def cut():
+        fleet = context.fleet
+        await fleet.wait_ready(0)
+        fleet.cut_off(1)
+        await fleet.wait_ready(0, is_ready=False)
+        status, headers, _ = await fleet.request('/look/x', 0)
+        assert status == 503, status
+        assert float(headers['Retry-After']) > 0
+
+    context.run(cut())
