Split the turn client: calls of members, rates, turns; drop unused settings

The client had grown to 18 methods with the relays. MemberCalls reaches members directly or through a gateway, RateClient takes rates, TurnClient stores and fetches.

--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -10,7 +10,8 @@
 from rattanvalve.gateway.caller_sink import CallerSink
 from rattanvalve.gateway.calls import Call, Refusal, header_number, read_turn
 from rattanvalve.gateway.forwarding import Forwarder, Trace
-from rattanvalve.gateway.turn_client import TurnClient
+from rattanvalve.gateway.member_calls import MemberCalls
+from rattanvalve.gateway.rate_client import RateClient
 from rattanvalve.gateway.turns import TurnKeeper
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.platform import names
@@ -41,7 +42,7 @@
     :param state: rules and identity of this process.
     :param forwarder: sends requests to endpoints.
     :param turns: keeper of turns.
-    :param client: client of the turn store.
+    :param calls: calls of the turn store.
     :param page: metrics of this process.
     """
 
@@ -50,7 +51,7 @@
         state: SharedState,
         forwarder: Forwarder,
         turns: TurnKeeper,
-        client: TurnClient,
+        calls: MemberCalls,
         page: MetricsPage,
     ) -> None:
         self._page = page
@@ -60,7 +61,8 @@
         self._state = state
         self._forwarder = forwarder
         self._turns = turns
-        self._client = client
+        self._calls = calls
+        self._rates = RateClient(calls)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request.
@@ -111,7 +113,7 @@
             return Refusal(ResultCode.REQUEST_TIMEOUT)
         call = _call_of(request, body, route, workspace, received_s)
         trace.workspace = call.workspace_name
-        if self._client.is_cut_off():
+        if self._calls.is_cut_off():
             return self._refuse_cut_off(sink)
         refusal = await self._prepare(call, sink, trace)
         if refusal is not None:
@@ -202,7 +204,7 @@
             # A program that has begun is worth a wait.
             wait_max_ms=0 if is_start else max(int(wait_max_s * 1000), 0),
         )
-        grant = await self._client.take_rate(message)
+        grant = await self._rates.take(message)
         trace.rate_wait_ms = grant.wait_ms
         wait_s = grant.wait_ms / 1000
         if not grant.is_granted:
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -2,23 +2,23 @@
 
 import asyncio
 import time
-from contextlib import suppress
+from contextlib import AsyncExitStack, suppress
 from http import HTTPStatus
 
 from aiohttp import web
 
-from rattanvalve.channels import Address
 from rattanvalve.errors import SettingsError
 from rattanvalve.gateway.connection_pool import ConnectionPool
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.forwarding import Forwarder
 from rattanvalve.gateway.ingress import Ingress
+from rattanvalve.gateway.listening import caller_server, listen
 from rattanvalve.gateway.loads import LoadTable
+from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.gateway.relays import RelayService
 from rattanvalve.gateway.turn_cache import TurnCache
 from rattanvalve.gateway.turn_client import TurnClient
 from rattanvalve.gateway.turns import TurnKeeper
-from rattanvalve.http_errors import malformed_http_counter
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.peer_server import PeerServer
 from rattanvalve.peers import PeerPool
@@ -35,8 +35,6 @@
 
 #: Share of the memory limit for turns that were seen.
 CACHE_SHARE = 0.2
-#: Longer than any idle limit that the rules set for callers.
-KEEPALIVE_TIMEOUT_S = 75.0
 #: After readiness has gone, the balancer sends new connections for a while.
 UNREADY_GRACE_S = 3.0
 #: Largest share of the grace of a stop that is spent on that.
@@ -46,8 +44,6 @@
 #: The store counts as doubtful if its last confirmation is older than this,
 #: which is longer than a watch.
 STORE_DOUBT_S = 4.5
-MAX_LINE_BYTES = 16_384
-LISTEN_BACKLOG = 512
 STOP_CHECK_INTERVAL_S = 0.05
 #: Turns of the event loop from a readable socket to the handler.
 READ_TURNS = 4
@@ -73,19 +69,17 @@
         self._loads = LoadTable()
         self._directory = EndpointDirectory(self._forget)
         self._listener: asyncio.Server | None = None
-        self._address = Address(node.host, node.first_port)
-        client = self._client = TurnClient(
+        self._calls = MemberCalls(
             self._peers,
             self._state.known_members,
-            node.zone,
             node.lost_disks_max,
             self._state.reach,
-            self._address,
+            node.peer_address,
         )
         relay_service = RelayService(
             self._peers,
             self._state.known_members,
-            client.reaches_stores,
+            self._calls.reaches_stores,
         )
         self._peer_server = PeerServer(
             peer_secret,
@@ -93,7 +87,7 @@
             self._state.metrics,
         )
         cache = TurnCache(int(node.memory_mb * CACHE_SHARE * 1_000_000))
-        turns = TurnKeeper(client, cache)
+        turns = TurnKeeper(TurnClient(self._calls, node.zone), cache)
         forwarder = Forwarder(
             self._state,
             self._directory,
@@ -106,7 +100,7 @@
             self._state,
             forwarder,
             turns,
-            client,
+            self._calls,
             self._page,
         )
         self._state.board.listen(DocumentKind.SERVERS, self._take_servers)
@@ -114,37 +108,35 @@
     async def run(self) -> None:
         """Serve until cancelled, then finish what has begun."""
         work = asyncio.create_task(run_tasks(self._node.store, self._tasks))
-        callers = web.Server(
-            self._ingress.handle,
-            handler_cancellation=True,
-            access_log_class=malformed_http_counter(self._state.metrics),
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-            auto_decompress=False,
-        )
-        readiness = web.Server(self._answer_ready, access_log=None)
-        servers: list[asyncio.Server] = []
-        try:
-            self._listener = await _listen(callers, self._node.callers)
-            servers.append(await _listen(readiness, self._node.readiness))
-            servers.append(await serve_metrics(self._page, self._node))
-            await self._peer_server.start(self._address)
+        callers = caller_server(self._ingress.handle, self._state.metrics)
+        async with AsyncExitStack() as closers:
+            closers.push_async_callback(_cancel, work)
+            closers.callback(self._peers.close)
+            await self._listen_all(callers, closers)
             _log.info('gateway started')
-            # A stop must not cancel the work before the open requests end.
-            await asyncio.wait((work,))
-            work.result()
-        except asyncio.CancelledError:
-            await self._stop(callers)
-            raise
-        finally:
-            for server in servers:
-                server.close()
-            work.cancel()
-            with suppress(asyncio.CancelledError):
-                await work
-            await self._peer_server.stop()
-            self._peers.close()
+            try:
+                # A stop must not cancel the work before the open requests
+                # end.
+                await asyncio.wait((work,))
+                work.result()
+            except asyncio.CancelledError:
+                await self._stop(callers)
+                raise
+
+    async def _listen_all(
+        self,
+        callers: web.Server,
+        closers: AsyncExitStack,
+    ) -> None:
+        self._listener = await listen(callers, self._node.callers)
+        closers.callback(self._listener.close)
+        readiness = web.Server(self._answer_ready, access_log=None)
+        server = await listen(readiness, self._node.readiness)
+        closers.callback(server.close)
+        metrics_server = await serve_metrics(self._page, self._node)
+        closers.callback(metrics_server.close)
+        await self._peer_server.start(self._node.peer_address)
+        closers.push_async_callback(self._peer_server.stop)
 
     async def _stop(self, callers: web.Server) -> None:
         """Finish open requests, while the balancer learns of the stop."""
@@ -193,7 +185,7 @@
         return [
             *(follower.run() for follower in followers.values()),
             exchange.run(),
-            self._client.relays.run(),
+            self._calls.relays.run(),
             self._pool.run(),
         ]
 
@@ -202,7 +194,7 @@
             bool(self._state.rules.version)
             and not self._directory.is_empty()
             and not self._ingress.is_stopping
-            and not self._client.is_cut_off()
+            and not self._calls.is_cut_off()
         )
         return web.Response(
             status=(
@@ -233,10 +225,7 @@
         await asyncio.sleep(0)
 
 
-async def _listen(server: web.Server, address: Address) -> asyncio.Server:
-    return await asyncio.get_running_loop().create_server(
-        server,
-        address.host,
-        address.port,
-        backlog=LISTEN_BACKLOG,
-    )
+async def _cancel(task: asyncio.Task) -> None:
+    task.cancel()
+    with suppress(asyncio.CancelledError):
+        await task
--- a/rattanvalve/gateway/relays.py
+++ b/rattanvalve/gateway/relays.py
@@ -124,7 +124,7 @@
 
     async def run(self) -> None:
         """Introduce this gateway and look for relays until cancelled."""
-        introduce_s = 0.0
+        introduce_s = time.monotonic()
         while True:
             now_s = time.monotonic()
             if self._reaches_stores():
--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -1,44 +1,34 @@
-"""Client of the turn store: reservations, turns and shares of rates."""
+"""Client of the turn store: reservations and turns."""
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
-from dataclasses import replace
+from collections.abc import Sequence
 from typing import Any
 
-from rattanvalve.channels import Address
-from rattanvalve.errors import PeerError, QuorumError
-from rattanvalve.gateway.relays import RelayTable
-from rattanvalve.peers import PeerPool
+from rattanvalve.errors import QuorumError
+from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.sharedstate.members import (
     StoreMember,
     group_of,
     quorum_size,
 )
-from rattanvalve.sharedstate.reach import ReachTable
 from rattanvalve.turn_messages import (
     FetchTurn,
     Ledger,
     LedgerEntry,
-    RateGrant,
     Reserve,
     SettleTurn,
     Stored,
-    TakeRate,
     TurnChain,
     TurnRecord,
 )
-from rattanvalve.turnstore.rateshares import RATE_GROUP_LOSSES
 
 __all__ = ('TurnClient', 'merge_ledgers')
 
 #: A member that has not answered after this time is not waited for alone.
 HEDGE_S = 0.06
 CALL_TIMEOUT_S = 0.8
-RATE_TIMEOUT_S = 0.3
 RETRY_PAUSE_S = 0.05
-#: A wait that is shorter than asking another store.
-RATE_WAIT_SHORT_MS = 20
 
 
 def merge_ledgers(ledgers: Sequence[Ledger]) -> dict[str, LedgerEntry]:
@@ -59,50 +49,16 @@
 class TurnClient:
     """Calls members of the turn store, the nearest first.
 
-    :param pool: connections to the members.
-    :param members: gives all members.
+    :param calls: calls of the members.
     :param zone: zone of this process.
-    :param lost_disks_max: disks that may be lost at once.
-    :param reach: which members answer.
-    :param own: address at which this gateway takes frames.
     """
 
-    def __init__(
-        self,
-        pool: PeerPool,
-        members: Callable[[], Sequence[StoreMember]],
-        zone: str,
-        lost_disks_max: int,
-        reach: ReachTable,
-        own: Address,
-    ) -> None:
-        self.relays = RelayTable(own, pool, members, self.reaches_stores)
-        self._pool = pool
-        self._members = members
+    def __init__(self, calls: MemberCalls, zone: str) -> None:
+        self._calls = calls
+        self._members = calls.members
         self._zone = zone
-        self._lost_disks_max = lost_disks_max
-        self._reach = reach
-
-    def is_cut_off(self) -> bool:
-        """Return whether too few members answer to serve any program.
-
-        :returns: whether calls would fail.
-        """
-        is_reached = self.reaches_stores()
-        return not (is_reached or self.relays.is_usable(time.monotonic()))
-
-    def reaches_stores(self) -> bool:
-        """Return whether enough members answer without another gateway.
-
-        :returns: whether most of them do.
-        """
-        # A leaving member takes no records and may be gone already.
-        members = [
-            member for member in self._members() if not member.is_leaving
-        ]
-        is_enough = len(members) >= quorum_size(self._lost_disks_max)
-        now_s = time.monotonic()
-        return is_enough and self._reach.has_majority(members, now_s)
+        self._lost_disks_max = calls.lost_disks_max
+        self._reach = calls.reach
 
     async def reserve(
         self,
@@ -159,48 +115,6 @@
                 raise QuorumError(f'turn {turn_id} is not known for sure')
             await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def take_rate(self, message: TakeRate) -> RateGrant:
-        """Take one request of a workspace's rate.
-
-        :param message: workspace, and whether a program begins.
-        :returns: whether it is within the rate.
-        :raises QuorumError: if no member could tell.
-        """
-        members = self._members()
-        group = group_of(message.workspace, members, RATE_GROUP_LOSSES)
-        refusals = []
-        # All stores are asked for what they have now, then for a place in
-        # the line. The main store goes first, unless it has failed.
-        for wait_max_ms in _waits_of(message):
-            asked = replace(message, wait_max_ms=wait_max_ms)
-            for member in self._reach.failed_last(group):
-                grant = await self._ask_rate(member, asked)
-                if grant.is_granted:
-                    return grant
-                if grant.is_known:
-                    refusals.append(grant)
-        if not refusals:
-            raise QuorumError(
-                f'no member knows the rate of {message.workspace}'
-            )
-        return min(refusals, key=lambda grant: grant.wait_ms)
-
-    async def _ask_rate(
-        self,
-        member: StoreMember,
-        message: TakeRate,
-    ) -> RateGrant:
-        try:
-            return await self._call(
-                member,
-                message,
-                RateGrant,
-                RATE_TIMEOUT_S,
-            )
-        except PeerError:
-            # Noted in the reach table; the next member is asked.
-            return RateGrant(is_known=False)
-
     async def _fetch_once(
         self,
         turn_id: str,
@@ -259,7 +173,7 @@
     ) -> list[TurnChain]:
         answers = await asyncio.gather(
             *(
-                self._call(
+                self._calls.call(
                     member,
                     FetchTurn(turn_id=turn_id),
                     TurnChain,
@@ -331,56 +245,9 @@
 
     def _start(self, member, message, answer_class: type) -> asyncio.Task:
         return asyncio.create_task(
-            self._call(member, message, answer_class, CALL_TIMEOUT_S),
-        )
-
-    async def _call(
-        self,
-        member: StoreMember,
-        message: Any,
-        answer_class: type,
-        timeout_s: float,
-    ) -> Any:
-        if self._needs_relay(member):
-            answer = await self.relays.call(
-                member.address,
-                message,
-                timeout_s,
-            )
-        else:
-            answer = await self._call_direct(member, message, timeout_s)
-        if not isinstance(answer, answer_class):
-            raise PeerError(f'unexpected {type(answer).__name__}')
-        return answer
-
-    def _needs_relay(self, member: StoreMember) -> bool:
-        return (
-            self._reach.has_failed(member.address)
-            and not self.reaches_stores()
-            and self.relays.is_usable(time.monotonic())
+            self._calls.call(member, message, answer_class, CALL_TIMEOUT_S),
         )
 
-    async def _call_direct(
-        self,
-        member: StoreMember,
-        message: Any,
-        timeout_s: float,
-    ) -> Any:
-        try:
-            answer = await self._pool.call(member.address, message, timeout_s)
-        except PeerError:
-            self._reach.note_failure(member.address, time.monotonic())
-            raise
-        self._reach.note_answer(member.address, time.monotonic())
-        return answer
-
-
-def _waits_of(message: TakeRate) -> tuple[int, ...]:
-    """Tell how long each round of asking lets a request wait."""
-    if message.wait_max_ms <= RATE_WAIT_SHORT_MS:
-        return (message.wait_max_ms,)
-    return (RATE_WAIT_SHORT_MS, message.wait_max_ms)
-
 
 def _first_missing(turn_id: str, known: dict[str, TurnRecord]) -> str:
     """Name the first turn of a chain that is not known; empty if none is."""
--- a/rattanvalve/platform/names.py
+++ b/rattanvalve/platform/names.py
@@ -3,14 +3,12 @@
 __all__ = (
     'CALLER_KEY',
     'DEADLINE_MS',
-    'ENDPOINT_ID',
     'EXPECTED_ENDPOINT',
     'FINISH_MS',
     'KIND_CONFIG',
     'KIND_MEMBERS',
     'KIND_RETIREMENTS',
     'KIND_SERVERS',
-    'LENGTH_HINT',
     'NOT_RUN',
     'PREVIOUS_TURN',
     'PRIORITY',
@@ -21,7 +19,6 @@
     'RETRY_AFTER',
     'SEAL',
     'SERVER_LOAD',
-    'SESSION_ID',
     'TOKEN_BUDGET',
     'TOKEN_USAGE',
     'WORKSPACE',
@@ -31,14 +28,12 @@
 DEADLINE_MS = 'Deadline-Ms'
 CALLER_KEY = 'X-Api-Key'
 PROGRAM_ID = 'Program-Id'
-SESSION_ID = 'Session-Id'
 FINISH_MS = 'Finish-Ms'
 TOKEN_BUDGET = 'Token-Budget'
 # Two numbers: tokens of the prompt, most tokens of the output.
 TOKEN_USAGE = 'Token-Usage'
 PROMPT_PARTS = 'Prompt-Prefix'
 PREVIOUS_TURN = 'Previous-Turn'
-LENGTH_HINT = 'Length-Hint'
 WORKSPACE = 'Tenant'
 EXPECTED_ENDPOINT = 'Expect-Instance'
 PRIORITY = 'Request-Priority'
@@ -46,7 +41,6 @@
 SEAL = 'Server-Seal'
 SERVER_LOAD = 'Server-Load'
 NOT_RUN = 'Not-Executed'
-ENDPOINT_ID = 'Instance-Id'
 RETRY_AFTER = 'Retry-After'
 
 #: Headers that only we may set, in lower case; those of a caller are dropped.
--- a/rattanvalve/platform/nodefile.py
+++ b/rattanvalve/platform/nodefile.py
@@ -75,7 +75,6 @@
     host: str
     zone: str
     first_port: int
-    last_port: int
     callers: Address | None
     readiness: Address | None
     seed_hosts: tuple[str, ...]
@@ -84,9 +83,15 @@
     is_first_start: bool
     lost_disks_max: int
     memory_mb: float
-    max_fds: int
     grace_s: float
-    drain_ms: int
+
+    @property
+    def peer_address(self) -> Address:
+        """Give the address for frames of our own processes.
+
+        :returns: address at which this process listens for them.
+        """
+        return Address(self.host, self.first_port)
 
 
 def parse_address(text: str) -> Address:
@@ -127,7 +132,6 @@
         host=node.ip,
         zone=node.zone,
         first_port=node.internal_ports[0],
-        last_port=node.internal_ports[1],
         callers=_optional(node.listen.front),
         readiness=_optional(node.listen.ready_addr),
         seed_hosts=tuple(parse_address(seed).host for seed in node.seeds),
@@ -136,9 +140,7 @@
         is_first_start=node.bootstrap,
         lost_disks_max=node.fault_tolerance.machines,
         memory_mb=node.limits.memory_mb,
-        max_fds=node.limits.max_fds,
         grace_s=node.bounds.grace_s,
-        drain_ms=node.bounds.drain_ms,
     )
 
 
--- a/rattanvalve/sharedstate/parts.py
+++ b/rattanvalve/sharedstate/parts.py
@@ -72,7 +72,7 @@
 
         :returns: addresses of the other members, or else of the seeds.
         """
-        own = Address(self.node.host, self.node.first_port)
+        own = self.node.peer_address
         addresses = [member.address for member in self.known_members()]
         return [address for address in addresses if address != own]
 
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-from rattanvalve.channels import Address
 from rattanvalve.errors import SettingsError
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.peer_server import PeerServer
@@ -90,8 +89,7 @@
             self._state.metrics,
         )
         server = PeerServer(self._secret, handlers, self._state.metrics)
-        address = Address(self._node.host, self._node.first_port)
-        await server.start(address)
+        await server.start(self._node.peer_address)
         page = MetricsPage(self._state.metrics)
         metrics_server = await serve_metrics(page, self._node)
         _log.info(
@@ -121,7 +119,7 @@
         )
         own = StoreMember(
             name=self._node.name,
-            address=Address(self._node.host, self._node.first_port),
+            address=self._node.peer_address,
             zone=self._node.zone,
         )
         membership = Membership(
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -222,7 +222,6 @@
             host=host,
             zone='z',
             first_port=self.first_port,
-            last_port=self.first_port,
             callers=Address(host, self.callers_port) if is_gateway else None,
             readiness=Address(host, self.ready_port) if is_gateway else None,
             seed_hosts=tuple(self.host('store', seed) for seed in range(3)),
@@ -231,7 +230,5 @@
             is_first_start=is_first_start,
             lost_disks_max=1,
             memory_mb=100,
-            max_fds=1000,
             grace_s=1.5,
-            drain_ms=2000,
         )
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -11,6 +11,7 @@
 from rattanvalve.gateway.events import EventFollower
 from rattanvalve.gateway.ingress import Ingress
 from rattanvalve.gateway.loads import LoadTable, PromptPart
+from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.gateway.placement import Demand, choose_endpoint
 from rattanvalve.gateway.response_parser import ResponseParser
 from rattanvalve.gateway.service_choice import choose_service
@@ -301,14 +302,14 @@
         StoreMember(f'm{port}', Address('h', port))
         for port in range(len(stores))
     ]
-    context.client = TurnClient(
+    calls = MemberCalls(
         FakePool(stores),
         lambda: members,
-        'z',
         1,
         ReachTable(),
         Address('127.0.0.1', 9),
     )
+    context.client = TurnClient(calls, 'z')
 
 
 @then('fetching c gives the chain c, b, a')
--- a/tests/steps/gateway_whole_path_steps.py
+++ b/tests/steps/gateway_whole_path_steps.py
@@ -500,11 +500,11 @@
 def step_cut_off(context):
     async def cut():
         fleet = context.fleet
-        client = fleet.gateways[0]._client
-        await wait_until(lambda: client.relays.is_known())
+        calls = fleet.gateways[0]._calls
+        await wait_until(lambda: calls.relays.is_known())
         fleet.cut_off(0)
-        await wait_until(lambda: not client.reaches_stores())
-        await wait_until(lambda: not client.is_cut_off())
+        await wait_until(lambda: not calls.reaches_stores())
+        await wait_until(lambda: not calls.is_cut_off())
 
     context.run(cut())
 
