--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -28,9 +28,9 @@
 #: Another gateway can serve the request at once.
 CUT_OFF_RETRY_AFTER_S = 0.1
 #: Longest wait of a request of a begun program for the rate.
-RATE_WAIT_MAX_S = 0.8
+RATE_WAIT_MAX_S = 2.0
 #: Most of its time that such a request waits.
-RATE_WAIT_SHARE = 0.3
+RATE_WAIT_SHARE = 0.5
 PRIORITY_MAX = 9
 
 _log = part_logger(LogPart.GATEWAY)
