Bound what is promised of a rate ahead; split the steps of the whole path

A store that is killed may have promised requests up to 2 s ahead, and its next start hands the same tokens out again: at high rates more than the tolerance of a tenth and 20 requests. Promises are now bounded by the time of a restart, 1 s, or 8 requests.

--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -26,6 +26,11 @@
 #: More room that a program needs to begin for each rank of its priority, in
 #: programs, so that the more urgent ones find the room that is left.
 PRIORITY_ROOM = 0.5
+#: What is promised ahead may still be sent after this store was killed, while
+#: its next start hands the same tokens out again. So it is bounded by the time
+#: of a restart, or by a few requests.
+PROMISE_TIME_S = 1.0
+PROMISE_COUNT = 8
 
 
 def share_of(rank: int, size: int, burst: float) -> tuple[float, float]:
@@ -158,7 +163,8 @@
     now_s: float,
 ) -> RateGrant:
     """Give a request of a begun program its place in the line."""
-    wait_s = share.bucket.take_ahead(wait_max_s, now_s)
+    promise_s = max(PROMISE_TIME_S, PROMISE_COUNT / share.rate_per_s)
+    wait_s = share.bucket.take_ahead(min(wait_max_s, promise_s), now_s)
     if wait_s is None:
         share.demand.note_shortage(now_s)
         return _refusal(share.bucket.wait_s(now_s))
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -152,6 +152,14 @@
         self.gateways[index] = process
         self.tasks[f'gateway-{index}'] = asyncio.ensure_future(process.run())
 
+    def arrivals(self, path_end):
+        """Count the requests at all servers whose target ends so."""
+        return sum(
+            target.endswith(path_end)
+            for server in self.servers.values()
+            for _, target, _, _ in server.requests
+        )
+
     def cut_off(self, index):
         """Let no call of a gateway reach a turn store any more."""
         peers = self.gateways[index]._peers
--- /dev/null
+++ b/tests/steps/gateway_turns_steps.py
@@ -0,0 +1,173 @@
+"""Steps of gateway/whole_path.feature about turns and turn stores."""
+
+import asyncio
+
+from behave import then, when
+
+from tests.platform_fleet import OTHER_KEY, wait_until
+from tests.platform_servers import OUTPUT
+
+
+def send_turn(context, name, text, index, previous='', **headers):
+    """Send a turn; gives what the caller gets."""
+    turn_id = f'turn-{name}'
+    context.turn_ids[name] = turn_id
+    return context.run(
+        context.fleet.request(
+            '/chat/stream',
+            index,
+            body=text.encode(),
+            Request_Id=turn_id,
+            Program_Id=context.program_id,
+            Previous_Turn=context.turn_ids.get(previous, previous),
+            Token_Budget='1000',
+            Token_Usage='100,27',
+            **headers,
+        ),
+    )
+
+
+@when('turn {name} begins with "{text}" through gateway {index:d}')
+def step_begin(context, name, text, index):
+    status, _, body = send_turn(context, name, text, index)
+    assert status == 200, (status, body)
+
+
+@when(
+    'turn {name} continues {previous} with "{text}" through gateway {index:d}'
+)
+def step_continue(context, name, previous, text, index):
+    status, _, body = send_turn(context, name, text, index, previous)
+    assert status == 200, (status, body)
+
+
+@then('the model got the prompts and outputs of a and b before "{text}"')
+def step_chain(context, text):
+    body = context.fleet.servers['models-1'].last_body()
+    assert body == b'hello ' + OUTPUT + b'again ' + OUTPUT + text.encode(), body
+
+
+@then('a turn of another workspace that continues a gets 404')
+def step_foreign(context):
+    status = send_turn(context, 'x', 'x', 1, 'a', X_Api_Key=OTHER_KEY)[0]
+    assert status == 404, status
+
+
+@then('a turn that continues an unknown one gets {expected:d}')
+def step_unknown(context, expected):
+    status = send_turn(context, 'x', 'x', 1, 'never-heard-of')[0]
+    assert status == expected, status
+
+
+@when(
+    'all turn stores stop, store {lost:d} loses its disk, and all start again'
+)
+def step_lose_disk(context, lost):
+    async def restart():
+        fleet = context.fleet
+        for index in range(3):
+            await fleet.stop_process(f'store-{index}')
+        fleet.wipe(lost)
+        for index in range(3):
+            fleet.start_turn_store(index, is_first_start=False)
+        # The store that lost its disk needs time to catch up.
+        marker = fleet.folder / f'store-{lost}' / 'complete'
+        await wait_until(marker.exists)
+        await fleet.wait_ready(0)
+        await fleet.wait_ready(1)
+
+    context.run(restart())
+
+
+@when('turn store 0 is retired and reports that it is done')
+def step_retire(context):
+    store = context.fleet.store
+    store.put('retirements', 'store-0', {'durationS': 10})
+
+    def is_done():
+        status = store.stored['retirements', 'store-0'].get('status') or {}
+        return status.get('state') == 'done'
+
+    context.run(wait_until(is_done))
+    assert ('turnstores', 'store-0') not in store.stored
+
+
+@when('turn store 0 stops and turn store 1 stops')
+def step_stop_both(context):
+    for index in range(2):
+        context.run(context.fleet.stop_process(f'store-{index}'))
+
+
+@when('turn store 1 starts again')
+def step_start_again(context):
+    async def start():
+        context.fleet.start_turn_store(1, is_first_start=False)
+        await context.fleet.wait_ready(0)
+        await context.fleet.wait_ready(1)
+
+    context.run(start())
+
+
+@when('two turn stores stop')
+def step_two_stop(context):
+    for index in range(2):
+        context.run(context.fleet.stop_process(f'store-{index}'))
+
+
+@when('all turn stores stop')
+def step_all_stop(context):
+    for index in range(3):
+        context.run(context.fleet.stop_process(f'store-{index}'))
+
+
+def turn_of(context, budget, number):
+    """Make the request of one turn of a program with a budget."""
+    return context.fleet.request(
+        '/chat/stream',
+        number % 2,
+        Program_Id=context.program_id,
+        Token_Budget=str(budget),
+        Token_Usage='100,27',
+    )
+
+
+@when('a program with a budget of {budget:d} tokens sends {count:d} turns')
+def step_budget_at_once(context, budget, count):
+    async def send():
+        # Each turn is counted at 27 tokens; one by one, so that no two of
+        # them refuse each other.
+        return [await turn_of(context, budget, n) for n in range(count)]
+
+    context.statuses = [answer[0] for answer in context.run(send())]
+
+
+@then('{answered:d} turns are answered and {refused:d} get 402')
+def step_budget_verdict(context, answered, refused):
+    assert context.statuses.count(200) == answered, context.statuses
+    assert context.statuses.count(402) == refused, context.statuses
+
+
+@when('all models refuse')
+def step_models_refuse(context):
+    context.fleet.servers['models-1'].refuses = True
+
+
+@when('a program with {budget:d} tokens sends {count:d} turns in vain')
+def step_budget_refused(context, budget, count):
+    context.budget = budget
+    for number in range(count):
+        status, headers, _ = context.run(turn_of(context, budget, number))
+        assert status == 503, status
+        assert float(headers['Retry-After']) > 0
+        context.run(asyncio.sleep(0.2))
+
+
+@when('all models accept again')
+def step_models_accept(context):
+    context.fleet.servers['models-1'].refuses = False
+
+
+@then('one more turn of the program is answered')
+def step_one_more(context):
+    status, _, body = context.run(turn_of(context, context.budget, 0))
+    assert status == 200, (status, body)
--- a/tests/steps/gateway_whole_path_steps.py
+++ b/tests/steps/gateway_whole_path_steps.py
@@ -11,14 +11,11 @@
 from rattanvalve.peers import PeerPool
 from tests.platform_fleet import (
     KEY,
-    OTHER_KEY,
     SECRET,
-    WAIT_S,
     PlatformFleet,
     configuration,
     wait_until,
 )
-from tests.platform_servers import OUTPUT
 
 
 @given('a fleet on the platform')
@@ -33,171 +30,6 @@
     context.program_id = 'program-1'
 
 
-def send_turn(context, name, text, index, previous='', **headers):
-    """Send a turn; gives what the caller gets."""
-    turn_id = f'turn-{name}'
-    context.turn_ids[name] = turn_id
-    return context.run(
-        context.fleet.request(
-            '/chat/stream',
-            index,
-            body=text.encode(),
-            Request_Id=turn_id,
-            Program_Id=context.program_id,
-            Previous_Turn=context.turn_ids.get(previous, previous),
-            Token_Budget='1000',
-            Token_Usage='100,27',
-            **headers,
-        ),
-    )
-
-
-@when('turn {name} begins with "{text}" through gateway {index:d}')
-def step_begin(context, name, text, index):
-    status, _, body = send_turn(context, name, text, index)
-    assert status == 200, (status, body)
-
-
-@when(
-    'turn {name} continues {previous} with "{text}" through gateway {index:d}'
-)
-def step_continue(context, name, previous, text, index):
-    status, _, body = send_turn(context, name, text, index, previous)
-    assert status == 200, (status, body)
-
-
-@then('the model got the prompts and outputs of a and b before "{text}"')
-def step_chain(context, text):
-    body = context.fleet.servers['models-1'].last_body()
-    assert body == b'hello ' + OUTPUT + b'again ' + OUTPUT + text.encode(), body
-
-
-@then('a turn of another workspace that continues a gets 404')
-def step_foreign(context):
-    status = send_turn(context, 'x', 'x', 1, 'a', X_Api_Key=OTHER_KEY)[0]
-    assert status == 404, status
-
-
-@then('a turn that continues an unknown one gets {expected:d}')
-def step_unknown(context, expected):
-    status = send_turn(context, 'x', 'x', 1, 'never-heard-of')[0]
-    assert status == expected, status
-
-
-@when(
-    'all turn stores stop, store {lost:d} loses its disk, and all start again'
-)
-def step_lose_disk(context, lost):
-    async def restart():
-        fleet = context.fleet
-        for index in range(3):
-            await fleet.stop_process(f'store-{index}')
-        fleet.wipe(lost)
-        for index in range(3):
-            fleet.start_turn_store(index, is_first_start=False)
-        # The store that lost its disk needs time to catch up.
-        marker = fleet.folder / f'store-{lost}' / 'complete'
-        await wait_until(marker.exists)
-        await fleet.wait_ready(0)
-        await fleet.wait_ready(1)
-
-    context.run(restart())
-
-
-@when('turn store 0 is retired and reports that it is done')
-def step_retire(context):
-    store = context.fleet.store
-    store.put('retirements', 'store-0', {'durationS': 10})
-
-    def is_done():
-        status = store.stored['retirements', 'store-0'].get('status') or {}
-        return status.get('state') == 'done'
-
-    context.run(wait_until(is_done))
-    assert ('turnstores', 'store-0') not in store.stored
-
-
-@when('turn store 0 stops and turn store 1 stops')
-def step_stop_both(context):
-    for index in range(2):
-        context.run(context.fleet.stop_process(f'store-{index}'))
-
-
-@when('turn store 1 starts again')
-def step_start_again(context):
-    async def start():
-        context.fleet.start_turn_store(1, is_first_start=False)
-        await context.fleet.wait_ready(0)
-        await context.fleet.wait_ready(1)
-
-    context.run(start())
-
-
-@when('two turn stores stop')
-def step_two_stop(context):
-    for index in range(2):
-        context.run(context.fleet.stop_process(f'store-{index}'))
-
-
-@when('all turn stores stop')
-def step_all_stop(context):
-    for index in range(3):
-        context.run(context.fleet.stop_process(f'store-{index}'))
-
-
-def turn_of(context, budget, number):
-    """Make the request of one turn of a program with a budget."""
-    return context.fleet.request(
-        '/chat/stream',
-        number % 2,
-        Program_Id=context.program_id,
-        Token_Budget=str(budget),
-        Token_Usage='100,27',
-    )
-
-
-@when('a program with a budget of {budget:d} tokens sends {count:d} turns')
-def step_budget_at_once(context, budget, count):
-    async def send():
-        # Each turn is counted at 27 tokens; one by one, so that no two of
-        # them refuse each other.
-        return [await turn_of(context, budget, n) for n in range(count)]
-
-    context.statuses = [answer[0] for answer in context.run(send())]
-
-
-@then('{answered:d} turns are answered and {refused:d} get 402')
-def step_budget_verdict(context, answered, refused):
-    assert context.statuses.count(200) == answered, context.statuses
-    assert context.statuses.count(402) == refused, context.statuses
-
-
-@when('all models refuse')
-def step_models_refuse(context):
-    context.fleet.servers['models-1'].refuses = True
-
-
-@when('a program with {budget:d} tokens sends {count:d} turns in vain')
-def step_budget_refused(context, budget, count):
-    context.budget = budget
-    for number in range(count):
-        status, headers, _ = context.run(turn_of(context, budget, number))
-        assert status == 503, status
-        assert float(headers['Retry-After']) > 0
-        context.run(asyncio.sleep(0.2))
-
-
-@when('all models accept again')
-def step_models_accept(context):
-    context.fleet.servers['models-1'].refuses = False
-
-
-@then('one more turn of the program is answered')
-def step_one_more(context):
-    status, _, body = context.run(turn_of(context, context.budget, 0))
-    assert status == 200, (status, body)
-
-
 @when('the rate is set to {rate:d} a second with a burst of {burst:d}')
 def step_rate(context, rate, burst):
     spec = configuration(2, rate=rate, burst=burst)
@@ -311,120 +143,6 @@
     context.run(wait())
 
 
-def arrivals(context, action):
-    """Count the requests with an action at all servers."""
-    return sum(
-        target.endswith(action)
-        for server in context.fleet.servers.values()
-        for _, target, _, _ in server.requests
-    )
-
-
-@then('an unsafe call that breaks gets 502 and reaches one server')
-def step_unsafe_break(context):
-    status = context.run(context.fleet.request('/book/break'))[0]
-    assert (status, arrivals(context, '/book/break')) == (502, 1), status
-
-
-@then('a safe call that breaks reaches two servers')
-def step_safe_break(context):
-    status = context.run(context.fleet.request('/look/break', method='GET'))[0]
-    assert (status, arrivals(context, '/look/break')) == (502, 2), status
-
-
-@when('server {name} refuses')
-def step_server_refuses(context, name):
-    context.fleet.servers[name].refuses = True
-
-
-@then('{count:d} unsafe calls are answered by {name}')
-def step_answered_by(context, count, name):
-    for _ in range(count):
-        status, _, body = context.run(context.fleet.request('/book/whole'))
-        assert (status, body) == (200, name.encode()), (status, body)
-
-
-@then('an unsafe call gets 503 with a Retry-After')
-def step_all_refuse(context):
-    status, headers, _ = context.run(context.fleet.request('/book/whole'))
-    assert status == 503, status
-    assert float(headers['Retry-After']) > 0
-
-
-@then('a call with extra answers around its own gets its own')
-def step_extra(context):
-    for _ in range(5):
-        answer = context.run(context.fleet.request('/book/extra'))
-        assert (answer[0], answer[2]) == (200, b'mine'), answer
-        answer = context.run(context.fleet.request('/book/whole'))
-        assert answer[0] == 200 and answer[2].startswith(b'app-'), answer
-
-
-@then('calls whose answer is cut or has no seal do not look complete')
-def step_cut(context):
-    for path in ('/book/short', '/book/unsealed'):
-        status = context.run(context.fleet.request(path))[0]
-        assert status == 502, (path, status)
-    status, _, body = send_turn_path(context, '/chat/cut')
-    assert status == 0, (status, body)
-
-
-def send_turn_path(context, path):
-    """Send a turn whose stream the server treats by its path."""
-    return context.run(
-        context.fleet.request(
-            path,
-            Program_Id='program-2',
-            Token_Budget='1000',
-            Token_Usage='100,27',
-        ),
-    )
-
-
-@when('a caller reads the bytes of a stream that stalls')
-def step_stall(context):
-    async def read():
-        fleet = context.fleet
-        reader, writer = await asyncio.open_connection(
-            fleet.host('gateway', 0),
-            fleet.callers_port,
-        )
-        lines = (
-            'POST /chat/stall HTTP/1.1',
-            'Host: farm.example',
-            'Request-Id: stalled',
-            'Deadline-Ms: 500',
-            f'X-Api-Key: {KEY}',
-            'Content-Length: 0',
-        )
-        writer.write('\r\n'.join((*lines, '', '')).encode())
-        context.bytes = await asyncio.wait_for(reader.read(), WAIT_S)
-
-    context.run(read())
-
-
-@then('the bytes hold one response that is not complete')
-def step_stalled(context):
-    assert context.bytes.count(b'HTTP/1.1') == 1, context.bytes
-    assert not context.bytes.endswith(b'0\r\n\r\n')
-
-
-@when('a caller leaves a held call')
-def step_leave(context):
-    async def leave():
-        call = asyncio.ensure_future(context.fleet.request('/book/held'))
-        await wait_until(lambda: arrivals(context, '/book/held'))
-        call.cancel()
-
-    context.run(leave())
-
-
-@then('the server sees its connection closed')
-def step_left(context):
-    events = [server.left for server in context.fleet.servers.values()]
-    context.run(wait_until(lambda: any(event.is_set() for event in events)))
-
-
 @when('gateway 0 is stopped while a call is held')
 def step_stop(context):
     async def stop():
@@ -434,7 +152,7 @@
             fleet.callers_port,
         )
         call = asyncio.ensure_future(fleet.request('/book/held'))
-        await wait_until(lambda: arrivals(context, '/book/held'))
+        await wait_until(lambda: fleet.arrivals('/book/held'))
         stopping = asyncio.ensure_future(fleet.stop_process('gateway-0'))
         await asyncio.sleep(0.3)
         for server in fleet.servers.values():
@@ -497,7 +215,7 @@
 
 
 @when('gateway 0 is cut off from the turn stores')
-def step_cut_off(context):
+def step_lose_stores(context):
     async def cut():
         fleet = context.fleet
         calls = fleet.gateways[0]._calls
--- a/tests/steps/turnstore_steps.py
+++ b/tests/steps/turnstore_steps.py
@@ -241,6 +241,19 @@
     assert context.handed_out >= 0.8 * LOAD_S * context.rate, context.handed_out
 
 
+@when('{count:d} requests of begun programs come at once')
+def step_at_once(context, count):
+    message = TakeRate(workspace='w', wait_max_ms=int(RATE_WAIT_MAX_S * 1000))
+    grants = [context.shares.take(message, 0) for _ in range(count)]
+    context.grants = [grant for grant in grants if grant.is_granted]
+
+
+@then('{count:d} are granted, the last one after {wait_s:g} s')
+def step_promised(context, count, wait_s):
+    assert len(context.grants) == count, len(context.grants)
+    assert context.grants[-1].wait_ms == wait_s * 1000, context.grants[-1]
+
+
 @then(
     'a workspace without a limit gets all and an unknown one is not known',
 )
--- a/tests/turnstore/turnstore.feature
+++ b/tests/turnstore/turnstore.feature
@@ -44,5 +44,15 @@
     Then at least 10 of 10 begun programs get all their requests
     And the share hands out most of its rate and never more
 
+  Scenario Outline: what is promised ahead is bounded
+    Given a share of <rate> requests a second with a burst of 30
+    When 500 requests of begun programs come at once
+    Then <count> are granted, the last one after <wait> s
+
+    Examples:
+      | rate | count | wait |
+      | 4    | 8     | 2.0  |
+      | 60   | 60    | 1.0  |
+
   Scenario: without a limit or a configuration
     Then a workspace without a limit gets all and an unknown one is not known
