Deny a turn only if all members do and too few were removed to hold it

Why the third did not give the turn at once is not known; the new line 'turn not found' says what each 404 or 503 rests on. Ruled out: another workspace, the cache (newest turn).

Now all present members have to deny a turn, and members that vanished in the last 15 s without handing over count as possible holders. Otherwise the answer is 503.

--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -87,7 +87,12 @@
             self._state.metrics,
         )
         cache = TurnCache(int(node.memory_mb * CACHE_SHARE * 1_000_000))
-        turns = TurnKeeper(TurnClient(self._calls, node.zone), cache)
+        client = TurnClient(
+            self._calls,
+            node.zone,
+            self._state.departed_count,
+        )
+        turns = TurnKeeper(client, cache)
         forwarder = Forwarder(
             self._state,
             self._directory,
--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from rattanvalve.errors import QuorumError
 from rattanvalve.gateway.member_calls import MemberCalls
+from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.sharedstate.members import (
     StoreMember,
     group_of,
@@ -30,6 +31,8 @@
 CALL_TIMEOUT_S = 0.8
 RETRY_PAUSE_S = 0.05
 
+_log = part_logger(LogPart.TURNS)
+
 
 def merge_ledgers(ledgers: Sequence[Ledger]) -> dict[str, LedgerEntry]:
     """Join what several members know of one program.
@@ -51,10 +54,17 @@
 
     :param calls: calls of the members.
     :param zone: zone of this process.
+    :param departed_count: tells how many members were removed a moment ago.
     """
 
-    def __init__(self, calls: MemberCalls, zone: str) -> None:
+    def __init__(
+        self,
+        calls: MemberCalls,
+        zone: str,
+        departed_count: Callable[[float], int],
+    ) -> None:
         self._calls = calls
+        self._departed_count = departed_count
         self._members = calls.members
         self._zone = zone
         self._lost_disks_max = calls.lost_disks_max
@@ -145,6 +155,9 @@
     ) -> bool:
         """Ask the nearest member of the program's group, then all others.
 
+        A turn is absent for sure if all members deny it, and so few left a
+        moment ago that one of its copies would be with the others.
+
         :param turn_id: turn to find.
         :param program_id: program of the caller.
         :param known: gets the turns that are found.
@@ -163,8 +176,24 @@
             if turn_id in known:
                 return False
             denials += sum(chain.is_complete for chain in chains)
-        unknown = len(members) - denials
-        return bool(members) and unknown <= self._lost_disks_max
+        departed = self._departed_count(time.monotonic())
+        is_absent = (
+            bool(members)
+            and denials == len(members)
+            and departed <= self._lost_disks_max
+        )
+        _log.info(
+            'turn not found',
+            extra={
+                'turn': turn_id,
+                'program': program_id,
+                'is_absent': is_absent,
+                'members': len(members),
+                'denials': denials,
+                'departed': departed,
+            },
+        )
+        return is_absent
 
     async def _ask_all(
         self,
--- a/rattanvalve/sharedstate/parts.py
+++ b/rattanvalve/sharedstate/parts.py
@@ -1,6 +1,7 @@
 """State that every process on the platform has, and how it is followed."""
 
 import asyncio
+import time
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -30,6 +31,8 @@
 
 __all__ = ('SharedState', 'run_tasks')
 
+#: Time in which the members have copied what a removed one had alone.
+COPY_LIMIT_S = 15.0
 #: Name of the object that holds the newest configuration.
 _MAIN_CONFIG = 'main'
 
@@ -54,6 +57,7 @@
     rules: TrafficRules = field(default_factory=TrafficRules)
     members: tuple[StoreMember, ...] = ()
     reach: ReachTable = field(default_factory=ReachTable)
+    _departed_s: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.board.listen(DocumentKind.RULES, self._adopt_rules)
@@ -112,11 +116,32 @@
             for kind, (document_kind, assemble) in _DOCUMENTS.items()
         }
 
+    def departed_count(self, now_s: float) -> int:
+        """Count the members that were removed a moment ago.
+
+        Their records may not have been copied to the others yet.
+
+        :param now_s: monotonic time in seconds.
+        :returns: members that had not handed their records over.
+        """
+        return sum(
+            now_s - removed_s < COPY_LIMIT_S
+            for removed_s in self._departed_s.values()
+        )
+
     def _adopt_rules(self, body: bytes) -> None:
         self.rules = decode_configuration(body)
 
     def _adopt_members(self, body: bytes) -> None:
+        former = self.members
         self.members = decode_members(body)
+        names = {member.name for member in self.members}
+        for member in former:
+            # One that leaves as planned hands its records over before.
+            if member.name not in names and not member.is_leaving:
+                self._departed_s[member.name] = time.monotonic()
+        for name in names:
+            self._departed_s.pop(name, None)
 
 
 def _rules_document(
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -1,11 +1,13 @@
 """Steps of gateway/decisions.feature."""
 
+import time
 from unittest import mock
 
+import msgspec
 from behave import given, then, when
 
 from rattanvalve.channels import Address
-from rattanvalve.errors import QuorumError, ServerBrokenError
+from rattanvalve.errors import PeerError, QuorumError, ServerBrokenError
 from rattanvalve.gateway.calls import header_number, read_turn
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.events import EventFollower
@@ -17,8 +19,13 @@
 from rattanvalve.gateway.service_choice import choose_service
 from rattanvalve.gateway.turn_client import TurnClient, merge_ledgers
 from rattanvalve.gateway.turns import is_within_budget, most_tokens
+from rattanvalve.messages import Document
+from rattanvalve.platform.objects import StoredEntry
+from rattanvalve.platform.turnstores import encode_members, member_spec
+from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.members import StoreMember
+from rattanvalve.sharedstate.parts import SharedState
 from rattanvalve.sharedstate.reach import ReachTable
 from rattanvalve.sharedstate.rules import Route
 from rattanvalve.turn_messages import (
@@ -276,6 +283,8 @@
     async def call(self, address, message, timeout_s):
         """Give the part of a chain that a store knows."""
         known = self.stores[address.port]
+        if known is None:
+            raise PeerError('no answer')
         turns = []
         turn_id = message.turn_id
         while turn_id in known:
@@ -289,7 +298,8 @@
 )
 @given('three stores that hold turns "{a}", "{b}" and "" of the chain a, b, c')
 @given('three stores that hold turns "{a}", "" and "" of the chain a, b, c')
-def step_spread(context, a, b='', c=''):
+@given('three stores that hold turns "", "" and "" of the chain a, b, c')
+def step_spread(context, a='', b='', c=''):
     previous = {'a': '', 'b': 'a', 'c': 'b'}
     stores = [
         {
@@ -302,6 +312,8 @@
         StoreMember(f'm{port}', Address('h', port))
         for port in range(len(stores))
     ]
+    context.stores = stores
+    context.departed = 0
     calls = MemberCalls(
         FakePool(stores),
         lambda: members,
@@ -309,7 +321,42 @@
         ReachTable(),
         Address('127.0.0.1', 9),
     )
-    context.client = TurnClient(calls, 'z')
+    context.client = TurnClient(calls, 'z', lambda now_s: context.departed)
+
+
+@when('the third store does not answer')
+def step_third_silent(context):
+    context.stores[2] = None
+
+
+@when('{count:d} members were removed a moment ago')
+def step_departed(context, count):
+    context.departed = count
+
+
+@then('members that vanish count as departed for 15 s, leaving ones do not')
+def step_departed_count(context):
+    state = SharedState(node=None)
+    for version, names in enumerate(('a b c-', 'a'), start=1):
+        specs = [
+            member_spec(
+                StoreMember(name[0], Address('h', 1), is_leaving='-' in name),
+            )
+            for name in names.split()
+        ]
+        entries = [
+            StoredEntry(name[0], version, msgspec.json.encode(spec))
+            for name, spec in zip(names.split(), specs, strict=True)
+        ]
+        document = Document(
+            kind=DocumentKind.MEMBERS,
+            version=version,
+            body=encode_members(entries),
+        )
+        state.board.offer(document)
+    now_s = time.monotonic()
+    assert state.departed_count(now_s) == 1
+    assert state.departed_count(now_s + 15) == 0
 
 
 @then('fetching c gives the chain c, b, a')
