--- a/tests/platform_soak/soak.feature
+++ b/tests/platform_soak/soak.feature
@@ -23,9 +23,12 @@
     When the soak runs for <seconds> seconds with seed <seed>
     Then nothing is found
 
+    # 313: not served again 4 s after the last fault, as the event loop of one
+    # turn store stood still for 3.2 s; the cause is open (docs/incidents.md).
     Examples: a short run, and seeds that failed before
       | seed | seconds |
       | 7    | 6       |
+      | 313  | 6       |
 
   Scenario Outline: the soak notices a broken mechanism in real processes
     When the soak runs for 4 seconds with seed 7 and the break <break>
--- a/tests/steps/platform_soak_steps.py
+++ b/tests/steps/platform_soak_steps.py
@@ -1,5 +1,6 @@
 """Steps of platform_soak/soak.feature."""
 
+import shutil
 from dataclasses import replace
 
 from behave import given, then, when
@@ -133,3 +134,4 @@
 @then('the soak reports "{promise}"')
 def step_soak_reports(context, promise):
     assert promise in context.report.found, context.report.text()
+    shutil.rmtree(context.report.folder)
