--- a/rattanvalve/endpoint_main.py
+++ b/rattanvalve/endpoint_main.py
@@ -10,7 +10,6 @@
 
 from rattanvalve import __version__
 from rattanvalve.errors import SettingsError
-from rattanvalve.http_errors import hide_malformed_http
 from rattanvalve.logs import LogPart, configure_logging, part_logger
 from rattanvalve.reloading import SettingsSource, ignore_reload_signal
 from rattanvalve.settings import (
@@ -44,7 +43,6 @@
         click.echo(f'{_PROGRAM}: {error}', err=True)
         sys.exit(SETTINGS_EXIT_CODE)
     configure_logging(settings.log_level, settings.name)
-    hide_malformed_http()
     ignore_reload_signal()
     source = SettingsSource(
         settings_path,
--- a/rattanvalve/entry_main.py
+++ b/rattanvalve/entry_main.py
@@ -10,7 +10,6 @@
 
 from rattanvalve import __version__
 from rattanvalve.errors import SettingsError
-from rattanvalve.http_errors import hide_malformed_http
 from rattanvalve.logs import configure_logging
 from rattanvalve.reloading import SettingsSource, ignore_reload_signal
 from rattanvalve.settings import (
@@ -47,7 +46,6 @@
         click.echo(' '.join(str(error).split()), err=True)
         sys.exit(SETTINGS_EXIT_CODE)
     configure_logging(settings.log_level, settings.name)
-    hide_malformed_http()
     ignore_reload_signal()
     # The wiring loads every module of the process, which wrong settings and
     # --version need not wait for.
--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -379,7 +379,7 @@
 def _may_repeat_failure(call: Call, head: ResponseHead, trace: Trace) -> bool:
     """Tell whether a failure of the server is tried at another one."""
     return (
-        head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        head.status >= SERVER_ERROR
         and call.route.is_repeatable
         and trace.run_count + 1 < call.route.max_attempts
     )
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -28,7 +28,6 @@
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
-from rattanvalve.sharedstate.following import PeerExchange
 from rattanvalve.sharedstate.parts import SharedState, run_tasks
 
 __all__ = ('GatewayProcess',)
@@ -180,16 +179,9 @@
 
     def _tasks(self, store: ObjectStore) -> list:
         followers = self._state.followers(store, is_spare=True)
-        exchange = PeerExchange(
-            self._peers,
-            self._state.peer_addresses,
-            self._state.board,
-            self._state.metrics,
-            self._state.reach,
-        )
         return [
             *(follower.run() for follower in followers.values()),
-            exchange.run(),
+            self._state.exchange(self._peers).run(),
             self._calls.relays.run(),
             self._pool.run(),
         ]
--- a/rattanvalve/gateway/response_parser.py
+++ b/rattanvalve/gateway/response_parser.py
@@ -70,10 +70,7 @@
         """
         try:
             self._parser.feed_data(data)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
+        except _PARSER_ERRORS as error:
             self.is_reusable = False
             raise ServerBrokenError('the server sent no response') from error
 
--- a/rattanvalve/http_errors.py
+++ b/rattanvalve/http_errors.py
@@ -12,6 +12,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from rattanvalve.counters import Counter, Metrics
+from rattanvalve.logs import LineLimit
 
 __all__ = (
     'MalformedHttpFilter',
@@ -26,34 +27,6 @@
 UNREADABLE_METHOD = 'UNKNOWN'
 
 
-class _MalformedHttpCounter(AbstractAccessLogger):
-    """Counts malformed requests and logs nothing."""
-
-    #: aiohttp takes a class and not a factory, so each process that counts
-    #: has a subclass with its counters.
-    metrics = Metrics()
-
-    def log(
-        self,
-        request: web.BaseRequest,
-        response: web.StreamResponse,
-        time: float,
-    ) -> None:
-        """Look at a response that was sent."""
-        if request.method == UNREADABLE_METHOD:
-            self.metrics.count(Counter.HTTP_MALFORMED)
-
-
-def malformed_http_counter(metrics: Metrics) -> type[AbstractAccessLogger]:
-    """Make the option ``access_log_class`` of a runner.
-
-    :param metrics: counters.
-    :returns: class that counts malformed requests there.
-    """
-    bases = (_MalformedHttpCounter,)
-    return type('MalformedHttpCounter', bases, {'metrics': metrics})
-
-
 class MalformedHttpFilter(logging.Filter):
     """Shortens log lines about unreadable requests to what is safe to write.
 
@@ -63,8 +36,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._second = 0
-        self._second_count = 0
+        self._limit = LineLimit(LINES_PER_S_MAX)
         self._dropped_count = 0
 
     def filter(self, record: logging.LogRecord) -> bool:
@@ -76,11 +48,7 @@
         error = record.exc_info[1] if record.exc_info else None
         if not isinstance(error, HttpProcessingError):
             return True
-        if int(record.created) != self._second:
-            self._second = int(record.created)
-            self._second_count = 0
-        self._second_count += 1
-        if self._second_count > LINES_PER_S_MAX:
+        if not self._limit.allows(record.created):
             self._dropped_count += 1
             return False
         record.msg = 'the HTTP parser refused a request'
@@ -95,10 +63,41 @@
         return True
 
 
+#: One for all listeners; adding it twice has no effect.
+_FILTER = MalformedHttpFilter()
+
+
 def hide_malformed_http() -> None:
     """Keep unreadable requests out of the logs of this process."""
-    logger = logging.getLogger('aiohttp.server')
-    if not any(
-        isinstance(known, MalformedHttpFilter) for known in logger.filters
-    ):
-        logger.addFilter(MalformedHttpFilter())
+    logging.getLogger('aiohttp.server').addFilter(_FILTER)
+
+
+class _MalformedHttpCounter(AbstractAccessLogger):
+    """Counts malformed requests and logs nothing."""
+
+    #: aiohttp takes a class and not a factory, so each process that counts
+    #: has a subclass with its counters.
+    metrics = Metrics()
+
+    def log(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        time: float,
+    ) -> None:
+        """Look at a response that was sent."""
+        if request.method == UNREADABLE_METHOD:
+            self.metrics.count(Counter.HTTP_MALFORMED)
+
+
+def malformed_http_counter(metrics: Metrics) -> type[AbstractAccessLogger]:
+    """Make the option ``access_log_class`` of a runner.
+
+    The error log then hides these requests, too.
+
+    :param metrics: counters.
+    :returns: class that counts malformed requests there.
+    """
+    hide_malformed_http()
+    bases = (_MalformedHttpCounter,)
+    return type('MalformedHttpCounter', bases, {'metrics': metrics})
--- a/rattanvalve/logpipe.py
+++ b/rattanvalve/logpipe.py
@@ -8,6 +8,8 @@
 import logging
 import os
 
+from rattanvalve.logs import LineLimit
+
 __all__ = ('PipeHandler',)
 
 STANDARD_OUTPUT = 1
@@ -26,8 +28,7 @@
         self.dropped_count = 0
         self._descriptor = descriptor
         self._rest = b''
-        self._second = 0
-        self._second_count = 0
+        self._limit = LineLimit(LINES_PER_S_MAX)
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -48,11 +49,7 @@
     def _is_over_rate(self, record: logging.LogRecord) -> bool:
         if record.levelno >= logging.WARNING:
             return False
-        if int(record.created) != self._second:
-            self._second = int(record.created)
-            self._second_count = 0
-        self._second_count += 1
-        return self._second_count > LINES_PER_S_MAX
+        return not self._limit.allows(record.created)
 
     def _flush_rest(self) -> bool:
         """Write what is left of earlier lines.
--- a/rattanvalve/logs.py
+++ b/rattanvalve/logs.py
@@ -6,7 +6,7 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ('LogPart', 'configure_logging', 'part_logger')
+__all__ = ('LineLimit', 'LogPart', 'configure_logging', 'part_logger')
 
 
 class LogPart(enum.StrEnum):
@@ -29,6 +29,30 @@
     STANDIN = 'standin'
 
 
+class LineLimit:
+    """Bounds the number of lines in each second.
+
+    :param most_per_s: lines that are allowed in a second.
+    """
+
+    def __init__(self, most_per_s: int) -> None:
+        self._most_per_s = most_per_s
+        self._second = 0
+        self._count = 0
+
+    def allows(self, created_s: float) -> bool:
+        """Count a line.
+
+        :param created_s: Unix time of the line in seconds.
+        :returns: whether it is within the bound of its second.
+        """
+        if int(created_s) != self._second:
+            self._second = int(created_s)
+            self._count = 0
+        self._count += 1
+        return self._count <= self._most_per_s
+
+
 class _PartAdapter(logging.LoggerAdapter):
     def process(self, msg, kwargs):
         """Put the prefix of the part before the message.
--- a/rattanvalve/platform/programs.py
+++ b/rattanvalve/platform/programs.py
@@ -11,7 +11,6 @@
 import uvloop
 
 from rattanvalve.errors import SettingsError
-from rattanvalve.http_errors import hide_malformed_http
 from rattanvalve.logpipe import PipeHandler
 from rattanvalve.logs import LogPart, configure_logging, part_logger
 from rattanvalve.platform.nodefile import NodeSettings, read_node
@@ -46,7 +45,6 @@
         secret = _read_secret()
         level = os.environ.get(LOG_LEVEL_VARIABLE, 'INFO')
         configure_logging(level, node.name, PipeHandler())
-        hide_malformed_http()
         program = build(node, secret)
     except SettingsError as error:
         click.echo(' '.join(str(error).split()), err=True)
--- a/rattanvalve/ratelimit.py
+++ b/rattanvalve/ratelimit.py
@@ -31,6 +31,14 @@
         self._burst = burst
         self._updated_s = now_s
 
+    @property
+    def rate_per_s(self) -> float:
+        """Give the rate.
+
+        :returns: tokens added per second.
+        """
+        return self._rate_per_s
+
     def take(self, now_s: float) -> bool:
         """Admit one request if a token is there.
 
--- a/rattanvalve/sharedstate/exposition.py
+++ b/rattanvalve/sharedstate/exposition.py
@@ -8,6 +8,7 @@
 from prometheus_client.core import CounterMetricFamily, Metric
 
 from rattanvalve.counters import Metrics
+from rattanvalve.http_errors import hide_malformed_http
 from rattanvalve.platform.nodefile import NodeSettings
 
 __all__ = ('METRICS_PORT', 'MetricsPage', 'serve_metrics')
@@ -91,6 +92,7 @@
     :returns: the server, to be closed by the caller.
     :raises OSError: if the address cannot be used.
     """
+    hide_malformed_http()
     return await asyncio.get_running_loop().create_server(
         web.Server(page.handle, access_log=None),
         node.host,
--- a/rattanvalve/sharedstate/following.py
+++ b/rattanvalve/sharedstate/following.py
@@ -22,7 +22,7 @@
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
 from rattanvalve.sharedstate.reach import ReachTable
 
-__all__ = ('ObjectFollower', 'PeerExchange')
+__all__ = ('Assemble', 'ObjectFollower', 'PeerExchange')
 
 #: Wait of one watch, drawn anew each time, so that of several processes one
 #: soon notices that its connection has gone silent.
--- a/rattanvalve/sharedstate/parts.py
+++ b/rattanvalve/sharedstate/parts.py
@@ -13,6 +13,7 @@
 from rattanvalve.counters import Metrics
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Document
+from rattanvalve.peers import PeerPool
 from rattanvalve.platform.configuration import decode_configuration
 from rattanvalve.platform.names import (
     KIND_CONFIG,
@@ -24,7 +25,11 @@
 from rattanvalve.platform.servers import encode_servers
 from rattanvalve.platform.turnstores import decode_members, encode_members
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
-from rattanvalve.sharedstate.following import ObjectFollower
+from rattanvalve.sharedstate.following import (
+    Assemble,
+    ObjectFollower,
+    PeerExchange,
+)
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.reach import ReachTable
 from rattanvalve.sharedstate.rules import TrafficRules
@@ -116,6 +121,20 @@
             for kind, (document_kind, assemble) in _DOCUMENTS.items()
         }
 
+    def exchange(self, pool: PeerPool) -> PeerExchange:
+        """Make the exchange of documents with the turn stores.
+
+        :param pool: connections to peers.
+        :returns: the exchange, to be run.
+        """
+        return PeerExchange(
+            pool,
+            self.peer_addresses,
+            self.board,
+            self.metrics,
+            self.reach,
+        )
+
     def departed_count(self, now_s: float) -> int:
         """Count the members that were removed a moment ago.
 
@@ -162,32 +181,28 @@
     return None
 
 
-def _servers_document(
-    entries: Iterable[StoredEntry],
-    revision: int,
-) -> Document:
-    return Document(
-        kind=DocumentKind.SERVERS,
-        version=revision,
-        body=encode_servers(entries),
-    )
+def _listing(
+    kind: DocumentKind,
+    encode: Callable[[Iterable[StoredEntry]], bytes],
+) -> Assemble:
+    """Make the builder of a document that lists all objects of a kind."""
 
+    def assemble(entries: Iterable[StoredEntry], revision: int) -> Document:
+        return Document(kind=kind, version=revision, body=encode(entries))
 
-def _members_document(
-    entries: Iterable[StoredEntry],
-    revision: int,
-) -> Document:
-    return Document(
-        kind=DocumentKind.MEMBERS,
-        version=revision,
-        body=encode_members(entries),
-    )
+    return assemble
 
 
 _DOCUMENTS = {
     KIND_CONFIG: (DocumentKind.RULES, _rules_document),
-    KIND_SERVERS: (DocumentKind.SERVERS, _servers_document),
-    KIND_MEMBERS: (DocumentKind.MEMBERS, _members_document),
+    KIND_SERVERS: (
+        DocumentKind.SERVERS,
+        _listing(DocumentKind.SERVERS, encode_servers),
+    ),
+    KIND_MEMBERS: (
+        DocumentKind.MEMBERS,
+        _listing(DocumentKind.MEMBERS, encode_members),
+    ),
 }
 
 
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -17,7 +17,6 @@
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.following import (
     ObjectFollower,
-    PeerExchange,
     document_handlers,
 )
 from rattanvalve.sharedstate.members import StoreMember
@@ -131,18 +130,11 @@
             lambda: self._replicator.pulled,
             self._service.pulled_versions,
         )
-        exchange = PeerExchange(
-            self._pool,
-            self._state.peer_addresses,
-            self._state.board,
-            self._state.metrics,
-            self._state.reach,
-        )
         return [
             *(follower.run() for follower in followers.values()),
             retirements.run(),
             membership.run(),
-            exchange.run(),
+            self._state.exchange(self._pool).run(),
             self._replicator.run(),
             self._sweep(),
         ]
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -56,7 +56,6 @@
 class _Share:
     bucket: Bucket
     demand: ProgramDemand
-    rate_per_s: float
 
 
 class RateShares:
@@ -134,11 +133,9 @@
             share = _Share(
                 Bucket(rate_per_s, burst, now_s),
                 ProgramDemand(now_s),
-                rate_per_s,
             )
             self._shares[workspace.name] = share
         share.bucket.configure(rate_per_s, burst, now_s)
-        share.rate_per_s = rate_per_s
 
 
 def _take_start(share: _Share, priority: int, now_s: float) -> RateGrant:
@@ -146,11 +143,11 @@
     wait_s = share.bucket.wait_s(now_s)
     missing = share.demand.missing_for_start(
         share.bucket.level,
-        share.rate_per_s,
+        share.bucket.rate_per_s,
         now_s,
         PRIORITY_ROOM * priority,
     )
-    wait_s = max(wait_s, missing / share.rate_per_s)
+    wait_s = max(wait_s, missing / share.bucket.rate_per_s)
     if wait_s > 0 or not share.bucket.take(now_s):
         return _refusal(wait_s)
     share.demand.note_start(now_s)
@@ -163,7 +160,7 @@
     now_s: float,
 ) -> RateGrant:
     """Give a request of a begun program its place in the line."""
-    promise_s = max(PROMISE_TIME_S, PROMISE_COUNT / share.rate_per_s)
+    promise_s = max(PROMISE_TIME_S, PROMISE_COUNT / share.bucket.rate_per_s)
     wait_s = share.bucket.take_ahead(min(wait_max_s, promise_s), now_s)
     if wait_s is None:
         share.demand.note_shortage(now_s)
--- a/tests/steps/http_errors_steps.py
+++ b/tests/steps/http_errors_steps.py
@@ -9,10 +9,7 @@
 
 from rattanvalve.caller_api import RUNNER_OPTIONS
 from rattanvalve.counters import Counter, Metrics
-from rattanvalve.http_errors import (
-    hide_malformed_http,
-    malformed_http_counter,
-)
+from rattanvalve.http_errors import malformed_http_counter
 
 TIMEOUT_S = 30
 KEY = 'rv-secret-key-of-a-caller'
@@ -72,7 +69,6 @@
 
 @when('{count:d} requests with a key arrive that cannot be read')
 def step_unreadable_keys(context, count):
-    hide_malformed_http()
     output = io.StringIO()
     handler = logging.StreamHandler(output)
     logging.getLogger().addHandler(handler)
