--- /dev/null
+++ b/rattanvalve/gateway/attempts.py
@@ -0,0 +1,294 @@
+"""One attempt of a request at one endpoint."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import Enum, auto
+from http import HTTPStatus
+
+from rattanvalve.errors import (
+    QuorumError,
+    ServerBrokenError,
+    ServerUnreachableError,
+)
+from rattanvalve.gateway.calls import Call
+from rattanvalve.gateway.connection_pool import ConnectionPool
+from rattanvalve.gateway.endpoint_health import UsualDurations
+from rattanvalve.gateway.events import EventFollower
+from rattanvalve.gateway.loads import LoadTable
+from rattanvalve.gateway.placement import Demand
+from rattanvalve.gateway.response_parser import ResponseHead
+from rattanvalve.gateway.server_connection import ServerConnection
+from rattanvalve.gateway.sinks import Sink
+from rattanvalve.gateway.trace import Trace
+from rattanvalve.gateway.turns import TurnKeeper
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.platform import names
+from rattanvalve.platform.requests import request_bytes
+from rattanvalve.sharedstate.endpoints import EndpointEntry
+from rattanvalve.sharedstate.parts import SharedState
+
+__all__ = ('AttemptFailedError', 'Attempts')
+
+#: An endpoint that does not accept or breaks off is avoided this long.
+UNREACHABLE_AVOID_S = 1.0
+BROKEN_AVOID_S = 0.3
+#: A request that its caller gave up after this time hung at the endpoint.
+HUNG_S = 1.5
+SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
+
+_log = part_logger(LogPart.GATEWAY)
+
+
+class AttemptFailedError(Exception):
+    """There is no response to pass on; ``may_have_run`` says what was sent."""
+
+    def __init__(self, reason: str, *, may_have_run: bool) -> None:
+        super().__init__(reason)
+        self.may_have_run = may_have_run
+
+
+class _Outcome(Enum):
+    """What a request says of the health of its endpoint."""
+
+    SERVED = auto()
+    FAILED = auto()
+    #: The caller left so early that it says nothing.
+    LEFT_EARLY = auto()
+
+
+class Attempts:
+    """Sends requests to endpoints and notes what becomes of them.
+
+    :param state: rules and identity of this process.
+    :param loads: loads of the endpoints.
+    :param pool: connections to the endpoints.
+    :param turns: keeper of turns.
+    """
+
+    def __init__(
+        self,
+        state: SharedState,
+        loads: LoadTable,
+        pool: ConnectionPool,
+        turns: TurnKeeper,
+    ) -> None:
+        self._state = state
+        self._loads = loads
+        self._pool = pool
+        self._turns = turns
+        self._usual = UsualDurations()
+
+    async def make(
+        self,
+        call: Call,
+        demand: Demand,
+        endpoint: EndpointEntry,
+        sink: Sink,
+        trace: Trace,
+    ) -> None:
+        """Send a request to one endpoint and pass its response on.
+
+        :param call: the request.
+        :param demand: what it needs of the endpoint.
+        :param endpoint: where it is sent.
+        :param sink: gets the response.
+        :param trace: is filled for the log.
+        :raises AttemptFailedError: if there is no response to pass on.
+        :raises TimeoutError: if the request's time is over.
+        """
+        connection = await self._connect(endpoint)
+        self._loads.begin(endpoint)
+        if demand.is_generation:
+            load = self._loads.of(endpoint)
+            load.remember(demand.parts, demand.cache_tokens)
+        try:
+            with self._observed(call, endpoint, trace):
+                async with asyncio.timeout_at(_loop_time(call.deadline_s)):
+                    await self._exchange(
+                        call,
+                        endpoint,
+                        connection,
+                        sink,
+                        trace,
+                    )
+        except ServerBrokenError as error:
+            self._avoid(endpoint, BROKEN_AVOID_S)
+            raise AttemptFailedError('broken', may_have_run=True) from error
+        except AttemptFailedError:
+            raise
+        except BaseException:
+            # The caller has gone or the time is over, so the work ends, too.
+            connection.close()
+            raise
+        finally:
+            self._loads.end(endpoint)
+            self._pool.give_back(endpoint, connection)
+
+    @contextmanager
+    def _observed(
+        self,
+        call: Call,
+        endpoint: EndpointEntry,
+        trace: Trace,
+    ) -> Iterator[None]:
+        """Note in the endpoint's health what becomes of a request."""
+        health = self._loads.of(endpoint).health
+        sent_s = time.monotonic()
+        health.note_sent(call.request_id, sent_s)
+        outcome = _Outcome.FAILED
+        try:
+            yield
+            if not trace.is_cut and trace.status < SERVER_ERROR:
+                outcome = _Outcome.SERVED
+        except asyncio.CancelledError:
+            if time.monotonic() - sent_s < HUNG_S:
+                outcome = _Outcome.LEFT_EARLY
+            raise
+        finally:
+            health.note_answered(call.request_id)
+            self._note(call, endpoint, outcome, sent_s)
+
+    def _note(
+        self,
+        call: Call,
+        endpoint: EndpointEntry,
+        outcome: _Outcome,
+        sent_s: float,
+    ) -> None:
+        now_s = time.monotonic()
+        health = self._loads.of(endpoint).health
+        if outcome is _Outcome.FAILED:
+            health.note_failure(now_s)
+        elif outcome is _Outcome.SERVED:
+            duration_s = now_s - sent_s
+            slowness = self._usual.slowness(call.route.name, duration_s)
+            health.note_success(slowness, now_s)
+
+    async def _connect(self, endpoint: EndpointEntry) -> ServerConnection:
+        try:
+            return await self._pool.take(endpoint)
+        except ServerUnreachableError as error:
+            self._loads.of(endpoint).health.note_failure(time.monotonic())
+            self._avoid(endpoint, UNREACHABLE_AVOID_S)
+            raise AttemptFailedError(
+                'unreachable', may_have_run=False
+            ) from error
+
+    async def _exchange(
+        self,
+        call: Call,
+        endpoint: EndpointEntry,
+        connection: ServerConnection,
+        sink: Sink,
+        trace: Trace,
+    ) -> None:
+        left_ms = int((call.deadline_s - time.monotonic()) * 1000)
+        payload = request_bytes(call, endpoint.name, left_ms)
+        connection.send(call.request_id, payload)
+        head = await connection.read_head()
+        self._loads.of(endpoint).health.note_answered(call.request_id)
+        load_text = head.headers.get(names.SERVER_LOAD, '')
+        self._loads.report(endpoint, load_text, time.monotonic())
+        trace.status = head.status
+        if _is_refusal(head):
+            await _read_body(connection)
+            raise AttemptFailedError(
+                f'refused {head.status}', may_have_run=False
+            )
+        is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
+        if is_success and names.SEAL not in head.headers:
+            connection.close()
+            raise ServerBrokenError('a success without its seal')
+        if is_success and call.route.is_stream:
+            trace.is_cut = not await self._pass_stream(
+                call,
+                connection,
+                head,
+                sink,
+            )
+            return
+        body = await _read_body(connection)
+        if not is_success and _may_repeat_failure(call, head, trace):
+            raise AttemptFailedError(f'failed {head.status}', may_have_run=True)
+        await sink.send_whole(head, body)
+
+    async def _pass_stream(
+        self,
+        call: Call,
+        connection: ServerConnection,
+        head: ResponseHead,
+        sink: Sink,
+    ) -> bool:
+        """Pass a stream on; gives whether the server kept it whole."""
+        follower = EventFollower()
+        await sink.begin(head)
+        try:
+            while chunk := await connection.read_chunk():
+                follower.feed(chunk)
+                await sink.write(chunk)
+            if not follower.is_between_events():
+                raise ServerBrokenError('stream ended within an event')
+            await self._commit(call, follower)
+        except (ServerBrokenError, QuorumError) as error:
+            # Nothing else may follow what the caller has already got.
+            connection.close()
+            sink.abort()
+            return not isinstance(error, ServerBrokenError)
+        except asyncio.CancelledError:
+            # The deadline has passed, or the caller has gone.
+            sink.abort()
+            raise
+        await sink.finish()
+        return True
+
+    async def _commit(self, call: Call, follower: EventFollower) -> None:
+        if not call.turn.program_id:
+            return
+        tokens = follower.event_count * self._state.rules.event_tokens(
+            call.route
+        )
+        await self._turns.commit(call, follower.output(), tokens)
+
+    def _avoid(self, endpoint: EndpointEntry, duration_s: float) -> None:
+        now_s = time.monotonic()
+        load = self._loads.of(endpoint)
+        if load.avoided_until_s < now_s:
+            _log.warning(
+                'endpoint avoided',
+                extra={
+                    'endpoint': endpoint.name,
+                    'duration_s': duration_s,
+                    'failure_ratio': round(load.health.failure_ratio(now_s), 2),
+                },
+            )
+        load.avoided_until_s = now_s + duration_s
+
+
+def _loop_time(monotonic_s: float) -> float:
+    now_s = asyncio.get_running_loop().time()
+    return now_s + monotonic_s - time.monotonic()
+
+
+def _is_refusal(head: ResponseHead) -> bool:
+    return (
+        names.NOT_RUN in head.headers
+        or head.status == HTTPStatus.MISDIRECTED_REQUEST
+    )
+
+
+async def _read_body(connection: ServerConnection) -> bytes:
+    parts = []
+    while chunk := await connection.read_chunk():
+        parts.append(chunk)
+    return b''.join(parts)
+
+
+def _may_repeat_failure(call: Call, head: ResponseHead, trace: Trace) -> bool:
+    """Tell whether a failure of the server is tried at another one."""
+    return (
+        head.status >= SERVER_ERROR
+        and call.route.is_repeatable
+        and trace.run_count + 1 < call.route.max_attempts
+    )
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -9,9 +9,10 @@
 from rattanvalve.errors import BodyError, QuorumError
 from rattanvalve.gateway.caller_sink import CallerSink
 from rattanvalve.gateway.calls import Call, Refusal, header_number, read_turn
-from rattanvalve.gateway.forwarding import Forwarder, Trace
+from rattanvalve.gateway.forwarding import Forwarder
 from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.gateway.rate_client import RateClient
+from rattanvalve.gateway.trace import Trace
 from rattanvalve.gateway.turns import TurnKeeper
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.platform import names
@@ -135,7 +136,7 @@
         nothing of its workspace's rate.
         """
         if call.route.keeps_turns:
-            event_tokens = self._forwarder.event_tokens(call)
+            event_tokens = self._state.rules.event_tokens(call.route)
             refusal = await self._turns.prepare(call, event_tokens)
             if refusal is not None:
                 return refusal
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from rattanvalve.errors import SettingsError
+from rattanvalve.gateway.attempts import Attempts
 from rattanvalve.gateway.connection_pool import ConnectionPool
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.forwarding import Forwarder
@@ -96,8 +97,7 @@
             self._state,
             self._directory,
             self._loads,
-            self._pool,
-            turns,
+            Attempts(self._state, self._loads, self._pool, turns),
         )
         self._page = MetricsPage(self._state.metrics)
         self._ingress = Ingress(
--- a/rattanvalve/sharedstate/rules.py
+++ b/rattanvalve/sharedstate/rules.py
@@ -126,6 +126,18 @@
                 return route
         return None
 
+    def event_tokens(self, route: Route) -> int:
+        """Tell for how many tokens each event on a route is counted.
+
+        :param route: the route.
+        :returns: tokens.
+        """
+        for service, _ in route.services:
+            rule = self.services.get(service)
+            if rule and rule.engine:
+                return rule.engine.event_tokens
+        return 1
+
     def workspace_of_key(self, key: str) -> Workspace | None:
         """Find the workspace that holds a key.
 
