Finish requests that come on open connections at the end of a planned stop

A test with a listener whose requests take 1.5 s shows it: no answer before, answered whole now. The stop now closes the connections without a request once nothing is open, and then waits for the requests that had come by then; entry and gateway share this.

--- a/rattanvalve/entry_process.py
+++ b/rattanvalve/entry_process.py
@@ -8,6 +8,7 @@
 
 from rattanvalve import admin_api, history, views
 from rattanvalve.blackboard import Blackboard
+from rattanvalve.busy_connections import BusyConnections
 from rattanvalve.caller_api import (
     RUNNER_OPTIONS,
     build_caller_app,
@@ -80,6 +81,7 @@
         )
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.AppRunner] = []
+        self._busy = BusyConnections()
 
     async def start(self) -> None:
         """Listen to peers, join the view, then listen to callers."""
@@ -144,6 +146,7 @@
             open_requests=self._open_requests,
             leave=self._parts.leave,
             stop_listening=self._stop_listening,
+            close_idle=self._close_idle,
             grace_s=self._settings.drain_grace_s,
             timeout_s=self._settings.stop_timeout_s,
         ).run()
@@ -188,6 +191,7 @@
 
     async def _listen(self, app: web.Application, name: str) -> None:
         listen = getattr(self._settings, f'{name}_listen')
+        app.middlewares.append(self._busy.middleware)
         runner = web.AppRunner(
             app,
             access_log_class=malformed_http_counter(self._metrics),
@@ -202,6 +206,10 @@
             ssl_context=self._tls[f'{name}_tls'],
         ).start()
 
+    async def _close_idle(self) -> None:
+        servers = [runner.server for runner in self._runners]
+        await self._busy.close_idle(servers)
+
     async def _stop_listening(self) -> None:
         for runner in self._runners:
             for site in tuple(runner.sites):
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from rattanvalve.busy_connections import BusyConnections
 from rattanvalve.errors import BodyError, QuorumError
 from rattanvalve.gateway.caller_sink import CallerSink
 from rattanvalve.gateway.calls import Call, Refusal, header_number, read_turn
@@ -57,8 +58,7 @@
     ) -> None:
         self._page = page
         self.is_stopping = False
-        #: Connections whose request is being answered.
-        self.busy_transports: set[asyncio.BaseTransport] = set()
+        self.busy = BusyConnections()
         self._state = state
         self._forwarder = forwarder
         self._turns = turns
@@ -78,9 +78,18 @@
             # not run; nobody gets this response.
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         sink = CallerSink(request, is_last=self.is_stopping)
+        with self.busy.answering(transport):
+            await self._answer(request, sink, received_s)
+        return sink.response
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        sink: CallerSink,
+        received_s: float,
+    ) -> None:
         trace = Trace()
         outcome = 'cancelled'
-        self.busy_transports.add(transport)
         try:
             refusal = await self._serve(request, sink, trace, received_s)
             outcome = 'answered'
@@ -90,9 +99,7 @@
                 if sink.response is None:
                     await sink.refuse(refusal)
         finally:
-            self.busy_transports.discard(transport)
             self._log_outcome(request, trace, outcome, received_s)
-        return sink.response
 
     async def _serve(
         self,
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -45,8 +45,6 @@
 #: which is longer than a watch.
 STORE_DOUBT_S = 4.5
 STOP_CHECK_INTERVAL_S = 0.05
-#: Turns of the event loop from a readable socket to the handler.
-READ_TURNS = 4
 
 _log = part_logger(LogPart.PROCESS)
 
@@ -148,35 +146,24 @@
         self._ingress.is_stopping = True
         _log.info(
             'stopping',
-            extra={'open_requests': len(self._ingress.busy_transports)},
+            extra={'open_requests': len(self._ingress.busy)},
         )
         grace_s = self._node.grace_s
         await asyncio.sleep(min(UNREADY_GRACE_S, grace_s * UNREADY_SHARE))
         self._listener.close()
         until_s = started_s + grace_s - CLOSE_GRACE_S
         while callers.connections and time.monotonic() < until_s:
-            await _read_arrived()
-            self._close_idle(callers)
+            await self._ingress.busy.close_idle((callers,))
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         _log.info(
             'requests finished',
             extra={
                 'connections': len(callers.connections),
-                'open_requests': len(self._ingress.busy_transports),
+                'open_requests': len(self._ingress.busy),
                 'duration_ms': round((time.monotonic() - started_s) * 1000),
             },
         )
 
-    def _close_idle(self, callers: web.Server) -> None:
-        """Close the connections without a request.
-
-        ``pre_shutdown`` of aiohttp only stops reading from them, so that a
-        request which comes in later would get no answer.
-        """
-        for connection in tuple(callers.connections):
-            if connection.transport not in self._ingress.busy_transports:
-                connection.force_close()
-
     def _tasks(self, store: ObjectStore) -> list:
         followers = self._state.followers(store, is_spare=True)
         return [
@@ -213,15 +200,6 @@
         self._loads.forget(endpoint)
 
 
-async def _read_arrived() -> None:
-    """Let requests reach their handlers that have arrived.
-
-    After a delay of the process, timers go before sockets.
-    """
-    for _ in range(READ_TURNS):
-        await asyncio.sleep(0)
-
-
 async def _cancel(task: asyncio.Task) -> None:
     task.cancel()
     with suppress(asyncio.CancelledError):
--- a/rattanvalve/shutdown.py
+++ b/rattanvalve/shutdown.py
@@ -23,6 +23,7 @@
     :param open_requests: registry of open requests.
     :param leave: leaves the view and hands the ledgers over.
     :param stop_listening: refuses new connections of callers.
+    :param close_idle: closes the connections without a request.
     :param grace_s: seconds until the load balancer sends no new callers.
     :param timeout_s: seconds for everything after the grace period.
     """
@@ -31,6 +32,7 @@
     open_requests: OpenRequests
     leave: _Step
     stop_listening: _Step
+    close_idle: _Step
     grace_s: float
     timeout_s: float
 
@@ -59,3 +61,6 @@
             _log.error('could not leave the view', exc_info=error)
         await self.stop_listening()
         await self.open_requests.wait_idle()
+        await self.close_idle()
+        # Requests that came on open connections until then are finished, too.
+        await self.open_requests.wait_idle()
--- a/tests/shutdown.feature
+++ b/tests/shutdown.feature
@@ -20,3 +20,8 @@
     Given a listener with a request that never ends
     When the listener is closed
     Then it is closed within 3 seconds and the request was cancelled
+
+  Scenario: a request on an open connection at the end of a stop is answered
+    Given a listener whose requests take 1.5 seconds
+    When the process stops and a request comes once nothing else is open
+    Then the request is answered whole
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -451,4 +451,4 @@
     request = mock.Mock(transport=None, headers={})
     response = context.run(ingress.handle(request))
     assert response.status == 503
-    assert not ingress.busy_transports
+    assert not ingress.busy
--- a/tests/steps/shutdown_steps.py
+++ b/tests/steps/shutdown_steps.py
@@ -6,14 +6,24 @@
 from aiohttp import web
 from behave import given, then, when
 
+from rattanvalve.blackboard import Blackboard
+from rattanvalve.busy_connections import BusyConnections
 from rattanvalve.caller_api import RUNNER_OPTIONS
+from rattanvalve.counters import Metrics
 from rattanvalve.errors import StoreError
 from rattanvalve.shutdown import Shutdown
+from rattanvalve.streams import OpenRequest, OpenRequests
 from tests.ingress_bench import TEXT, eventually, text_of
 from tests.ingress_checks import read_all
 
 #: Time for a request to reach its handler.
 START_S = 0.2
+STOP_LIMIT_S = 10
+REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+
+
+async def done():
+    """Do nothing more."""
 
 
 async def stop(context, *, leave_fails=False, timeout_s=60, is_released=True):
@@ -39,6 +49,7 @@
             open_requests=bench.open_requests,
             leave=leave,
             stop_listening=stop_listening,
+            close_idle=done,
             grace_s=0,
             timeout_s=timeout_s,
         ).run(),
@@ -86,6 +97,17 @@
     assert not context.is_complete
 
 
+async def open_listener(handler, *middlewares):
+    """Open a listener and one connection to it."""
+    app = web.Application(middlewares=middlewares)
+    app.router.add_get('/', handler)
+    runner = web.AppRunner(app, **RUNNER_OPTIONS)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    reader, writer = await asyncio.open_connection(*runner.addresses[0][:2])
+    return runner, reader, writer
+
+
 @given('a listener with a request that never ends')
 def step_endless(context):
     context.endings = []
@@ -97,19 +119,64 @@
             context.endings.append('cancelled')
 
     async def start():
-        app = web.Application()
-        app.router.add_get('/', wait_forever)
-        runner = web.AppRunner(app, **RUNNER_OPTIONS)
-        await runner.setup()
-        await web.TCPSite(runner, '127.0.0.1', 0).start()
-        _, writer = await asyncio.open_connection(*runner.addresses[0][:2])
-        writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        runner, _, writer = await open_listener(wait_forever)
+        writer.write(REQUEST)
         await asyncio.sleep(START_S)
         return runner, writer
 
-    started = context.run(start())
-    context.runner = started[0]
-    context.writer = started[1]
+    opened = context.run(start())
+    context.runner = opened[0]
+    context.writer = opened[1]
+
+
+@given('a listener whose requests take {duration_s:g} seconds')
+def step_slow_listener(context, duration_s):
+    context.open_requests = OpenRequests(Metrics())
+    context.busy = BusyConnections()
+
+    async def answer_late(_request):
+        async with context.open_requests.enter(OpenRequest('')):
+            await asyncio.sleep(duration_s)
+        return web.Response(text=TEXT)
+
+    opened = context.run(
+        open_listener(answer_late, context.busy.middleware),
+    )
+    context.runner = opened[0]
+    context.reader = opened[1]
+    context.writer = opened[2]
+
+
+@when('the process stops and a request comes once nothing else is open')
+def step_late_request(context):
+    runner = context.runner
+
+    async def stop_listening():
+        for site in tuple(runner.sites):
+            await site.stop()
+        context.writer.write(REQUEST)
+
+    async def stop_all():
+        await Shutdown(
+            blackboard=Blackboard(),
+            open_requests=context.open_requests,
+            leave=done,
+            stop_listening=stop_listening,
+            close_idle=lambda: context.busy.close_idle((runner.server,)),
+            grace_s=0,
+            timeout_s=STOP_LIMIT_S,
+        ).run()
+        await runner.cleanup()
+        return await context.reader.read()
+
+    context.received = context.run(stop_all())
+    context.writer.close()
+
+
+@then('the request is answered whole')
+def step_answered_whole(context):
+    assert context.received.startswith(b'HTTP/1.1 200'), context.received
+    assert context.received.endswith(TEXT.encode()), context.received
 
 
 @when('the listener is closed')
