Find the turn stores at once after a start or a loss of most of them

Load: all gateways lose power at once and their callers come back within half a second. A process that reaches too few now asks all others each 0.15 s with the smallest document.

Ruled out: the start of the processes and the platform's store (reached 15 ms after the start), the turn stores (no line of a start).

--- a/rattanvalve/sharedstate/following.py
+++ b/rattanvalve/sharedstate/following.py
@@ -45,6 +45,10 @@
     DocumentKind.MEMBERS,
 )
 EXCHANGE_TIMEOUT_S = 0.5
+#: How often a process that reaches too few peers tries the others.
+SEARCH_INTERVAL_S = 0.15
+SEARCH_TIMEOUT_S = 0.25
+SEARCH_PEERS = 12
 
 _log = part_logger(LogPart.CONFIG)
 
@@ -229,6 +233,9 @@
 
     async def run(self) -> None:
         """Exchange until cancelled."""
+        await asyncio.gather(self._exchange_often(), self._search_often())
+
+    async def _exchange_often(self) -> None:
         while True:
             pause_s = EXCHANGE_INTERVAL_S * random.uniform(0.8, 1.2)
             await asyncio.gather(
@@ -236,6 +243,30 @@
                 *map(self._exchange, self._chosen()),
             )
 
+    async def _search_often(self) -> None:
+        """Look for peers soon after a start or a loss of most of them."""
+        while True:
+            await asyncio.gather(*map(self._probe, self._missing()))
+            await asyncio.sleep(SEARCH_INTERVAL_S * random.uniform(0.8, 1.2))
+
+    def _missing(self) -> Sequence[Address]:
+        """Choose unreached peers, unless most peers are reached."""
+        peers = self._peers()
+        unreached = self._reach.unreached(peers, time.monotonic())
+        if 2 * len(unreached) < len(peers):
+            return ()
+        return random.sample(unreached, min(len(unreached), SEARCH_PEERS))
+
+    async def _probe(self, peer: Address) -> None:
+        """Exchange the smallest document."""
+        try:
+            async with asyncio.timeout(SEARCH_TIMEOUT_S):
+                await self._exchange_kind(peer, DocumentKind.MEMBERS)
+        except (PeerError, TimeoutError):
+            self._reach.note_failure(peer, time.monotonic())
+        else:
+            self._reach.note_answer(peer, time.monotonic())
+
     def _chosen(self) -> Sequence[Address]:
         peers = self._peers()
         return random.sample(peers, min(len(peers), EXCHANGE_PEERS))
--- a/rattanvalve/sharedstate/reach.py
+++ b/rattanvalve/sharedstate/reach.py
@@ -107,10 +107,25 @@
         :returns: whether more than half answered their last call, or did so
             a moment ago.
         """
-        reached = sum(
-            self._has_answered(member.address, now_s) for member in members
-        )
-        return 2 * reached > len(members)
+        addresses = [member.address for member in members]
+        return 2 * len(self.unreached(addresses, now_s)) < len(addresses)
+
+    def unreached(
+        self,
+        addresses: Sequence[Address],
+        now_s: float,
+    ) -> list[Address]:
+        """List the members that do not answer.
+
+        :param addresses: members.
+        :param now_s: monotonic time in seconds.
+        :returns: those that were not called yet or failed.
+        """
+        return [
+            address
+            for address in addresses
+            if not self._has_answered(address, now_s)
+        ]
 
     def _has_answered(self, address: Address, now_s: float) -> bool:
         contact = self._contacts.get(address)
