Let requests wait while a gateway starts

Load: as before, callers come back while the gateways start. Requests now wait for that, until 1 s after the start at most; a start that takes longer is refused at once as before. Scenario: a turn sent while gateway and turn stores start got 503.

--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -13,6 +13,7 @@
 from rattanvalve.gateway.forwarding import Forwarder
 from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.gateway.rate_client import RateClient
+from rattanvalve.gateway.start_wait import StartWait
 from rattanvalve.gateway.trace import Trace
 from rattanvalve.gateway.turns import TurnKeeper
 from rattanvalve.logs import LogPart, part_logger
@@ -64,6 +65,7 @@
         self._turns = turns
         self._calls = calls
         self._rates = RateClient(calls)
+        self._start_wait = StartWait(self._is_able, time.monotonic())
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request.
@@ -108,6 +110,7 @@
         trace: Trace,
         received_s: float,
     ) -> Refusal | None:
+        await self._start_wait.wait()
         admitted = self._admit(request)
         if isinstance(admitted, Refusal):
             # The rest of the body is not read, so nothing may follow it.
@@ -155,6 +158,9 @@
             self._turns.release(call)
         return refusal
 
+    def _is_able(self) -> bool:
+        return bool(self._state.rules.version) and not self._calls.is_cut_off()
+
     def _refuse_cut_off(self, sink: CallerSink) -> Refusal:
         """Refuse a request; the caller's next one goes to another gateway."""
         sink.close_after()
--- a/tests/gateway/whole_path.feature
+++ b/tests/gateway/whole_path.feature
@@ -32,6 +32,10 @@
     And turn c continues b with "third" through gateway 0
     Then the model got the prompts and outputs of a and b before "third"
 
+  Scenario: a turn that comes while a gateway starts is answered
+    When gateway 0 and all turn stores start again
+    Then the first turn that gateway 0 accepts is answered
+
   Scenario: a gateway that cannot be certain does not say that a turn is gone
     When turn a begins with "hello " through gateway 0
     And two turn stores stop
--- a/tests/steps/gateway_turns_steps.py
+++ b/tests/steps/gateway_turns_steps.py
@@ -7,6 +7,8 @@
 from tests.platform_fleet import OTHER_KEY, wait_until
 from tests.platform_servers import OUTPUT
 
+CONNECT_INTERVAL_S = 0.01
+
 
 def send_turn(context, name, text, index, previous='', **headers):
     """Send a turn; gives what the caller gets."""
@@ -79,6 +81,30 @@
     context.run(restart())
 
 
+@when('gateway 0 and all turn stores start again')
+def step_restart_all(context):
+    async def restart():
+        fleet = context.fleet
+        for index in range(3):
+            await fleet.stop_process(f'store-{index}')
+        await fleet.stop_process('gateway-0')
+        for index in range(3):
+            fleet.start_turn_store(index, is_first_start=False)
+        fleet.start_gateway(0)
+
+    context.run(restart())
+
+
+@then('the first turn that gateway 0 accepts is answered')
+def step_first_turn(context):
+    status = 0
+    while not status:
+        # Nothing listens yet.
+        context.run(asyncio.sleep(CONNECT_INTERVAL_S))
+        status = send_turn(context, 'a', 'hello ', 0)[0]
+    assert status == 200, status
+
+
 @when('turn store 0 is retired and reports that it is done')
 def step_retire(context):
     store = context.fleet.store
