Let the mark that a turn store is complete outlast a loss of power

Cause: the mark was made with touch() and never synced, so a loss of power took it, while all records were there. All files that are replaced as a whole now go through one function that syncs content and folder; the folder of the log is synced, too. The new scenario takes away what was not synced; the mark was gone before.

--- a/rattanvalve/turnstore/disklog.py
+++ b/rattanvalve/turnstore/disklog.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from zlib import crc32
 
+from rattanvalve.turnstore.durablefiles import sync_folder
+
 __all__ = ('DiskLog', 'Location')
 
 _HEADER = struct.Struct('>II')
@@ -39,6 +41,7 @@
 
     def __init__(self, folder: Path) -> None:
         folder.mkdir(parents=True, exist_ok=True)
+        sync_folder(folder.parent)
         self._folder = folder
         self._executor = ThreadPoolExecutor(1, 'disklog')
         self._files: dict[int, int] = {}
@@ -143,9 +146,7 @@
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC
         descriptor = os.open(self._path_of(number), flags)
         os.fsync(descriptor)
-        folder = os.open(self._folder, os.O_RDONLY)
-        os.fsync(folder)
-        os.close(folder)
+        sync_folder(self._folder)
         self._files[number] = descriptor
         self._segment = number
         self._offset = 0
--- a/rattanvalve/turnstore/documentfiles.py
+++ b/rattanvalve/turnstore/documentfiles.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import os
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -14,6 +13,7 @@
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Document
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
+from rattanvalve.turnstore.durablefiles import replace_file
 
 __all__ = ('DocumentFiles',)
 
@@ -76,7 +76,11 @@
             if document.version <= self._versions.get(kind, 0):
                 continue
             try:
-                await asyncio.to_thread(self._write, document)
+                await asyncio.to_thread(
+                    replace_file,
+                    self._path_of(kind),
+                    wire.encode_struct(document),
+                )
             except OSError as error:
                 _log.warning(
                     'document not kept',
@@ -85,15 +89,5 @@
                 return
             self._versions[kind] = document.version
 
-    def _write(self, document: Document) -> None:
-        """Replace a file, so that a power loss leaves the old or the new."""
-        path = self._path_of(document.kind)
-        fresh = path.with_suffix('.new')
-        with fresh.open('wb') as file:
-            file.write(wire.encode_struct(document))
-            file.flush()
-            os.fsync(file.fileno())
-        fresh.replace(path)
-
     def _path_of(self, kind: str) -> Path:
         return self._folder / f'{kind}{_SUFFIX}'
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -24,6 +24,7 @@
 from rattanvalve.sharedstate.parts import SharedState, run_tasks
 from rattanvalve.turnstore.disklog import DiskLog
 from rattanvalve.turnstore.documentfiles import DocumentFiles
+from rattanvalve.turnstore.durablefiles import replace_file
 from rattanvalve.turnstore.membership import Membership
 from rattanvalve.turnstore.rateshares import RateShares
 from rattanvalve.turnstore.replication import (
@@ -183,7 +184,7 @@
             self._mark_complete()
 
     def _mark_complete(self) -> None:
-        self._marker.touch()
+        replace_file(self._marker, b'')
         self._is_complete = True
         _log.info(
             'turn store complete',
--- a/tests/gateway/whole_path.feature
+++ b/tests/gateway/whole_path.feature
@@ -36,6 +36,11 @@
     When gateway 0 and all turn stores start again
     Then the first turn that gateway 0 accepts is answered
 
+  Scenario: turn stores answer at once after a loss of power
+    When all turn stores begin on disks that keep only what was synced
+    And all turn stores lose power
+    Then each of them still knows that it had all its records
+
   Scenario: all processes start while the store is away
     When turn a begins with "hello " through gateway 0
     And all processes start again while the store refuses everybody
--- a/tests/steps/gateway_turns_steps.py
+++ b/tests/steps/gateway_turns_steps.py
@@ -1,11 +1,13 @@
 """Steps of gateway/whole_path.feature about turns and turn stores."""
 
 import asyncio
+from contextlib import ExitStack
 
 from behave import then, when
 
 from tests.platform_fleet import OTHER_KEY, wait_until
 from tests.platform_servers import OUTPUT
+from tests.power_loss import synced_paths
 
 CONNECT_INTERVAL_S = 0.01
 
@@ -95,6 +97,39 @@
     context.run(restart())
 
 
+@when('all turn stores begin on disks that keep only what was synced')
+def step_disks(context):
+    fleet = context.fleet
+    stack = ExitStack()
+    context.closers.append(stack.close)
+    context.synced = stack.enter_context(synced_paths())
+
+    async def begin_anew():
+        for index in range(3):
+            await fleet.stop_process(f'store-{index}')
+            fleet.wipe(index)
+            fleet.start_turn_store(index)
+        for index in range(3):
+            marker = fleet.folder / f'store-{index}' / 'complete'
+            await wait_until(marker.exists)
+
+    context.run(begin_anew())
+
+
+@when('all turn stores lose power')
+def step_lose_power(context):
+    fleet = context.fleet
+    for index in range(3):
+        context.run(fleet.stop_process(f'store-{index}'))
+        context.synced.lose_power(fleet.folder / f'store-{index}')
+
+
+@then('each of them still knows that it had all its records')
+def step_complete(context):
+    for index in range(3):
+        assert (context.fleet.folder / f'store-{index}' / 'complete').exists()
+
+
 @when('all processes start again while the store refuses everybody')
 def step_restart_without_store(context):
     async def restart():
