Let processes that learn from peers retry the platform's store more slowly

Load: the platform's store is down for six seconds. Gateways now go up to 2 s; turn stores stay at 0.5 s, and what they learn reaches the gateways in 0.4 s.

--- a/rattanvalve/sharedstate/following.py
+++ b/rattanvalve/sharedstate/following.py
@@ -42,6 +42,9 @@
 AGE_MAX_MS = 1_000_000_000
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 0.5
+#: The same for a process that usually learns from peers: while the store is
+#: down, its calls would only add to those of the turn stores.
+SPARE_RETRY_MAX_S = 2.0
 #: How often a process compares its documents with those of some peers.
 EXCHANGE_INTERVAL_S = 0.4
 EXCHANGE_PEERS = 3
@@ -110,7 +113,7 @@
             except StoreError as error:
                 self._note_lost(error)
                 await asyncio.sleep(delay_s * random.uniform(0.5, 1))
-                delay_s = min(RETRY_MAX_S, delay_s * 2)
+                delay_s = min(self._retry_max_s(), delay_s * 2)
             else:
                 delay_s = RETRY_FIRST_S
 
@@ -121,6 +124,9 @@
         """
         return self._is_reached
 
+    def _retry_max_s(self) -> float:
+        return SPARE_RETRY_MAX_S if self._is_spare else RETRY_MAX_S
+
     async def _wait_needed(self) -> None:
         while self._is_spare and self._is_fresh():
             # What is read after a pause begins with a list.
