Let requests of begun programs wait longer for small rates, but no stream past

the caller's patience

A tool call that is refused twice ends its program, so it may now wait for three quarters of its time (half before), and up to 12 requests (8 before) are promised ahead for rates below 12 a second; the spread of the quota's bounds allows 20. No wait is longer than 1.6 s (2 s before), as callers leave a stream that is silent for 2 s: what was granted at 2 s was used up in vain. The log line names the route.

--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -30,10 +30,11 @@
 STARTING_RETRY_AFTER_S = 0.5
 #: Another gateway can serve the request at once.
 CUT_OFF_RETRY_AFTER_S = 0.1
-#: Longest wait of a request of a begun program for the rate.
-RATE_WAIT_MAX_S = 2.0
+#: Longest wait of a request of a begun program for the rate. Callers leave a
+#: stream that has no event for two seconds.
+RATE_WAIT_MAX_S = 1.6
 #: Most of its time that such a request waits.
-RATE_WAIT_SHARE = 0.5
+RATE_WAIT_SHARE = 0.75
 PRIORITY_MAX = 9
 
 _log = part_logger(LogPart.GATEWAY)
@@ -126,6 +127,7 @@
             return Refusal(ResultCode.REQUEST_TIMEOUT)
         call = _call_of(request, body, route, workspace, received_s)
         trace.workspace = call.workspace_name
+        trace.route = route.name
         if self._calls.is_cut_off():
             return self._refuse_cut_off(sink)
         refusal = await self._prepare(call, sink, trace)
@@ -244,6 +246,7 @@
                 'request': request.headers.get(names.REQUEST_ID, ''),
                 'program': request.headers.get(names.PROGRAM_ID, ''),
                 'workspace': trace.workspace,
+                'route': trace.route,
                 'outcome': outcome,
                 'is_start': trace.is_start,
                 'start_wait_ms': trace.start_wait_ms,
--- a/rattanvalve/gateway/trace.py
+++ b/rattanvalve/gateway/trace.py
@@ -10,6 +10,7 @@
     """What became of one request, for its log line."""
 
     workspace: str = ''
+    route: str = ''
     is_start: bool = False
     start_wait_ms: int = 0
     rate_wait_ms: int = 0
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -30,7 +30,7 @@
 #: its next start hands the same tokens out again. So it is bounded by the time
 #: of a restart, or by a few requests.
 PROMISE_TIME_S = 1.0
-PROMISE_COUNT = 8
+PROMISE_COUNT = 12
 
 
 def share_of(rank: int, size: int, burst: float) -> tuple[float, float]:
