Decode only what is used of the platform's settings and configuration

Nothing read these fields (limits of descriptors and processor time, most bounds, rates of the store, the class of the VM, affinity, resumable routes, pin times, paths of probes, connections of a server). A newcomer looked for their use, and a wrong value in one of them made the whole file unreadable, although fields that are not known are to be passed over.

--- a/rattanvalve/platform/configuration.py
+++ b/rattanvalve/platform/configuration.py
@@ -36,21 +36,16 @@
     retention_s: float = 0
     # Open to callers without a key.
     auth_exempt: bool = False
-    session_affinity: bool = False
-    resumable: bool = False
 
 
 class _Engine(msgspec.Struct, rename='camel'):
     slots: int = 1
     kv_capacity: int = 0
     tokens_per_event: int = 1
-    pin_ms: float = 0
 
 
 class _Service(msgspec.Struct, rename='camel'):
     name: str
-    health_path: str = '/health'
-    max_connections: int = 100
     engine: _Engine | None = None
 
 
@@ -128,7 +123,6 @@
     engine = stored.engine
     return ServiceRule(
         name=stored.name,
-        connections_max=stored.max_connections,
         engine=engine
         and Engine(
             slots=engine.slots,
--- a/rattanvalve/platform/nodefile.py
+++ b/rattanvalve/platform/nodefile.py
@@ -1,4 +1,7 @@
-"""Reads the settings file that the platform writes for each process."""
+"""Reads the settings file that the platform writes for each process.
+
+Fields that the product does not use are passed over, whatever they hold.
+"""
 
 import os
 import tomllib
@@ -18,14 +21,10 @@
 class _Listen(msgspec.Struct, rename='camel'):
     front: str = ''
     ready_addr: str = ''
-    control: str = ''
 
 
 class _Limits(msgspec.Struct, rename='camel'):
     memory_mb: float
-    max_fds: int
-    cpu_share: float = 1.0
-    cores: float = 1
 
 
 class _Tolerance(msgspec.Struct, rename='camel'):
@@ -33,21 +32,11 @@
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
-    drain_ms: int = 2000
     grace_s: float = 8
-    config_apply_ms: int = 2000
-    quota_window_s: float = 5
-    recovery_s: float = 12
-    catch_up_s: float = 4.5
-    retry_after_s: float = 0
-    deadline_s: float = 10
 
 
 class _Platform(msgspec.Struct, rename='camel'):
     address: str
-    writes_per_s: float = 400
-    reads_per_s: float = 2000
-    value_bytes: int = 1_048_576
 
 
 class _NodeFile(msgspec.Struct, rename='camel'):
@@ -57,8 +46,6 @@
     internal_ports: tuple[int, int]
     limits: _Limits
     platform: _Platform
-    machine_class: str = ''
-    serves: tuple[str, ...] = ()
     seeds: tuple[str, ...] = ()
     bootstrap: bool = False
     data_dir: str = ''
--- a/rattanvalve/sharedstate/rules.py
+++ b/rattanvalve/sharedstate/rules.py
@@ -67,7 +67,6 @@
     """One service."""
 
     name: str
-    connections_max: int
     engine: Engine | None = None
 
 
