--- a/rattanvalve/gateway/directory.py
+++ b/rattanvalve/gateway/directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 
 __all__ = ('EndpointDirectory',)
@@ -14,6 +15,8 @@
 LAPSE_SHARE = 0.34
 LAPSE_COUNT_MIN = 3
 
+_log = part_logger(LogPart.GATEWAY)
+
 
 @dataclass(frozen=True, slots=True)
 class _Vanished:
@@ -30,6 +33,7 @@
     def __init__(self, forget: Callable[[EndpointEntry], None]) -> None:
         self._entries: dict[str, EndpointEntry] = {}
         self._vanished: dict[str, _Vanished] = {}
+        self._unusable: frozenset[str] = frozenset()
         self._forget = forget
 
     def update(
@@ -47,6 +51,7 @@
         :param is_store_doubtful: whether the store was away a moment ago.
         """
         newest = dict(listed)
+        self._note_unusable(newest)
         usable = {name: entry for name, entry in newest.items() if entry}
         gone = [
             entry for name, entry in self._entries.items() if name not in newest
@@ -91,6 +96,17 @@
         """
         return not (self._entries or self._vanished)
 
+    def _note_unusable(self, newest: dict[str, EndpointEntry | None]) -> None:
+        unusable = frozenset(
+            name for name, entry in newest.items() if entry is None
+        )
+        for name in sorted(unusable - self._unusable):
+            _log.warning(
+                'endpoint entry names no usable server',
+                extra={'endpoint': name},
+            )
+        self._unusable = unusable
+
     def _drop_vanished(self, now_s: float) -> None:
         for name, vanished in tuple(self._vanished.items()):
             if now_s >= vanished.until_s:
