--- a/rattanvalve/alone.py
+++ b/rattanvalve/alone.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from rattanvalve.client_records import CallRecord, ProgramRecord
-from rattanvalve.standin_batch import EngineCosts
+from rattanvalve.standins.batch import EngineCosts
 
 __all__ = ('AloneTimes', 'RunCosts')
 
--- a/rattanvalve/capacity_cell.py
+++ b/rattanvalve/capacity/cell.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from rattanvalve.capacity_child import resident_bytes
-from rattanvalve.capacity_fleet import CellSize, IdleCell, running_cell
-from rattanvalve.capacity_samples import Shape
+from rattanvalve.capacity.child import resident_bytes
+from rattanvalve.capacity.fleet import CellSize, IdleCell, running_cell
+from rattanvalve.capacity.samples import Shape
 from rattanvalve.process_usage import ProcessUsage, usage_of
 
 __all__ = (
--- a/rattanvalve/capacity_child.py
+++ b/rattanvalve/capacity/child.py
@@ -69,8 +69,8 @@
     role: str,
     counts: tuple[int, ...],
 ) -> Iterator[tuple[str, Callable[[], Any]]]:
-    states = importlib.import_module('rattanvalve.capacity_states')
-    samples = importlib.import_module('rattanvalve.capacity_samples')
+    states = importlib.import_module('rattanvalve.capacity.states')
+    samples = importlib.import_module('rattanvalve.capacity.samples')
     yield (
         'configuration and view',
         lambda: states.OwnedCell(
@@ -88,8 +88,8 @@
 
 
 def _add_turns(cell: Any, numbers: range) -> Any:
-    states = importlib.import_module('rattanvalve.capacity_states')
-    samples = importlib.import_module('rattanvalve.capacity_samples')
+    states = importlib.import_module('rattanvalve.capacity.states')
+    samples = importlib.import_module('rattanvalve.capacity.samples')
     for number in numbers:
         asked = samples.begin(number)
         if numbers.start:
--- a/rattanvalve/capacity_command.py
+++ b/rattanvalve/capacity/command.py
@@ -7,11 +7,11 @@
 import click
 import uvloop
 
-from rattanvalve.capacity_cell import CELL_HEADER, cell_rows, measure_cells
-from rattanvalve.capacity_memory import MEMORY_HEADER, memory_rows
-from rattanvalve.capacity_resident import RESIDENT_HEADER, resident_rows
-from rattanvalve.capacity_time import TIME_HEADER, time_rows
-from rattanvalve.capacity_wire import WIRE_HEADER, wire_rows
+from rattanvalve.capacity.cell import CELL_HEADER, cell_rows, measure_cells
+from rattanvalve.capacity.memory import MEMORY_HEADER, memory_rows
+from rattanvalve.capacity.resident import RESIDENT_HEADER, resident_rows
+from rattanvalve.capacity.time import TIME_HEADER, time_rows
+from rattanvalve.capacity.wire import WIRE_HEADER, wire_rows
 from rattanvalve.main_task import cancel_on_signals
 from rattanvalve.report import format_table
 
--- a/rattanvalve/capacity_fleet.py
+++ b/rattanvalve/capacity/fleet.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from rattanvalve.admin_client import AdminClient
-from rattanvalve.capacity_samples import Shape, config_document
+from rattanvalve.capacity.samples import Shape, config_document
 from rattanvalve.child_processes import Children
 from rattanvalve.fleet_settings import FleetPlan, plan_fleet
 from rattanvalve.keys import generate_key, key_digest
@@ -27,7 +27,7 @@
 _ZONES = ('selfoss', 'hella', 'vik')
 _SERVICE = 'agent-models-1'
 _STOP_GRACE_S = 6.0
-_STANDIN = 'rattanvalve.standin_main'
+_STANDIN = 'rattanvalve.standins.main'
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattanvalve/capacity_memory.py
+++ b/rattanvalve/capacity/memory.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from rattanvalve.capacity_samples import (
+from rattanvalve.capacity.samples import (
     Shape,
     begin,
     sample_catalog,
     sample_view,
 )
-from rattanvalve.capacity_states import (
+from rattanvalve.capacity.states import (
     OwnedCell,
     add_record,
     begin_of_turn,
--- a/rattanvalve/capacity_resident.py
+++ b/rattanvalve/capacity/resident.py
@@ -45,7 +45,7 @@
 
 def _sizes(arguments: tuple[str, ...]) -> dict[str, int]:
     done = subprocess.run(
-        (sys.executable, '-m', 'rattanvalve.capacity_child', *arguments),
+        (sys.executable, '-m', 'rattanvalve.capacity.child', *arguments),
         check=True,
         capture_output=True,
     )
--- a/rattanvalve/capacity_states.py
+++ b/rattanvalve/capacity/states.py
@@ -4,7 +4,7 @@
 
 from rattanvalve import outcomes, routing, views
 from rattanvalve.actmode import ActMode
-from rattanvalve.capacity_samples import (
+from rattanvalve.capacity.samples import (
     EVENT,
     EVENT_COUNT,
     SERVICE,
--- a/rattanvalve/capacity_time.py
+++ b/rattanvalve/capacity/time.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from rattanvalve import routing, views
-from rattanvalve.capacity_samples import (
+from rattanvalve.capacity.samples import (
     EVENT,
     EVENT_COUNT,
     SERVICE,
@@ -19,7 +19,7 @@
     summary,
     ticket,
 )
-from rattanvalve.capacity_states import (
+from rattanvalve.capacity.states import (
     OwnedCell,
     add_record,
     loads_of,
--- a/rattanvalve/capacity_wire.py
+++ b/rattanvalve/capacity/wire.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from rattanvalve import messages
-from rattanvalve.capacity_samples import (
+from rattanvalve.capacity.samples import (
     EVENT,
     SERVICE,
     Shape,
--- a/rattanvalve/fleet.py
+++ b/rattanvalve/fleet.py
@@ -29,7 +29,7 @@
 
 _POLL_S = 0.05
 _STOP_GRACE_S = 6.0
-_STANDIN = 'rattanvalve.standin_main'
+_STANDIN = 'rattanvalve.standins.main'
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattanvalve/history_check.py
+++ b/rattanvalve/history_check.py
@@ -16,7 +16,7 @@
 from rattanvalve.history_journal import ServerRun
 from rattanvalve.history_rates import find_rate_excess, sent_s
 from rattanvalve.resultcodes import RESULT_CODES
-from rattanvalve.standin_text import expected_text, is_text_complete
+from rattanvalve.standins.text import expected_text, is_text_complete
 
 __all__ = ('CHECKS', 'Verdict', 'check_history')
 
--- a/rattanvalve/history_evidence.py
+++ b/rattanvalve/history_evidence.py
@@ -6,7 +6,7 @@
 
 from rattanvalve.client_records import CallRecord, ProgramRecord, RunRecord
 from rattanvalve.history_journal import ServerRun, index_runs
-from rattanvalve.standin_journal import JournalLine, read_journal
+from rattanvalve.standins.journal import JournalLine, read_journal
 
 __all__ = ('Evidence', 'read_evidence')
 
--- a/rattanvalve/history_journal.py
+++ b/rattanvalve/history_journal.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from rattanvalve.standin_journal import JournalLine
-from rattanvalve.standin_text import messages_digest
+from rattanvalve.standins.journal import JournalLine
+from rattanvalve.standins.text import messages_digest
 
 __all__ = ('ServerRun', 'index_runs')
 
--- a/rattanvalve/load_main.py
+++ b/rattanvalve/load_main.py
@@ -9,7 +9,7 @@
 import uvloop
 
 from rattanvalve import __version__
-from rattanvalve.capacity_command import capacity
+from rattanvalve.capacity.command import capacity
 from rattanvalve.client_records import read_run
 from rattanvalve.comparison import (
     MeasuredRun,
@@ -30,7 +30,7 @@
     costs_of,
     load_scenario,
 )
-from rattanvalve.speed_command import speed
+from rattanvalve.speed.command import speed
 
 __all__ = ('main',)
 
--- a/rattanvalve/loadrun.py
+++ b/rattanvalve/loadrun.py
@@ -17,7 +17,7 @@
 from rattanvalve.load_client import CallRequest, LoadClient, Targets
 from rattanvalve.program_plans import ChatStep, OrderStep, ProgramPlan
 from rattanvalve.scenario import Scenario
-from rattanvalve.standin_text import messages_digest
+from rattanvalve.standins.text import messages_digest
 
 __all__ = (
     'LoadRun',
--- a/rattanvalve/measures.py
+++ b/rattanvalve/measures.py
@@ -18,7 +18,7 @@
 )
 from rattanvalve.ratelimit_oracle import count_wrongful_refusals
 from rattanvalve.resultcodes import ResultCode
-from rattanvalve.standin_journal import JournalLine
+from rattanvalve.standins.journal import JournalLine
 
 __all__ = ('Measures', 'ended_cache_s', 'measure', 'percentile')
 
--- a/rattanvalve/scenario.py
+++ b/rattanvalve/scenario.py
@@ -10,7 +10,7 @@
 from rattanvalve.errors import SettingsError
 from rattanvalve.inventory import RouteRule
 from rattanvalve.keys import key_digest
-from rattanvalve.standin_batch import EngineCosts
+from rattanvalve.standins.batch import EngineCosts
 
 __all__ = (
     'EventSpec',
--- /dev/null
+++ b/rattanvalve/speed/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the speed of the processes under load."""
--- a/rattanvalve/speed_command.py
+++ b/rattanvalve/speed/command.py
@@ -9,14 +9,14 @@
 import click
 import uvloop
 
-from rattanvalve.capacity_child import resident_bytes
+from rattanvalve.capacity.child import resident_bytes
 from rattanvalve.main_task import cancel_on_signals
 from rattanvalve.report import format_table
-from rattanvalve.speed_load import BurstKind, Target, run_burst
-from rattanvalve.speed_open import OPEN_HEADER, open_rows
-from rattanvalve.speed_report import Bursts, speed_tables
-from rattanvalve.speed_steady import run_steady
-from rattanvalve.speed_targets import KINDS, running_targets
+from rattanvalve.speed.load import BurstKind, Target, run_burst
+from rattanvalve.speed.open import OPEN_HEADER, open_rows
+from rattanvalve.speed.report import Bursts, speed_tables
+from rattanvalve.speed.steady import run_steady
+from rattanvalve.speed.targets import KINDS, running_targets
 
 __all__ = ('speed',)
 
--- a/rattanvalve/speed_load.py
+++ b/rattanvalve/speed/load.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from rattanvalve.process_usage import usage_of
-from rattanvalve.standin_text import expected_tokens
+from rattanvalve.standins.text import expected_tokens
 
 __all__ = ('Burst', 'BurstKind', 'Target', 'run_burst')
 
--- a/rattanvalve/speed_open.py
+++ b/rattanvalve/speed/open.py
@@ -4,8 +4,8 @@
 
 import aiohttp
 
-from rattanvalve.capacity_child import resident_bytes
-from rattanvalve.speed_load import LONG_TOKENS, BurstKind, Target, run_burst
+from rattanvalve.capacity.child import resident_bytes
+from rattanvalve.speed.load import LONG_TOKENS, BurstKind, Target, run_burst
 
 __all__ = ('OPEN_HEADER', 'open_rows')
 
--- a/rattanvalve/speed_report.py
+++ b/rattanvalve/speed/report.py
@@ -5,8 +5,8 @@
 
 from rattanvalve.measures import percentile
 from rattanvalve.report import format_table
-from rattanvalve.speed_load import Burst, BurstKind
-from rattanvalve.speed_targets import KINDS
+from rattanvalve.speed.load import Burst, BurstKind
+from rattanvalve.speed.targets import KINDS
 
 __all__ = ('Bursts', 'speed_tables')
 
--- a/rattanvalve/speed_steady.py
+++ b/rattanvalve/speed/steady.py
@@ -6,8 +6,8 @@
 
 import aiohttp
 
-from rattanvalve.capacity_child import resident_bytes
-from rattanvalve.speed_load import LONG_TOKENS, BurstKind, Target, run_burst
+from rattanvalve.capacity.child import resident_bytes
+from rattanvalve.speed.load import LONG_TOKENS, BurstKind, Target, run_burst
 
 __all__ = ('run_steady',)
 
--- a/rattanvalve/speed_targets.py
+++ b/rattanvalve/speed/targets.py
@@ -13,7 +13,7 @@
     ServiceSpec,
     WorkspaceSpec,
 )
-from rattanvalve.speed_load import LONG_TOKENS, BurstKind, Target
+from rattanvalve.speed.load import LONG_TOKENS, BurstKind, Target
 
 __all__ = ('KINDS', 'running_targets', 'speed_scenario')
 
--- /dev/null
+++ b/rattanvalve/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the object store, engines, services and the VM list."""
--- a/rattanvalve/standin_batch.py
+++ b/rattanvalve/standins/batch.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from rattanvalve.standin_cache import PrefixCache
-from rattanvalve.standin_text import prompt_tokens
+from rattanvalve.standins.cache import PrefixCache
+from rattanvalve.standins.text import prompt_tokens
 
 __all__ = ('Batch', 'EngineCosts', 'Job')
 
--- a/rattanvalve/standin_cache.py
+++ b/rattanvalve/standins/cache.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from itertools import accumulate
 
-from rattanvalve.standin_text import prompt_tokens
+from rattanvalve.standins.text import prompt_tokens
 
 __all__ = ('CacheEvent', 'EventFeed', 'PrefixCache', 'automatic_key')
 
--- a/rattanvalve/standin_chat.py
+++ b/rattanvalve/standins/chat.py
@@ -7,8 +7,8 @@
 import msgspec
 from aiohttp import web
 
-from rattanvalve.standin_batch import Job
-from rattanvalve.standin_text import expected_tokens, is_text_complete
+from rattanvalve.standins.batch import Job
+from rattanvalve.standins.text import expected_tokens, is_text_complete
 
 __all__ = ('ChatRequest', 'parse_chat', 'remaining_tokens', 'respond')
 
--- a/rattanvalve/standin_engine.py
+++ b/rattanvalve/standins/engine.py
@@ -9,10 +9,10 @@
 
 from aiohttp import web
 
-from rattanvalve import standin_chat
-from rattanvalve.standin_batch import Batch, EngineCosts, Job
-from rattanvalve.standin_cache import EventFeed, PrefixCache, automatic_key
-from rattanvalve.standin_journal import JournalLine, Write, line_of_request
+from rattanvalve.standins import chat
+from rattanvalve.standins.batch import Batch, EngineCosts, Job
+from rattanvalve.standins.cache import EventFeed, PrefixCache, automatic_key
+from rattanvalve.standins.journal import JournalLine, Write, line_of_request
 
 __all__ = ('Engine', 'EngineBehaviour', 'build_engine_app')
 
@@ -157,7 +157,7 @@
 async def _chat(engine: Engine, request: web.Request) -> web.StreamResponse:
     _check_token(engine, request)
     body = await request.read()
-    wanted = standin_chat.parse_chat(body)
+    wanted = chat.parse_chat(body)
     tokens: asyncio.Queue[str | None] = asyncio.Queue()
     priority = request.headers.get('X-Priority', '')
     job = Job(
@@ -165,7 +165,7 @@
         cache_key=request.headers.get('X-Cache-Key', '')
         or automatic_key(wanted.messages),
         messages=wanted.messages,
-        tokens=standin_chat.remaining_tokens(wanted),
+        tokens=chat.remaining_tokens(wanted),
         emit=tokens.put_nowait,
         on_left=partial(_write_left, engine, request, body),
         priority=int(priority) if priority.isdigit() else 0,
@@ -175,7 +175,7 @@
     engine.note_load(time.monotonic())
     engine.wakeup.set()
     try:
-        return await standin_chat.respond(request, wanted, job, tokens)
+        return await chat.respond(request, wanted, job, tokens)
     finally:
         engine.batch.cancel(job, time.monotonic())
 
--- a/rattanvalve/standin_main.py
+++ b/rattanvalve/standins/main.py
@@ -14,16 +14,16 @@
 
 from rattanvalve import __version__
 from rattanvalve.logs import LogPart, configure_logging, part_logger
-from rattanvalve.standin_batch import EngineCosts
-from rattanvalve.standin_engine import (
+from rattanvalve.standins.batch import EngineCosts
+from rattanvalve.standins.engine import (
     Engine,
     EngineBehaviour,
     build_engine_app,
 )
-from rattanvalve.standin_journal import Write, journal_writer
-from rattanvalve.standin_service import ServiceState, build_service_app
-from rattanvalve.standin_store import StoreState, build_store_app
-from rattanvalve.standin_vms import VmList, build_vms_app
+from rattanvalve.standins.journal import Write, journal_writer
+from rattanvalve.standins.service import ServiceState, build_service_app
+from rattanvalve.standins.store import StoreState, build_store_app
+from rattanvalve.standins.vms import VmList, build_vms_app
 
 __all__ = ('main', 'serve')
 
--- a/rattanvalve/standin_service.py
+++ b/rattanvalve/standins/service.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from rattanvalve.standin_journal import Write, line_of_request
+from rattanvalve.standins.journal import Write, line_of_request
 
 __all__ = ('ServiceState', 'build_service_app')
 
--- a/tests/steps/candidates_steps.py
+++ b/tests/steps/candidates_steps.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies
 
 from rattanvalve import routing, views
-from rattanvalve.capacity_samples import SERVICE, announce, sample_view
-from rattanvalve.capacity_states import loads_of
+from rattanvalve.capacity.samples import SERVICE, announce, sample_view
+from rattanvalve.capacity.states import loads_of
 from rattanvalve.endpointstate import EndpointState
 from rattanvalve.loads import EndpointLoads
 from rattanvalve.messages import View
--- a/tests/steps/capacity_steps.py
+++ b/tests/steps/capacity_steps.py
@@ -7,12 +7,12 @@
 from behave import given, then, when
 from click.testing import CliRunner
 
-from rattanvalve import capacity_samples as samples
 from rattanvalve import wire
-from rattanvalve.capacity_cell import extrapolate
-from rattanvalve.capacity_fleet import CellSize, running_cell
-from rattanvalve.capacity_memory import slope_bytes
-from rattanvalve.capacity_wire import frame_bytes
+from rattanvalve.capacity import samples
+from rattanvalve.capacity.cell import extrapolate
+from rattanvalve.capacity.fleet import CellSize, running_cell
+from rattanvalve.capacity.memory import slope_bytes
+from rattanvalve.capacity.wire import frame_bytes
 from rattanvalve.load_main import main
 from rattanvalve.process_usage import usage_of
 from tests.steps.fleet_steps import is_running
--- a/tests/steps/client_library_steps.py
+++ b/tests/steps/client_library_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then
 
 from rattanvalve.fleet import running_fleet
-from rattanvalve.standin_text import expected_text
+from rattanvalve.standins.text import expected_text
 from tests.steps.fleet_steps import tiny_scenario
 
 MAX_TOKENS = 24
--- a/tests/steps/endpoint_service_steps.py
+++ b/tests/steps/endpoint_service_steps.py
@@ -33,8 +33,8 @@
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.runqueue import RunQueue
 from rattanvalve.service_client import ServiceClient
-from rattanvalve.standin_batch import EngineCosts
-from rattanvalve.standin_text import expected_tokens
+from rattanvalve.standins.batch import EngineCosts
+from rattanvalve.standins.text import expected_tokens
 from tests.fakeserver import EVENTS, FakeServer
 from tests.ingress_bench import text_of
 from tests.steps.standin_http import start_engine
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -108,7 +108,7 @@
     with tempfile.TemporaryDirectory() as folder:
         children = Children(Path(folder))
         children.start('stubborn', 'tests.stubborn_child')
-        children.start('other', 'rattanvalve.standin_main', 'vms')
+        children.start('other', 'rattanvalve.standins.main', 'vms')
         deadline_s = time.monotonic() + TIMEOUT_S
         for name, sign in (('stubborn', 'ready'), ('other', 'listening')):
             log = Path(folder) / f'{name}.log'
--- a/tests/steps/history_check_steps.py
+++ b/tests/steps/history_check_steps.py
@@ -21,8 +21,8 @@
 )
 from rattanvalve.history_check import check_history
 from rattanvalve.history_evidence import Evidence
-from rattanvalve.standin_journal import JournalLine, read_journal
-from rattanvalve.standin_text import expected_text, messages_digest
+from rattanvalve.standins.journal import JournalLine, read_journal
+from rattanvalve.standins.text import expected_text, messages_digest
 
 KEY = 'rv-secret-of-a-caller'
 FIRST = [{'role': 'user', 'content': 'p1 turn 0'}]
--- a/tests/steps/loadrun_steps.py
+++ b/tests/steps/loadrun_steps.py
@@ -22,8 +22,8 @@
 from rattanvalve.load_client import CallRequest, LoadClient
 from rattanvalve.program_plans import plan_programs
 from rattanvalve.scenario import load_scenario
-from rattanvalve.standin_journal import JournalLine, journal_writer
-from rattanvalve.standin_service import ServiceState, build_service_app
+from rattanvalve.standins.journal import JournalLine, journal_writer
+from rattanvalve.standins.service import ServiceState, build_service_app
 from tests.steps.standin_http import start, start_engine
 
 SEED = 3
--- a/tests/steps/report_steps.py
+++ b/tests/steps/report_steps.py
@@ -16,7 +16,7 @@
 from rattanvalve.measures import measure, percentile
 from rattanvalve.ratelimit_oracle import count_wrongful_refusals
 from rattanvalve.report import program_table, verdict_table
-from rattanvalve.standin_batch import EngineCosts
+from rattanvalve.standins.batch import EngineCosts
 
 COSTS = RunCosts(
     engine=EngineCosts(
--- a/tests/steps/standin_engine_steps.py
+++ b/tests/steps/standin_engine_steps.py
@@ -5,10 +5,10 @@
 import aiohttp
 from behave import given, then, when
 
-from rattanvalve.standin_batch import Batch, EngineCosts, Job
-from rattanvalve.standin_cache import EventFeed, PrefixCache
-from rattanvalve.standin_engine import Engine, EngineBehaviour
-from rattanvalve.standin_text import expected_text
+from rattanvalve.standins.batch import Batch, EngineCosts, Job
+from rattanvalve.standins.cache import EventFeed, PrefixCache
+from rattanvalve.standins.engine import Engine, EngineBehaviour
+from rattanvalve.standins.text import expected_text
 from tests.steps.standin_http import events_of, send, start_engine, wait_for
 
 MESSAGES = [{'role': 'user', 'content': 'plan the route of lorry 7'}]
--- a/tests/steps/standin_http.py
+++ b/tests/steps/standin_http.py
@@ -6,14 +6,14 @@
 
 import aiohttp
 
-from rattanvalve.standin_batch import EngineCosts
-from rattanvalve.standin_engine import (
+from rattanvalve.standins.batch import EngineCosts
+from rattanvalve.standins.engine import (
     Engine,
     EngineBehaviour,
     build_engine_app,
 )
-from rattanvalve.standin_journal import journal_writer
-from rattanvalve.standin_main import serve
+from rattanvalve.standins.journal import journal_writer
+from rattanvalve.standins.main import serve
 
 TIMEOUT_S = 30
 FAST_COSTS = EngineCosts(
--- a/tests/steps/standin_main_steps.py
+++ b/tests/steps/standin_main_steps.py
@@ -11,7 +11,8 @@
 from behave import then, when
 from click.testing import CliRunner
 
-from rattanvalve import __version__, load_main, standin_main
+from rattanvalve import __version__, load_main
+from rattanvalve.standins import main as standin_main
 from tests.steps.standin_http import TIMEOUT_S
 
 
@@ -21,7 +22,7 @@
         probe.bind(('127.0.0.1', 0))
         port = probe.getsockname()[1]
     context.url = f'http://127.0.0.1:{port}'
-    module = 'rattanvalve.standin_main'
+    module = 'rattanvalve.standins.main'
     context.child = subprocess.Popen(
         (sys.executable, '-m', module, kind, f'--port={port}'),
         stderr=subprocess.DEVNULL,
--- a/tests/steps/standin_service_steps.py
+++ b/tests/steps/standin_service_steps.py
@@ -7,8 +7,8 @@
 import aiohttp
 from behave import given, then, when
 
-from rattanvalve.standin_journal import journal_writer
-from rattanvalve.standin_service import ServiceState, build_service_app
+from rattanvalve.standins.journal import journal_writer
+from rattanvalve.standins.service import ServiceState, build_service_app
 from tests.steps.standin_http import events_of, poll, send, start, wait_for
 
 
--- a/tests/steps/standin_store_steps.py
+++ b/tests/steps/standin_store_steps.py
@@ -6,7 +6,7 @@
 import aiohttp
 from behave import given, then, when
 
-from rattanvalve.standin_store import (
+from rattanvalve.standins.store import (
     MAX_OBJECT_BYTES,
     StoreFaults,
     StoreState,
--- a/tests/steps/standin_vms_steps.py
+++ b/tests/steps/standin_vms_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then
 
-from rattanvalve.standin_vms import VmList, build_vms_app
+from rattanvalve.standins.vms import VmList, build_vms_app
 from tests.steps.standin_http import send, start
 
 
--- a/tests/steps/vm_controller_steps.py
+++ b/tests/steps/vm_controller_steps.py
@@ -13,7 +13,7 @@
 from rattanvalve.errors import PeerError
 from rattanvalve.loads import EndpointLoads
 from rattanvalve.messages import Announce, Member, Pull, View
-from rattanvalve.standin_vms import VmList, build_vms_app
+from rattanvalve.standins.vms import VmList, build_vms_app
 from rattanvalve.views import ROLE_ENDPOINT, ROLE_ENTRY
 from rattanvalve.vm_controller import VmController, vm_fetcher
 
