Give the kept documents a checksum

Found in the read-through: a changed byte could pass as a document of a wrong version, and a version that is too high would keep every newer one out for good. A file whose checksum differs is passed over with a line. The scenario with a changed byte read the damaged document before.

--- a/rattanvalve/turnstore/documentfiles.py
+++ b/rattanvalve/turnstore/documentfiles.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import struct
 from collections.abc import Iterator
 from pathlib import Path
+from zlib import crc32
 
 from rattanvalve import wire
 from rattanvalve.errors import FrameError
@@ -25,6 +27,7 @@
     DocumentKind.SERVERS,
 )
 _SUFFIX = '.document'
+_CHECKSUM = struct.Struct('>I')
 
 _log = part_logger(LogPart.CONFIG)
 
@@ -50,7 +53,7 @@
         for kind in KEPT_KINDS:
             try:
                 body = self._path_of(kind).read_bytes()
-                document = wire.decode_struct(Document, body)
+                document = _decode(body)
             except FileNotFoundError:
                 # Nothing of this kind was kept yet.
                 continue
@@ -79,7 +82,7 @@
                 await asyncio.to_thread(
                     replace_file,
                     self._path_of(kind),
-                    wire.encode_struct(document),
+                    _encode(document),
                 )
             except OSError as error:
                 _log.warning(
@@ -91,3 +94,16 @@
 
     def _path_of(self, kind: str) -> Path:
         return self._folder / f'{kind}{_SUFFIX}'
+
+
+def _encode(document: Document) -> bytes:
+    payload = wire.encode_struct(document)
+    return _CHECKSUM.pack(crc32(payload)) + payload
+
+
+def _decode(body: bytes) -> Document:
+    """Read a kept document; a wrong version would keep newer ones out."""
+    payload = body[_CHECKSUM.size :]
+    if body[: _CHECKSUM.size] != _CHECKSUM.pack(crc32(payload)):
+        raise FrameError('the checksum differs')
+    return wire.decode_struct(Document, payload)
--- a/tests/steps/documentfiles_steps.py
+++ b/tests/steps/documentfiles_steps.py
@@ -30,10 +30,15 @@
     assert len(kept(context)) == 2
 
 
-@when('the file of the members is damaged')
-def step_damage(context):
+@when("a byte of the members' file is {damage}")
+def step_damage(context, damage):
     path = context.folder / 'members.document'
-    path.write_bytes(path.read_bytes()[:-3])
+    body = path.read_bytes()
+    if damage == 'missing':
+        path.write_bytes(body[:-1])
+        return
+    place = body.index(b'members')
+    path.write_bytes(body[:place] + b'M' + body[place + 1 :])
 
 
 @then('version {version:d} of the rules is read again and nothing else')
--- a/tests/turnstore/turnstore.feature
+++ b/tests/turnstore/turnstore.feature
@@ -15,12 +15,17 @@
       | missing |
       | changed |
 
-  Scenario: documents are kept on the disk, and damaged ones are passed over
+  Scenario Outline: documents are kept, and damaged ones are passed over
     Given kept rules of version 7 and members of version 9
-    When the file of the members is damaged
+    When a byte of the members' file is <damage>
     Then version 7 of the rules is read again and nothing else
     And a file that cannot be written is tried again
 
+    Examples:
+      | damage  |
+      | missing |
+      | changed |
+
   Scenario: records are forgotten with their time, chains as a whole
     Given a turn log with a chain of 3 turns and a reservation
     Then before the end of the newest turn's time the whole chain is there
