Keep budgets on all routes that carry one, and resume streams

Cause: the budget of a program was checked only on routes that keep turns, and Last-Event-Id of a caller was always dropped, so a resumed stream began again at its first event.

Now each route that carries a budget reserves and settles it. A resumable stream goes on at another server after its last whole event: for a caller that names it, and within one response if the server has ended or the route allows another attempt. Only whole events are passed on; a repeated event is dropped; an event or an output without end breaks the attempt. A cut stream is settled to what the caller got. Headers that cannot be read and decide what runs (budget, last event) get 400.

Reading of requests moved out of the ingress unchanged.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -17,6 +17,7 @@
     ANSWERS = 'answers'
     RETRY_NOT_RUN = 'retry.not_run'
     RETRY_REPEATABLE = 'retry.repeatable'
+    RETRY_STREAM_RESUMED = 'retry.stream_resumed'
     RETRY_STALE_EPOCH = 'retry.stale_epoch'
     RETRY_OWNER_CHANGED = 'retry.owner_changed'
     RETRY_BUDGET_EMPTY = 'retry.budget_empty'
--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -42,11 +42,21 @@
 
 
 class AttemptFailedError(Exception):
-    """There is no response to pass on; ``may_have_run`` says what was sent."""
+    """There is no whole response; ``may_have_run`` says what was sent.
 
-    def __init__(self, reason: str, *, may_have_run: bool) -> None:
+    ``is_gone`` says that the endpoint has ended with the request.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        *,
+        may_have_run: bool,
+        is_gone: bool = False,
+    ) -> None:
         super().__init__(reason)
         self.may_have_run = may_have_run
+        self.is_gone = is_gone
 
 
 class _Outcome(Enum):
@@ -114,13 +124,21 @@
                         trace,
                     )
         except ServerBrokenError as error:
+            connection.close()
             self._avoid(endpoint, BROKEN_AVOID_S)
-            raise AttemptFailedError('broken', may_have_run=True) from error
+            raise AttemptFailedError(
+                'broken',
+                may_have_run=True,
+                is_gone=call.route.is_resumable
+                and await self._is_gone(endpoint),
+            ) from error
         except AttemptFailedError:
             raise
         except BaseException:
             # The caller has gone or the time is over, so the work ends, too.
             connection.close()
+            if call.is_begun_stream:
+                sink.abort()
             raise
         finally:
             self._loads.end(endpoint)
@@ -175,6 +193,15 @@
                 'unreachable', may_have_run=False
             ) from error
 
+    async def _is_gone(self, endpoint: EndpointEntry) -> bool:
+        """Tell whether an endpoint accepts connections no longer."""
+        try:
+            connection = await self._pool.open(endpoint)
+        except ServerUnreachableError:
+            return True
+        self._pool.give_back(endpoint, connection)
+        return False
+
     async def _exchange(
         self,
         call: Call,
@@ -201,13 +228,11 @@
             connection.close()
             raise ServerBrokenError('a success without its seal')
         if is_success and call.route.is_stream:
-            trace.is_cut = not await self._pass_stream(
-                call,
-                connection,
-                head,
-                sink,
-            )
+            await self._pass_stream(call, connection, head, sink)
             return
+        if call.is_begun_stream:
+            # Only the rest of the stream may follow what the caller has.
+            raise AttemptFailedError(f'failed {head.status}', may_have_run=True)
         body = await _read_body(connection)
         if not is_success and _may_repeat_failure(call, head, trace):
             raise AttemptFailedError(f'failed {head.status}', may_have_run=True)
@@ -219,31 +244,31 @@
         connection: ServerConnection,
         head: ResponseHead,
         sink: Sink,
-    ) -> bool:
-        """Pass a stream on; gives whether the server kept it whole."""
-        follower = EventFollower()
-        await sink.begin(head)
+    ) -> None:
+        """Pass complete events on; those of a resumed stream follow."""
+        follower = call.follower
+        if follower is None:
+            follower = EventFollower(
+                call.resume_after,
+                keeps_output=call.route.keeps_turns,
+            )
+            call.follower = follower
+            await sink.begin(head)
+        while chunk := await connection.read_chunk():
+            if events := follower.feed(chunk):
+                await sink.write(events)
+        if not follower.is_between_events():
+            raise ServerBrokenError('stream ended within an event')
         try:
-            while chunk := await connection.read_chunk():
-                follower.feed(chunk)
-                await sink.write(chunk)
-            if not follower.is_between_events():
-                raise ServerBrokenError('stream ended within an event')
             await self._commit(call, follower)
-        except (ServerBrokenError, QuorumError) as error:
-            # Nothing else may follow what the caller has already got.
-            connection.close()
+        except QuorumError:
+            # The caller must not take the turn for complete.
             sink.abort()
-            return not isinstance(error, ServerBrokenError)
-        except asyncio.CancelledError:
-            # The deadline has passed, or the caller has gone.
-            sink.abort()
-            raise
+            return
         await sink.finish()
-        return True
 
     async def _commit(self, call: Call, follower: EventFollower) -> None:
-        if not call.turn.program_id:
+        if not (call.turn.program_id and call.route.keeps_turns):
             return
         tokens = follower.event_count * self._state.rules.event_tokens(
             call.route
--- a/rattanvalve/gateway/calls.py
+++ b/rattanvalve/gateway/calls.py
@@ -2,12 +2,22 @@
 
 from dataclasses import dataclass
 
+from rattanvalve.gateway.events import EventFollower
 from rattanvalve.gateway.loads import PromptPart
 from rattanvalve.platform import names
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.rules import Route, Workspace
 
-__all__ = ('Call', 'Refusal', 'TurnCall', 'header_number', 'read_turn')
+__all__ = (
+    'Call',
+    'Refusal',
+    'TurnCall',
+    'header_number',
+    'read_event_id',
+    'read_turn',
+)
+
+EVENT_ID_DIGITS_MAX = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +38,8 @@
     output_tokens_max: int
     finish_ms: float | None
     parts: tuple[PromptPart, ...]
+    #: Whether a header that decides what runs cannot be read.
+    is_malformed: bool = False
 
 
 @dataclass(slots=True)
@@ -51,6 +63,40 @@
     priority: int = 0
     #: Bytes of the earlier turns, which go before the body.
     context: tuple[bytes, ...] = ()
+    #: Id of the last event that the caller has.
+    resume_after: int | None = None
+    #: The stream that is passed on, once it has begun.
+    follower: EventFollower | None = None
+    #: Whether other turns of the program have generated tokens.
+    has_program_begun: bool = False
+    #: Whether the turn store has the tokens that the turn generated.
+    is_settled: bool = False
+
+    @property
+    def is_program_start(self) -> bool:
+        """Return whether a program begins with this request.
+
+        :returns: whether it is a turn and none went before it.
+        """
+        turn = self.turn
+        is_turn = self.route.is_stream and bool(turn.program_id)
+        return is_turn and not (turn.previous_id or self.has_program_begun)
+
+    @property
+    def is_begun_stream(self) -> bool:
+        """Return whether the caller has got the head of a stream.
+
+        :returns: whether only the rest of that stream may follow.
+        """
+        return self.follower is not None
+
+    @property
+    def handed_count(self) -> int:
+        """Count the events that were passed on to the caller.
+
+        :returns: complete events.
+        """
+        return self.follower.event_count if self.follower else 0
 
     @property
     def workspace_name(self) -> str:
@@ -75,23 +121,42 @@
 
 
 def read_turn(headers) -> TurnCall:
-    """Read what the headers say of the program; malformed ones are left out.
+    """Read what the headers say of the program.
+
+    Malformed ones are left out, but a budget that cannot be read, or of no
+    program, would be no budget, so it is noted.
 
     :param headers: headers by name without regard to case.
     :returns: what they say.
     """
-    budget = header_number(headers.get(names.TOKEN_BUDGET))
+    budget_text = headers.get(names.TOKEN_BUDGET)
+    budget = header_number(budget_text)
     _, _, most_text = headers.get(names.TOKEN_USAGE, '').partition(',')
+    program_id = headers.get(names.PROGRAM_ID, '')
     return TurnCall(
-        program_id=headers.get(names.PROGRAM_ID, ''),
+        program_id=program_id,
         previous_id=headers.get(names.PREVIOUS_TURN, ''),
         budget_tokens=None if budget is None else int(budget),
         output_tokens_max=int(header_number(most_text) or 0),
         finish_ms=header_number(headers.get(names.FINISH_MS)),
         parts=_read_parts(headers.get(names.PROMPT_PARTS, '')),
+        is_malformed=budget_text is not None
+        and (budget is None or not program_id),
     )
 
 
+def read_event_id(text: str) -> int | None:
+    """Read which event of a stream a caller has as its last.
+
+    :param text: content of the header.
+    :returns: id; ``None`` if it is malformed.
+    """
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > EVENT_ID_DIGITS_MAX:
+        return None
+    return int(text)
+
+
 def _read_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in text.split(','):
--- a/rattanvalve/gateway/connection_pool.py
+++ b/rattanvalve/gateway/connection_pool.py
@@ -36,6 +36,15 @@
             if connection.is_reusable(now_s):
                 return connection
             connection.close()
+        return await self.open(endpoint)
+
+    async def open(self, endpoint: EndpointEntry) -> ServerConnection:
+        """Open a connection.
+
+        :param endpoint: server to talk to.
+        :returns: an open connection.
+        :raises ServerUnreachableError: if the server does not accept.
+        """
         return await open_connection(endpoint.address)
 
     def give_back(
--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -2,6 +2,7 @@
 
 import time
 
+from rattanvalve.counters import Counter
 from rattanvalve.gateway.attempts import AttemptFailedError, Attempts
 from rattanvalve.gateway.calls import Call, Refusal
 from rattanvalve.gateway.directory import EndpointDirectory
@@ -63,16 +64,19 @@
         while True:
             endpoint = self._choose(call, demand, tried, trace)
             if isinstance(endpoint, Refusal):
-                return endpoint
+                return _give_up(call, sink, trace, endpoint)
             try:
                 await self._attempts.make(call, demand, endpoint, sink, trace)
             except TimeoutError:
                 trace.run_count += 1
-                return _timed_out(trace)
+                return _give_up(call, sink, trace, _timed_out(trace))
             except AttemptFailedError as error:
                 tried.add(endpoint.name)
                 if not _may_go_on(call, error, trace):
-                    return Refusal(ResultCode.OUTCOME_UNKNOWN)
+                    refusal = Refusal(ResultCode.OUTCOME_UNKNOWN)
+                    return _give_up(call, sink, trace, refusal)
+                self._count_retry(call, error)
+                _prepare_rest(call, trace)
             else:
                 return None
 
@@ -101,6 +105,14 @@
         trace.expected_count = load.expected_count(now_s)
         return endpoint
 
+    def _count_retry(self, call: Call, error: AttemptFailedError) -> None:
+        counter = Counter.RETRY_NOT_RUN
+        if call.is_begun_stream:
+            counter = Counter.RETRY_STREAM_RESUMED
+        elif error.may_have_run:
+            counter = Counter.RETRY_REPEATABLE
+        self._state.metrics.count(counter)
+
     def _demand_of(self, call: Call) -> Demand:
         service = choose_service(call.route, call.request_id)
         rule = self._state.rules.services.get(service)
@@ -113,6 +125,27 @@
         )
 
 
+def _give_up(
+    call: Call,
+    sink: Sink,
+    trace: Trace,
+    refusal: Refusal,
+) -> Refusal:
+    """End a stream that has begun as incomplete; nothing may follow it."""
+    if call.is_begun_stream:
+        trace.is_cut = True
+        sink.abort()
+    return refusal
+
+
+def _prepare_rest(call: Call, trace: Trace) -> None:
+    """Let another endpoint send what the caller has not got of a stream."""
+    if call.follower is not None:
+        call.follower.drop_incomplete()
+        call.resume_after = call.follower.last_id
+        trace.resumed_after.append(call.resume_after)
+
+
 def _may_go_on(
     call: Call,
     error: AttemptFailedError,
@@ -123,7 +156,9 @@
     if not error.may_have_run:
         return True
     trace.run_count += 1
-    has_attempts = trace.run_count < call.route.max_attempts
+    trace.gone_count += error.is_gone
+    run_count = trace.run_count - trace.gone_count
+    has_attempts = run_count < call.route.max_attempts
     return call.route.is_repeatable and has_attempts
 
 
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -7,27 +7,25 @@
 from aiohttp import web
 
 from rattanvalve.busy_connections import BusyConnections
-from rattanvalve.errors import BodyError, QuorumError
+from rattanvalve.errors import QuorumError
 from rattanvalve.gateway.caller_sink import CallerSink
-from rattanvalve.gateway.calls import Call, Refusal, header_number, read_turn
+from rattanvalve.gateway.calls import Call, Refusal
 from rattanvalve.gateway.forwarding import Forwarder
 from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.gateway.rate_client import RateClient
+from rattanvalve.gateway.reading import RequestReader
 from rattanvalve.gateway.start_wait import StartWait
 from rattanvalve.gateway.trace import Trace
 from rattanvalve.gateway.turns import TurnKeeper
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.platform import names
-from rattanvalve.platform.requests import forwarded_headers
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.exposition import MetricsPage
 from rattanvalve.sharedstate.parts import SharedState
-from rattanvalve.sharedstate.rules import Route, Workspace
 from rattanvalve.turn_messages import TakeRate
 
 __all__ = ('Ingress',)
 
-STARTING_RETRY_AFTER_S = 0.5
 #: Another gateway can serve the request at once.
 CUT_OFF_RETRY_AFTER_S = 0.1
 #: Longest wait of a request of a begun program for the rate. Callers leave a
@@ -35,7 +33,6 @@
 RATE_WAIT_MAX_S = 1.6
 #: Most of its time that such a request waits.
 RATE_WAIT_SHARE = 0.75
-PRIORITY_MAX = 9
 
 _log = part_logger(LogPart.GATEWAY)
 
@@ -63,6 +60,7 @@
         self.busy = BusyConnections()
         self._state = state
         self._forwarder = forwarder
+        self._reader = RequestReader(state)
         self._turns = turns
         self._calls = calls
         self._rates = RateClient(calls)
@@ -121,29 +119,21 @@
         await self._start_wait.wait()
         waited_s = time.monotonic() - received_s
         trace.start_wait_ms = round(waited_s * 1000)
-        admitted = self._admit(request)
-        if isinstance(admitted, Refusal):
-            # The rest of the body is not read, so nothing may follow it.
-            return admitted
-        route, workspace = admitted
-        try:
-            body = await self._read_body(request)
-        except BodyError:
-            return Refusal(ResultCode.BODY_TOO_LARGE)
-        except TimeoutError:
-            return Refusal(ResultCode.REQUEST_TIMEOUT)
-        call = _call_of(request, body, route, workspace, received_s)
+        call = await self._reader.read(request, received_s)
+        if isinstance(call, Refusal):
+            return call
         trace.workspace = call.workspace_name
-        trace.route = route.name
+        trace.route = call.route.name
         if self._calls.is_cut_off():
             return self._refuse_cut_off(sink)
         refusal = await self._prepare(call, sink, trace)
         if refusal is not None:
             return refusal
-        refusal = await self._forwarder.forward(call, sink, trace)
-        if refusal is not None and not trace.run_count and route.keeps_turns:
-            self._turns.release(call)
-        return refusal
+        try:
+            return await self._forwarder.forward(call, sink, trace)
+        finally:
+            event_tokens = self._state.rules.event_tokens(call.route)
+            self._turns.settle(call, call.handed_count * event_tokens)
 
     async def _prepare(
         self,
@@ -156,17 +146,16 @@
         The budget comes before the rate: a program without a budget uses up
         nothing of its workspace's rate.
         """
-        if call.route.keeps_turns:
-            event_tokens = self._state.rules.event_tokens(call.route)
-            refusal = await self._turns.prepare(call, event_tokens)
-            if refusal is not None:
-                return refusal
+        event_tokens = self._state.rules.event_tokens(call.route)
+        refusal = await self._turns.prepare(call, event_tokens)
+        if refusal is not None:
+            return refusal
         try:
             refusal = await self._take_rate(call, trace)
         except QuorumError:
             refusal = self._refuse_cut_off(sink)
-        if refusal is not None and call.route.keeps_turns:
-            self._turns.release(call)
+        if refusal is not None:
+            self._turns.settle(call, 0)
         return refusal
 
     def _refuse_cut_off(self, sink: CallerSink) -> Refusal:
@@ -177,45 +166,11 @@
             CUT_OFF_RETRY_AFTER_S,
         )
 
-    def _admit(
-        self,
-        request: web.BaseRequest,
-    ) -> tuple[Route, Workspace | None] | Refusal:
-        rules = self._state.rules
-        if not rules.version:
-            return Refusal(ResultCode.STARTING, STARTING_RETRY_AFTER_S)
-        host = request.headers.get('Host', '').partition(':')[0]
-        path = request.raw_path.partition('?')[0]
-        route = rules.route_of(host, path)
-        if route is None:
-            return Refusal(ResultCode.UNKNOWN_PATH)
-        if not rules.needs_keys or route.is_open:
-            return route, None
-        key = request.headers.get(names.CALLER_KEY)
-        if key is None:
-            return Refusal(ResultCode.KEY_MISSING)
-        workspace = rules.workspace_of_key(key)
-        if workspace is None:
-            return Refusal(ResultCode.KEY_UNKNOWN)
-        return route, workspace
-
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        limits = self._state.rules.limits
-        parts = []
-        length = 0
-        async with asyncio.timeout(limits.header_timeout_ms / 1000):
-            async for part in request.content.iter_any():
-                length += len(part)
-                if length > limits.body_bytes:
-                    raise BodyError('the body is too large')
-                parts.append(part)
-        return b''.join(parts)
-
     async def _take_rate(self, call: Call, trace: Trace) -> Refusal | None:
         workspace = call.workspace
         if workspace is None or not workspace.rate_per_s:
             return None
-        is_start = call.route.keeps_turns and not call.turn.previous_id
+        is_start = call.is_program_start
         trace.is_start = is_start
         left_s = call.deadline_s - time.monotonic()
         wait_max_s = min(RATE_WAIT_MAX_S, left_s * RATE_WAIT_SHARE)
@@ -258,36 +213,9 @@
                 'status': trace.status,
                 'endpoints': trace.endpoints,
                 'reasons': trace.reasons,
+                'resumed_after': trace.resumed_after,
                 'expected_count': round(trace.expected_count, 1),
                 'rules_version': self._state.rules.version,
                 'duration_ms': round(duration_s * 1000),
             },
         )
-
-
-def _call_of(
-    request: web.BaseRequest,
-    body: bytes,
-    route: Route,
-    workspace: Workspace | None,
-    received_s: float,
-) -> Call:
-    headers = request.headers
-    left_ms = header_number(headers.get(names.DEADLINE_MS))
-    limit_ms = min(route.timeout_ms, left_ms or route.timeout_ms)
-    priority = route.priority
-    if workspace is not None and workspace.priority is not None:
-        priority = workspace.priority
-    return Call(
-        request_id=headers.get(names.REQUEST_ID, ''),
-        method=request.method,
-        target=request.raw_path,
-        headers=forwarded_headers(request.raw_headers),
-        body=body,
-        route=route,
-        workspace=workspace,
-        received_s=received_s,
-        deadline_s=received_s + limit_ms / 1000,
-        turn=read_turn(headers),
-        priority=min(max(priority, 0), PRIORITY_MAX),
-    )
--- /dev/null
+++ b/rattanvalve/gateway/reading.py
@@ -0,0 +1,132 @@
+"""Reads requests of callers and tells which of them the rules allow."""
+
+import asyncio
+
+from aiohttp import web
+
+from rattanvalve.errors import BodyError
+from rattanvalve.gateway.calls import (
+    Call,
+    Refusal,
+    header_number,
+    read_event_id,
+    read_turn,
+)
+from rattanvalve.platform import names
+from rattanvalve.platform.requests import forwarded_headers
+from rattanvalve.resultcodes import ResultCode
+from rattanvalve.sharedstate.parts import SharedState
+from rattanvalve.sharedstate.rules import Route, Workspace
+
+__all__ = ('RequestReader',)
+
+STARTING_RETRY_AFTER_S = 0.5
+PRIORITY_MAX = 9
+
+
+class RequestReader:
+    """Reads requests by the newest rules.
+
+    :param state: rules of this process.
+    """
+
+    def __init__(self, state: SharedState) -> None:
+        self._state = state
+
+    async def read(
+        self,
+        request: web.BaseRequest,
+        received_s: float,
+    ) -> Call | Refusal:
+        """Read a request that the rules allow.
+
+        :param request: request of a caller.
+        :param received_s: monotonic time of its arrival in seconds.
+        :returns: the request, or why it is refused; its body is then not
+            read, so nothing may follow it on the connection.
+        """
+        admitted = self._admit(request)
+        if isinstance(admitted, Refusal):
+            return admitted
+        route, workspace = admitted
+        try:
+            body = await self._read_body(request)
+        except BodyError:
+            return Refusal(ResultCode.BODY_TOO_LARGE)
+        except TimeoutError:
+            return Refusal(ResultCode.REQUEST_TIMEOUT)
+        call = _call_of(request, body, route, workspace, received_s)
+        return call or Refusal(ResultCode.BAD_FIELD)
+
+    def _admit(
+        self,
+        request: web.BaseRequest,
+    ) -> tuple[Route, Workspace | None] | Refusal:
+        rules = self._state.rules
+        if not rules.version:
+            return Refusal(ResultCode.STARTING, STARTING_RETRY_AFTER_S)
+        host = request.headers.get('Host', '').partition(':')[0]
+        path = request.raw_path.partition('?')[0]
+        route = rules.route_of(host, path)
+        if route is None:
+            return Refusal(ResultCode.UNKNOWN_PATH)
+        if not rules.needs_keys or route.is_open:
+            return route, None
+        key = request.headers.get(names.CALLER_KEY)
+        if key is None:
+            return Refusal(ResultCode.KEY_MISSING)
+        workspace = rules.workspace_of_key(key)
+        if workspace is None:
+            return Refusal(ResultCode.KEY_UNKNOWN)
+        return route, workspace
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        limits = self._state.rules.limits
+        parts = []
+        length = 0
+        async with asyncio.timeout(limits.header_timeout_ms / 1000):
+            async for part in request.content.iter_any():
+                length += len(part)
+                if length > limits.body_bytes:
+                    raise BodyError('the body is too large')
+                parts.append(part)
+        return b''.join(parts)
+
+
+def _call_of(
+    request: web.BaseRequest,
+    body: bytes,
+    route: Route,
+    workspace: Workspace | None,
+    received_s: float,
+) -> Call | None:
+    """Put a request together; ``None`` if a header cannot be read."""
+    headers = request.headers
+    turn = read_turn(headers)
+    resume_after = None
+    resume_text = headers.get(names.LAST_EVENT_ID)
+    if route.is_resumable and resume_text is not None:
+        resume_after = read_event_id(resume_text)
+        if resume_after is None:
+            return None
+    if turn.is_malformed:
+        return None
+    left_ms = header_number(headers.get(names.DEADLINE_MS))
+    limit_ms = min(route.timeout_ms, left_ms or route.timeout_ms)
+    priority = route.priority
+    if workspace is not None and workspace.priority is not None:
+        priority = workspace.priority
+    return Call(
+        request_id=headers.get(names.REQUEST_ID, ''),
+        method=request.method,
+        target=request.raw_path,
+        headers=forwarded_headers(request.raw_headers),
+        body=body,
+        route=route,
+        workspace=workspace,
+        received_s=received_s,
+        deadline_s=received_s + limit_ms / 1000,
+        turn=turn,
+        priority=min(max(priority, 0), PRIORITY_MAX),
+        resume_after=resume_after,
+    )
--- a/rattanvalve/gateway/trace.py
+++ b/rattanvalve/gateway/trace.py
@@ -17,6 +17,10 @@
     endpoints: list[str] = field(default_factory=list)
     reasons: list[str] = field(default_factory=list)
     run_count: int = 0
+    #: Runs whose endpoint ended with them.
+    gone_count: int = 0
+    #: Event after which a stream went on elsewhere, for each time.
+    resumed_after: list[int | None] = field(default_factory=list)
     expected_count: float = 0
     status: int = 0
     #: Whether a stream broke off after its beginning.
--- a/rattanvalve/gateway/turns.py
+++ b/rattanvalve/gateway/turns.py
@@ -82,17 +82,21 @@
         ]
         if not refusals:
             return None
-        self.release(call)
+        self.settle(call, 0)
         return refusals[0]
 
-    def release(self, call: Call) -> None:
-        """Give the reservation of a turn back that has not run.
+    def settle(self, call: Call, tokens: int) -> None:
+        """Count what a turn generated in place of its reservation.
 
-        :param call: the turn.
+        It does not wait, as the reservation counts until then.
+
+        :param call: the turn, which has ended.
+        :param tokens: tokens that the caller got; 0 if it has not run.
         """
-        if call.turn.budget_tokens is None:
+        if call.turn.budget_tokens is None or call.is_settled:
             return
-        task = asyncio.create_task(self._settle_unused(call))
+        call.is_settled = True
+        task = asyncio.create_task(self._settle(call, tokens))
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
@@ -116,6 +120,7 @@
             retention_ms=call.route.retention_ms,
         )
         await self._client.commit(record, COMMIT_LIMIT_S)
+        call.is_settled = True
         previous = self._cache.get(turn.previous_id)
         if previous is not None or not turn.previous_id:
             self._remember(record, previous)
@@ -134,6 +139,11 @@
             ),
             PREPARE_LIMIT_S,
         )
+        call.has_program_begun = any(
+            entry.tokens
+            for turn_id, entry in entries.items()
+            if turn_id != call.request_id
+        )
         if is_within_budget(entries, turn.budget_tokens):
             return None
         return Refusal(ResultCode.BUDGET_EXHAUSTED)
@@ -170,11 +180,11 @@
         self._cache.put(record.turn_id, turn)
         return turn
 
-    async def _settle_unused(self, call: Call) -> None:
+    async def _settle(self, call: Call, tokens: int) -> None:
         message = SettleTurn(
             program_id=call.turn.program_id,
             turn_id=call.request_id,
-            tokens=0,
+            tokens=tokens,
             retention_ms=_ledger_retention_ms(call),
         )
         try:
@@ -182,7 +192,7 @@
         except QuorumError as error:
             # The reservation then counts until it expires.
             _log.warning(
-                'reservation not given back',
+                'reservation not settled',
                 extra={'request': call.request_id, 'error': str(error)},
             )
 
--- a/rattanvalve/platform/configuration.py
+++ b/rattanvalve/platform/configuration.py
@@ -34,6 +34,8 @@
     # Whether turns continue earlier ones, and for how long these are kept.
     retain_context: bool = False
     retention_s: float = 0
+    # Whether a stream may go on at another server after its last event.
+    resumable: bool = False
     # Open to callers without a key.
     auth_exempt: bool = False
 
@@ -115,6 +117,7 @@
         max_attempts=stored.max_attempts,
         keeps_turns=stored.retain_context,
         retention_ms=int(stored.retention_s * 1000),
+        is_resumable=stored.resumable,
         is_open=stored.auth_exempt,
     )
 
--- a/rattanvalve/platform/names.py
+++ b/rattanvalve/platform/names.py
@@ -9,6 +9,7 @@
     'KIND_MEMBERS',
     'KIND_RETIREMENTS',
     'KIND_SERVERS',
+    'LAST_EVENT_ID',
     'NOT_RUN',
     'PREVIOUS_TURN',
     'PRIORITY',
@@ -34,6 +35,8 @@
 TOKEN_USAGE = 'Token-Usage'
 PROMPT_PARTS = 'Prompt-Prefix'
 PREVIOUS_TURN = 'Previous-Turn'
+# Number of the last event that the caller has of a stream.
+LAST_EVENT_ID = 'Last-Event-Id'
 WORKSPACE = 'Tenant'
 EXPECTED_ENDPOINT = 'Expect-Instance'
 PRIORITY = 'Request-Priority'
--- a/rattanvalve/platform/requests.py
+++ b/rattanvalve/platform/requests.py
@@ -70,6 +70,8 @@
             f'{names.PRIORITY}: {call.priority}',
         ),
     )
+    if call.resume_after is not None:
+        lines.append(f'{names.LAST_EVENT_ID}: {call.resume_after}')
     if call.workspace is not None:
         lines.append(f'{names.WORKSPACE}: {call.workspace.name}')
     if length or call.method not in {'GET', 'HEAD', 'DELETE'}:
--- a/rattanvalve/sharedstate/rules.py
+++ b/rattanvalve/sharedstate/rules.py
@@ -34,6 +34,7 @@
     max_attempts: int = 1
     keeps_turns: bool = False
     retention_ms: int = 0
+    is_resumable: bool = False
     is_open: bool = False
 
     @property
@@ -42,7 +43,7 @@
 
         :returns: whether the kind allows it.
         """
-        return self.kind == REPEATABLE_KIND
+        return self.kind == REPEATABLE_KIND or self.is_resumable
 
     @property
     def is_stream(self) -> bool:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -60,6 +60,7 @@
         'version': version,
         'routes': [
             route('chat', 'stream', 'models', **turns),
+            route('plan', 'stream', 'models', resumable=True, maxAttempts=1),
             route('look', 'safe', 'app'),
             route('book', 'unsafe', 'app'),
             route('open', 'safe', 'app', authExempt=True),
@@ -215,6 +216,22 @@
         except aiohttp.ClientError:
             return 0, {}, b''
 
+    async def raw_answer(self, path, *headers):
+        """Send a request; gives all bytes until the connection ends."""
+        reader, writer = await asyncio.open_connection(
+            self.host('gateway', 0),
+            self.callers_port,
+        )
+        lines = (
+            f'POST {path} HTTP/1.1',
+            'Host: farm.example',
+            f'X-Api-Key: {KEY}',
+            'Content-Length: 0',
+            *headers,
+        )
+        writer.write('\r\n'.join((*lines, '', '')).encode())
+        return await asyncio.wait_for(reader.read(), WAIT_S)
+
     async def _answers(self, url, is_ready):
         try:
             async with self.session.get(url) as response:
--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -88,10 +88,31 @@
 
     async def _do_stream(self, request_id, reader, writer):
         writer.write(self._stream_head(request_id))
-        for event in EVENTS:
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+        self._write_events(writer)
         writer.write(b'0\r\n\r\n')
 
+    async def _do_crash(self, request_id, reader, writer):
+        """Break off within the second event; one server of two dies so."""
+        if 'Last-Event-Id' in self.requests[-1][2]:
+            await self._do_stream(request_id, reader, writer)
+            return
+        self._server.close()
+        await self._do_half(request_id, reader, writer)
+
+    async def _do_half(self, request_id, reader, writer):
+        """Break off within the second event, but go on serving others."""
+        writer.write(self._stream_head(request_id))
+        begun = EVENTS[0] + EVENTS[1][:-4]
+        writer.write(b'%x\r\n%b\r\n' % (len(begun), begun))
+        await writer.drain()
+        writer.close()
+
+    def _write_events(self, writer):
+        """Write the events after the one that the request names."""
+        last = int(self.requests[-1][2].get('Last-Event-Id', 0))
+        for event in EVENTS[last:]:
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+
     async def _do_cut(self, request_id, reader, writer):
         writer.write(self._stream_head(request_id))
         writer.write(b'%x\r\n%b\r\n' % (len(EVENTS[0]), EVENTS[0]))
@@ -127,7 +148,7 @@
         lines = (
             'HTTP/1.1 200 OK',
             f'Request-Id: {request_id}',
-            'Server-Seal: s.1',
+            f'Server-Seal: {self.name}',
             'Content-Type: text/event-stream',
             'Transfer-Encoding: chunked',
         )
--- a/tests/steps/gateway_servers_steps.py
+++ b/tests/steps/gateway_servers_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then, when
 
-from tests.platform_fleet import KEY, WAIT_S, wait_until
+from tests.platform_fleet import wait_until
 
 
 @then('an unsafe call that breaks gets 502 and reaches one server')
@@ -63,24 +63,13 @@
 
 @when('a caller reads the bytes of a stream that stalls')
 def step_stall(context):
-    async def read():
-        fleet = context.fleet
-        reader, writer = await asyncio.open_connection(
-            fleet.host('gateway', 0),
-            fleet.callers_port,
-        )
-        lines = (
-            'POST /chat/stall HTTP/1.1',
-            'Host: farm.example',
+    context.bytes = context.run(
+        context.fleet.raw_answer(
+            '/chat/stall',
             'Request-Id: stalled',
             'Deadline-Ms: 500',
-            f'X-Api-Key: {KEY}',
-            'Content-Length: 0',
-        )
-        writer.write('\r\n'.join((*lines, '', '')).encode())
-        context.bytes = await asyncio.wait_for(reader.read(), WAIT_S)
-
-    context.run(read())
+        ),
+    )
 
 
 @then('the bytes hold one response that is not complete')
