Give up servers, callers and store answers whose bytes have no end

Cause: nothing bounded the head of a server's response, interim and foreign responses, trailers, a body that is kept, or an answer of the store, so one server could fill the memory of all gateways (100 MB of a head left a gateway 524 MB larger before).

The connection is closed, the attempt has failed (502, or another server where the route allows it).

Ruled out: limits in the transport, as a body that is passed on may be large.

--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -36,6 +36,8 @@
 BROKEN_AVOID_S = 0.3
 #: A request that its caller gave up after this time hung at the endpoint.
 HUNG_S = 1.5
+#: Largest body that is kept until it is complete.
+BODY_BYTES_MAX = 8 * 1024 * 1024
 SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
 
 _log = part_logger(LogPart.GATEWAY)
@@ -304,7 +306,11 @@
 
 async def _read_body(connection: ServerConnection) -> bytes:
     parts = []
+    length = 0
     while chunk := await connection.read_chunk():
+        length += len(chunk)
+        if length > BODY_BYTES_MAX:
+            raise ServerBrokenError('the body of a response has no end')
         parts.append(chunk)
     return b''.join(parts)
 
--- a/rattanvalve/gateway/reading.py
+++ b/rattanvalve/gateway/reading.py
@@ -16,7 +16,7 @@
 from rattanvalve.platform.requests import forwarded_headers
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.parts import SharedState
-from rattanvalve.sharedstate.rules import Route, Workspace
+from rattanvalve.sharedstate.rules import Route, TrafficRules, Workspace
 
 __all__ = ('RequestReader',)
 
@@ -65,6 +65,11 @@
         rules = self._state.rules
         if not rules.version:
             return Refusal(ResultCode.STARTING, STARTING_RETRY_AFTER_S)
+        header_bytes = sum(
+            len(name) + len(content) for name, content in request.raw_headers
+        )
+        if header_bytes > rules.limits.header_bytes:
+            return Refusal(ResultCode.HEADER_TOO_LONG)
         host = request.headers.get('Host', '').partition(':')[0]
         path = request.raw_path.partition('?')[0]
         route = rules.route_of(host, path)
@@ -72,12 +77,9 @@
             return Refusal(ResultCode.UNKNOWN_PATH)
         if not rules.needs_keys or route.is_open:
             return route, None
-        key = request.headers.get(names.CALLER_KEY)
-        if key is None:
-            return Refusal(ResultCode.KEY_MISSING)
-        workspace = rules.workspace_of_key(key)
-        if workspace is None:
-            return Refusal(ResultCode.KEY_UNKNOWN)
+        workspace = _workspace_of(request, rules)
+        if isinstance(workspace, Refusal):
+            return workspace
         return route, workspace
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
@@ -93,6 +95,16 @@
         return b''.join(parts)
 
 
+def _workspace_of(
+    request: web.BaseRequest,
+    rules: TrafficRules,
+) -> Workspace | Refusal:
+    key = request.headers.get(names.CALLER_KEY)
+    if key is None:
+        return Refusal(ResultCode.KEY_MISSING)
+    return rules.workspace_of_key(key) or Refusal(ResultCode.KEY_UNKNOWN)
+
+
 def _call_of(
     request: web.BaseRequest,
     body: bytes,
--- a/rattanvalve/gateway/response_parser.py
+++ b/rattanvalve/gateway/response_parser.py
@@ -23,6 +23,10 @@
 IDLE_DEFAULT_S = 2.0
 #: A connection is not used in the last part of the server's idle timeout.
 IDLE_MARGIN_S = 0.7
+#: A head or trailer that is longer has no end.
+HEAD_BYTES_MAX = 64 * 1024
+#: The same for interim and foreign responses before and within ours.
+FOREIGN_BYTES_MAX = 1024 * 1024
 _PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
@@ -51,6 +55,11 @@
         self._headers: CIMultiDict[str] = CIMultiDict()
         self._is_ours = False
         self._is_unframed = False
+        self._is_in_head = False
+        #: Bytes that came since the last end of a head or part of a body.
+        self._head_bytes = 0
+        #: Bytes that came since the last byte of our own response.
+        self._foreign_bytes = 0
 
     def expect(self, request_id: str) -> None:
         """Begin to wait for the response of a request.
@@ -61,18 +70,26 @@
         self.head = None
         self.is_complete = False
         self._is_unframed = False
+        self._head_bytes = 0
+        self._foreign_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse bytes of the server.
 
         :param data: bytes, cut anywhere.
-        :raises ServerBrokenError: if they are no response.
+        :raises ServerBrokenError: if they are no response, or one without end.
         """
+        self._head_bytes += len(data)
+        self._foreign_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except _PARSER_ERRORS as error:
             self.is_reusable = False
             raise ServerBrokenError('the server sent no response') from error
+        is_long_head = self._head_bytes > HEAD_BYTES_MAX
+        if is_long_head or self._foreign_bytes > FOREIGN_BYTES_MAX:
+            self.is_reusable = False
+            raise ServerBrokenError('the server sent bytes without end')
 
     def finish(self) -> None:
         """End a response without a length, as the server has closed."""
@@ -96,6 +113,7 @@
     def on_message_begin(self) -> None:
         """Begin a response."""
         self._headers = CIMultiDict()
+        self._is_in_head = True
         self._is_ours = False
         if self.is_complete:
             # Nothing was asked, so these bytes belong to no request.
@@ -107,10 +125,15 @@
         :param name: name of the header.
         :param content: its content.
         """
+        if not self._is_in_head:
+            # Nothing needs a trailer, and its server may send any number.
+            return
         self._headers.add(name.decode('latin-1'), content.decode('latin-1'))
 
     def on_headers_complete(self) -> None:
         """Find out whose response it is."""
+        self._is_in_head = False
+        self._head_bytes = 0
         status = self._parser.get_status_code()
         self._is_ours = self._is_expected(status)
         if not self._is_ours:
@@ -121,13 +144,16 @@
             self.is_reusable = False
         self.idle_limit_s = _idle_limit(headers.get('Keep-Alive', ''))
         self.head = ResponseHead(status, headers)
+        self._foreign_bytes = 0
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body for the reader.
 
         :param body: bytes of the body.
         """
+        self._head_bytes = 0
         if self._is_ours:
+            self._foreign_bytes = 0
             self.chunks.append(body)
             self.buffered_bytes += len(body)
 
--- a/rattanvalve/platform/objects.py
+++ b/rattanvalve/platform/objects.py
@@ -19,6 +19,8 @@
 CALL_TIMEOUT_S = 1.5
 #: The store answers a watch at its end; this is for the way there and back.
 WATCH_GRACE_S = 1.0
+#: Far more than a page or the changes of one watch.
+ANSWER_BYTES_MAX = 16 * 1024 * 1024
 _CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 _NO_SPEC = msgspec.Raw(b'null')
 
@@ -188,7 +190,7 @@
                 self._session.request(method, url, **options) as response,
             ):
                 status = response.status
-                body = await response.read()
+                body = await _read_whole(response)
         except _CALL_ERRORS as error:
             raise StoreError(f'{method} {path}: {error!r}') from error
         if status >= HTTPStatus.BAD_REQUEST:
@@ -198,6 +200,18 @@
         return body
 
 
+async def _read_whole(response: aiohttp.ClientResponse) -> bytes:
+    parts = []
+    length = 0
+    async for part in response.content.iter_any():
+        length += len(part)
+        if length > ANSWER_BYTES_MAX:
+            response.close()
+            raise StoreError('the answer of the store has no end')
+        parts.append(part)
+    return b''.join(parts)
+
+
 _ERRORS = {
     HTTPStatus.CONFLICT: StoreConflictError,
     HTTPStatus.GONE: HistoryGoneError,
--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -8,6 +8,8 @@
     b'id: 2\ndata: two\n\n',
     b'id: 3\ndata: three\n\n',
 )
+#: Body of one chunk of a response without end.
+FILLER = b'a' * 0x1000
 OUTPUT = b'one\ntwo\nthree\n'
 
 
@@ -22,6 +24,7 @@
         self.refuses = False
         self.connection_count = 0
         self.last_error = None
+        self.endless_ended = 0
 
     async def start(self):
         """Listen; gives the address as ``HOST:PORT``."""
@@ -124,6 +127,31 @@
         writer.write(b'%x\r\n%b\r\n' % (len(EVENTS[0]), EVENTS[0]))
         await reader.read(1)
 
+    async def _do_endlesshead(self, request_id, reader, writer):
+        await self._send_endless(writer, b'HTTP/1.1 200 OK\r\n', b'X-A: b\r\n')
+
+    async def _do_endlessbody(self, request_id, reader, writer):
+        head = self._stream_head(request_id)
+        await self._send_endless(writer, head, b'1000\r\n%b\r\n' % FILLER)
+
+    async def _do_endlessother(self, request_id, reader, writer):
+        head = self._stream_head('another-id')
+        await self._send_endless(writer, head, b'1000\r\n%b\r\n' % FILLER)
+
+    async def _do_endlessevent(self, request_id, reader, writer):
+        start = self._stream_head(request_id) + b'6\r\ndata: \r\n'
+        await self._send_endless(writer, start, b'1000\r\n%b\r\n' % FILLER)
+
+    async def _send_endless(self, writer, start, piece):
+        """Send bytes until the other side closes."""
+        writer.write(start)
+        try:
+            while True:
+                writer.write(piece * 16)
+                await writer.drain()
+        except OSError:
+            self.endless_ended += 1
+
     async def _do_held(self, request_id, reader, writer):
         closed = asyncio.ensure_future(reader.read(1))
         release = asyncio.ensure_future(self.release.wait())
