Use no permission that has run out: keys, grants of rates, leaving servers

Cause: a key was looked up when a request came, so a request that waited was sent on with a key that had been withdrawn, and an open stream went on to its end. A grant of the rate was used whenever the process came to it, also after a pause of seconds. Nothing knew the header by which a server says that it leaves.

A key is looked up again before each send (401, not run). An open stream has half of the time for withdrawn keys to end whole and is cut then, counted and logged by its reason. A grant ends two seconds after its time on the clock that counts a suspended VM, too; the request is refused as not run. A server that says in any answer, a refusal included, that it leaves gets nothing more from this gateway until another start of it.

Ruled out: cutting streams at once, as most end within the time; a new grant in place of the refusal, as the caller's next try reaches another gateway.

--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -7,6 +7,7 @@
 from enum import Enum, auto
 from http import HTTPStatus
 
+from rattanvalve.clocks import boot_time_s
 from rattanvalve.errors import (
     QuorumError,
     ServerBrokenError,
@@ -14,8 +15,10 @@
 )
 from rattanvalve.gateway.calls import Call
 from rattanvalve.gateway.connection_pool import ConnectionPool
+from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.endpoint_health import EndpointHealth, UsualDurations
 from rattanvalve.gateway.events import EventFollower
+from rattanvalve.gateway.keyed_streams import KeyedStreams
 from rattanvalve.gateway.loads import LoadTable
 from rattanvalve.gateway.placement import Demand
 from rattanvalve.gateway.response_parser import ResponseHead
@@ -29,7 +32,7 @@
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.parts import SharedState
 
-__all__ = ('AttemptFailedError', 'Attempts')
+__all__ = ('AttemptFailedError', 'Attempts', 'GrantExpiredError')
 
 #: An endpoint that does not accept or breaks off is avoided this long.
 UNREACHABLE_AVOID_S = 1.0
@@ -61,6 +64,10 @@
         self.is_gone = is_gone
 
 
+class GrantExpiredError(Exception):
+    """The time has passed in which the request was within its rate."""
+
+
 class _Outcome(Enum):
     """What a request says of the health of its endpoint."""
 
@@ -74,6 +81,7 @@
     """Sends requests to endpoints and notes what becomes of them.
 
     :param state: rules and identity of this process.
+    :param directory: endpoints; is told which of them leave.
     :param loads: loads of the endpoints.
     :param pool: connections to the endpoints.
     :param turns: keeper of turns.
@@ -82,11 +90,15 @@
     def __init__(
         self,
         state: SharedState,
+        directory: EndpointDirectory,
         loads: LoadTable,
         pool: ConnectionPool,
         turns: TurnKeeper,
     ) -> None:
+        #: Open streams, by their keys.
+        self.streams = KeyedStreams(state.node.key_revocation_s)
         self._state = state
+        self._directory = directory
         self._loads = loads
         self._pool = pool
         self._turns = turns
@@ -108,23 +120,30 @@
         :param sink: gets the response.
         :param trace: is filled for the log.
         :raises AttemptFailedError: if there is no response to pass on.
+        :raises GrantExpiredError: if the grant of the rate has run out.
         :raises TimeoutError: if the request's time is over.
         """
         connection = await self._connect(endpoint)
+        if boot_time_s() > call.grant_until_s:
+            self._pool.give_back(endpoint, connection)
+            raise GrantExpiredError
         self._loads.begin(endpoint)
         if demand.is_generation:
             load = self._loads.of(endpoint)
             load.remember(demand.parts, demand.cache_tokens)
         try:
             with self._observed(call, endpoint, trace):
-                async with asyncio.timeout_at(_loop_time(call.deadline_s)):
-                    await self._exchange(
-                        call,
-                        endpoint,
-                        connection,
-                        sink,
-                        trace,
-                    )
+                async with asyncio.timeout_at(
+                    _loop_time(call.deadline_s),
+                ) as limit:
+                    with self.streams.guard(call, limit):
+                        await self._exchange(
+                            call,
+                            endpoint,
+                            connection,
+                            sink,
+                            trace,
+                        )
         except ServerBrokenError as error:
             connection.close()
             self._avoid(endpoint, BROKEN_AVOID_S)
@@ -217,6 +236,8 @@
         connection.send(call.request_id, payload)
         head = await connection.read_head()
         self._loads.of(endpoint).health.note_answered(call.request_id)
+        if names.SERVER_LEAVING in head.headers:
+            self._directory.note_leaving(endpoint)
         load_text = head.headers.get(names.SERVER_LOAD, '')
         self._loads.report(endpoint, load_text, time.monotonic())
         trace.status = head.status
--- a/rattanvalve/gateway/calls.py
+++ b/rattanvalve/gateway/calls.py
@@ -1,6 +1,7 @@
 """One request of a caller, as the decisions of the gateway see it."""
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 
 from rattanvalve.gateway.events import EventFollower
 from rattanvalve.gateway.loads import PromptPart
@@ -60,7 +61,11 @@
     received_s: float
     deadline_s: float
     turn: TurnCall
+    #: Never logged, never sent on.
+    key: str = field(default='', repr=False)
     priority: int = 0
+    #: Time of the boot clock at which the grant of the rate runs out.
+    grant_until_s: float = math.inf
     #: Bytes of the earlier turns, which go before the body.
     context: tuple[bytes, ...] = ()
     #: Id of the last event that the caller has.
--- a/rattanvalve/gateway/directory.py
+++ b/rattanvalve/gateway/directory.py
@@ -1,6 +1,6 @@
 """Endpoints that may get requests, as the store of the platform lists them."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
 
 from rattanvalve.logs import LogPart, part_logger
@@ -34,6 +34,8 @@
         self._entries: dict[str, EndpointEntry] = {}
         self._vanished: dict[str, _Vanished] = {}
         self._unusable: frozenset[str] = frozenset()
+        #: Identities of servers that said themselves that they leave.
+        self._leaving: set[Hashable] = set()
         self._forget = forget
 
     def update(
@@ -65,11 +67,11 @@
                 until_s = now_s + RETURN_LIMIT_S
                 self._vanished[entry.name] = _Vanished(entry, until_s)
             else:
-                self._forget(entry)
+                self._drop(entry)
         for name, entry in self._entries.items():
             replacement = usable.get(name)
             if replacement and replacement.identity != entry.identity:
-                self._forget(entry)
+                self._drop(entry)
         self._entries = usable
         for name in usable:
             self._vanished.pop(name, None)
@@ -86,9 +88,18 @@
         return [
             entry
             for entry in (*self._entries.values(), *kept)
-            if entry.service == service and not entry.is_draining
+            if entry.service == service and self._takes_requests(entry)
         ]
 
+    def note_leaving(self, endpoint: EndpointEntry) -> None:
+        """Send nothing more to an endpoint that says that it leaves.
+
+        :param endpoint: the endpoint; its next start is another one.
+        """
+        if endpoint.identity not in self._leaving:
+            self._leaving.add(endpoint.identity)
+            _log.info('endpoint leaves', extra={'endpoint': endpoint.name})
+
     def is_empty(self) -> bool:
         """Return whether no endpoint is known.
 
@@ -96,6 +107,9 @@
         """
         return not (self._entries or self._vanished)
 
+    def _takes_requests(self, entry: EndpointEntry) -> bool:
+        return not entry.is_draining and entry.identity not in self._leaving
+
     def _note_unusable(self, newest: dict[str, EndpointEntry | None]) -> None:
         unusable = frozenset(
             name for name, entry in newest.items() if entry is None
@@ -111,4 +125,8 @@
         for name, vanished in tuple(self._vanished.items()):
             if now_s >= vanished.until_s:
                 self._vanished.pop(name)
-                self._forget(vanished.entry)
+                self._drop(vanished.entry)
+
+    def _drop(self, entry: EndpointEntry) -> None:
+        self._leaving.discard(entry.identity)
+        self._forget(entry)
--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -3,7 +3,11 @@
 import time
 
 from rattanvalve.counters import Counter
-from rattanvalve.gateway.attempts import AttemptFailedError, Attempts
+from rattanvalve.gateway.attempts import (
+    AttemptFailedError,
+    Attempts,
+    GrantExpiredError,
+)
 from rattanvalve.gateway.calls import Call, Refusal
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.loads import LoadTable
@@ -22,6 +26,8 @@
 #: Most endpoints that are asked before a request is refused.
 TRIES_MAX = 4
 FULL_RETRY_AFTER_S = 0.25
+#: The next try asks for a grant of its own.
+EXPIRED_RETRY_AFTER_S = 0.1
 NO_ENDPOINT_RETRY_AFTER_S = 0.5
 
 
@@ -67,9 +73,11 @@
                 return _give_up(call, sink, trace, endpoint)
             try:
                 await self._attempts.make(call, demand, endpoint, sink, trace)
+            except GrantExpiredError:
+                return _give_up(call, sink, trace, _grant_expired(trace))
             except TimeoutError:
                 trace.run_count += 1
-                return _give_up(call, sink, trace, _timed_out(trace))
+                return _give_up(call, sink, trace, self._ended(call, trace))
             except AttemptFailedError as error:
                 tried.add(endpoint.name)
                 if not _may_go_on(call, error, trace):
@@ -88,6 +96,8 @@
         trace: Trace,
     ) -> EndpointEntry | Refusal:
         now_s = time.monotonic()
+        if not self._state.rules.allows(call.key, call.workspace):
+            return Refusal(ResultCode.KEY_WITHDRAWN)
         if call.deadline_s - now_s < SEND_TIME_MIN_S:
             return _timed_out(trace)
         endpoint = choose_endpoint(
@@ -105,6 +115,13 @@
         trace.expected_count = load.expected_count(now_s)
         return endpoint
 
+    def _ended(self, call: Call, trace: Trace) -> Refusal:
+        """Tell why a request ended before its response."""
+        if self._state.rules.allows(call.key, call.workspace):
+            return _timed_out(trace)
+        self._state.metrics.count(Counter.STREAM_CUT_KEY)
+        return Refusal(ResultCode.KEY_WITHDRAWN)
+
     def _count_retry(self, call: Call, error: AttemptFailedError) -> None:
         counter = Counter.RETRY_NOT_RUN
         if call.is_begun_stream:
@@ -168,6 +185,12 @@
     return Refusal(ResultCode.TIMEOUT_QUEUED)
 
 
+def _grant_expired(trace: Trace) -> Refusal:
+    if trace.run_count:
+        return Refusal(ResultCode.BACKEND_FAILED)
+    return Refusal(ResultCode.RATE_EXCEEDED, EXPIRED_RETRY_AFTER_S)
+
+
 def _none_left(trace: Trace, *, has_tried: bool) -> Refusal:
     if trace.run_count:
         return Refusal(ResultCode.BACKEND_FAILED)
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from rattanvalve.busy_connections import BusyConnections
+from rattanvalve.clocks import boot_time_s
 from rattanvalve.errors import QuorumError
 from rattanvalve.gateway.caller_sink import CallerSink
 from rattanvalve.gateway.calls import Call, Refusal
@@ -33,6 +34,8 @@
 RATE_WAIT_MAX_S = 1.6
 #: Most of its time that such a request waits.
 RATE_WAIT_SHARE = 0.75
+#: A request that is sent later would count in another window of the rate.
+GRANT_LIFETIME_S = 2.0
 
 _log = part_logger(LogPart.GATEWAY)
 
@@ -181,11 +184,13 @@
             # A program that has begun is worth a wait.
             wait_max_ms=0 if is_start else max(int(wait_max_s * 1000), 0),
         )
+        asked_s = boot_time_s()
         grant = await self._rates.take(message)
         trace.rate_wait_ms = grant.wait_ms
         wait_s = grant.wait_ms / 1000
         if not grant.is_granted:
             return Refusal(ResultCode.RATE_EXCEEDED, wait_s)
+        call.grant_until_s = asked_s + wait_s + GRANT_LIFETIME_S
         if wait_s:
             await asyncio.sleep(wait_s)
         return None
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -91,11 +91,18 @@
             self._state.departed_count,
         )
         turns = TurnKeeper(client, cache)
+        self._attempts = Attempts(
+            self._state,
+            self._directory,
+            self._loads,
+            self._pool,
+            turns,
+        )
         forwarder = Forwarder(
             self._state,
             self._directory,
             self._loads,
-            Attempts(self._state, self._loads, self._pool, turns),
+            self._attempts,
         )
         self._page = MetricsPage(self._state.metrics)
         self._ingress = Ingress(
@@ -106,6 +113,7 @@
             self._page,
         )
         self._state.board.listen(DocumentKind.SERVERS, self._take_servers)
+        self._state.board.listen(DocumentKind.RULES, self._take_rules)
 
     async def run(self) -> None:
         """Serve until cancelled, then finish what has begun."""
@@ -185,6 +193,11 @@
             ),
         )
 
+    def _take_rules(self, body: bytes) -> None:
+        # The shared state has decoded the same document before.
+        now_s = asyncio.get_running_loop().time()
+        self._attempts.streams.apply(self._state.rules, now_s)
+
     def _take_servers(self, body: bytes) -> None:
         now_s = time.monotonic()
         age_s = self._state.board.age_s(DocumentKind.SERVERS, now_s)
--- a/rattanvalve/gateway/reading.py
+++ b/rattanvalve/gateway/reading.py
@@ -139,6 +139,7 @@
         received_s=received_s,
         deadline_s=received_s + limit_ms / 1000,
         turn=turn,
+        key=headers.get(names.CALLER_KEY, ''),
         priority=min(max(priority, 0), PRIORITY_MAX),
         resume_after=resume_after,
     )
--- a/rattanvalve/platform/names.py
+++ b/rattanvalve/platform/names.py
@@ -19,6 +19,7 @@
     'RESERVED_HEADERS',
     'RETRY_AFTER',
     'SEAL',
+    'SERVER_LEAVING',
     'SERVER_LOAD',
     'TOKEN_BUDGET',
     'TOKEN_USAGE',
@@ -43,6 +44,8 @@
 # Proof that an answer is the server's own.
 SEAL = 'Server-Seal'
 SERVER_LOAD = 'Server-Load'
+# Says in each answer that the server drains.
+SERVER_LEAVING = 'Server-Leaving'
 NOT_RUN = 'Not-Executed'
 RETRY_AFTER = 'Retry-After'
 
--- a/rattanvalve/platform/nodefile.py
+++ b/rattanvalve/platform/nodefile.py
@@ -33,6 +33,7 @@
 
 class _Bounds(msgspec.Struct, rename='camel'):
     grace_s: float = 8
+    revoke_ms: float = 5000
 
 
 class _Platform(msgspec.Struct, rename='camel'):
@@ -71,6 +72,8 @@
     lost_disks_max: int
     memory_mb: float
     grace_s: float
+    #: Time after which a withdrawn key must have no effect any more.
+    key_revocation_s: float
 
     @property
     def peer_address(self) -> Address:
@@ -128,6 +131,7 @@
         lost_disks_max=node.fault_tolerance.machines,
         memory_mb=node.limits.memory_mb,
         grace_s=node.bounds.grace_s,
+        key_revocation_s=node.bounds.revoke_ms / 1000,
     )
 
 
--- a/rattanvalve/sharedstate/rules.py
+++ b/rattanvalve/sharedstate/rules.py
@@ -146,6 +146,18 @@
         """
         return self._by_key.get(key)
 
+    def allows(self, key: str, workspace: Workspace | None) -> bool:
+        """Tell whether a key is still one of its workspace.
+
+        :param key: key of a caller.
+        :param workspace: whose key it was; ``None`` on an open route.
+        :returns: whether it was not withdrawn.
+        """
+        if workspace is None:
+            return True
+        holder = self._by_key.get(key)
+        return holder is not None and holder.name == workspace.name
+
     def workspace_named(self, name: str) -> Workspace | None:
         """Find a workspace.
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -22,6 +22,7 @@
 KEY = 'key-of-farm'
 OTHER_KEY = 'key-of-shop'
 WAIT_S = 10.0
+KEY_REVOCATION_S = 1.0
 _numbers = itertools.count(1)
 
 
@@ -256,4 +257,5 @@
             lost_disks_max=1,
             memory_mb=100,
             grace_s=1.5,
+            key_revocation_s=KEY_REVOCATION_S,
         )
--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -25,6 +25,7 @@
         self.connection_count = 0
         self.last_error = None
         self.endless_ended = 0
+        self.is_leaving = False
 
     async def start(self):
         """Listen; gives the address as ``HOST:PORT``."""
@@ -169,6 +170,7 @@
             f'Content-Length: {len(body)}',
             'Server-Load: 1,0,4',
             more,
+            *(('Server-Leaving: 1',) if self.is_leaving else ()),
         )
         return '\r\n'.join((*lines, '', '')).encode() + body
 
