Let few turn stores watch the platform's store

Five turn stores, chosen by rendezvous among those that answer, watch; the others and the gateways ask one of them in each exchange, retirements included. A turn store follows the members itself while it has to change its own object. Processes that never watch wait a second for their peers at a start. Following and exchange of documents are two modules now.

Ruled out: longer watches, as a silent connection is noticed by them; three watchers, as the store may turn a third of all VMs away.

--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -173,9 +173,9 @@
         )
 
     def _tasks(self, store: ObjectStore) -> list:
-        followers = self._state.followers(store, is_spare=True)
+        followers = self._state.spare_followers(store)
         return [
-            *(follower.run() for follower in followers.values()),
+            *(follower.run() for follower in followers),
             self._state.exchange(self._peers).run(),
             self._calls.relays.run(),
             self._pool.run(),
--- a/rattanvalve/platform/turnstores.py
+++ b/rattanvalve/platform/turnstores.py
@@ -8,7 +8,13 @@
 from rattanvalve.platform.objects import StoredEntry
 from rattanvalve.sharedstate.members import StoreMember
 
-__all__ = ('decode_members', 'encode_members', 'member_spec')
+__all__ = (
+    'decode_members',
+    'decode_retirements',
+    'encode_members',
+    'encode_retirements',
+    'member_spec',
+)
 
 
 class _Member(msgspec.Struct):
@@ -70,3 +76,21 @@
         for item in listed
     )
     return tuple(sorted(members, key=lambda member: member.name))
+
+
+def encode_retirements(entries: Iterable[StoredEntry]) -> bytes:
+    """Write which VMs the operators retire as one document for peers.
+
+    :param entries: objects as they are stored.
+    :returns: the document.
+    """
+    return msgspec.json.encode(sorted(entry.name for entry in entries))
+
+
+def decode_retirements(body: bytes) -> frozenset[str]:
+    """Read a document of :func:`encode_retirements`.
+
+    :param body: the document.
+    :returns: names of VMs.
+    """
+    return msgspec.json.decode(body, type=frozenset[str])
--- a/rattanvalve/sharedstate/documents.py
+++ b/rattanvalve/sharedstate/documents.py
@@ -16,7 +16,7 @@
     RULES = 'rules'
     SERVERS = 'servers'
     MEMBERS = 'members'
-    #: Never exchanged: only the turn stores follow retirements.
+    #: Only the turn stores need it.
     RETIREMENTS = 'retirements'
 
 
--- a/rattanvalve/sharedstate/following.py
+++ b/rattanvalve/sharedstate/following.py
@@ -1,35 +1,24 @@
-"""Follows objects of the platform's store, and asks peers when it is away."""
+"""Follows objects of the platform's store as documents."""
 
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 
 import msgspec
 
-from rattanvalve.channels import Address
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.errors import (
     ConfigurationError,
     HistoryGoneError,
-    PeerError,
     StoreError,
 )
 from rattanvalve.logs import LogPart, part_logger
-from rattanvalve.messages import Ack, Document, Pull
-from rattanvalve.peers import PeerPool
+from rattanvalve.messages import Document
 from rattanvalve.platform.objects import Changes, ObjectStore, StoredEntry
-from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
-from rattanvalve.sharedstate.reach import ReachTable
+from rattanvalve.sharedstate.documents import DocumentBoard
 
-__all__ = (
-    'EXCHANGED_KINDS',
-    'Assemble',
-    'ObjectFollower',
-    'PeerExchange',
-    'document_handlers',
-    'offer_document',
-)
+__all__ = ('Assemble', 'ObjectFollower', 'offer_document')
 
 #: Wait of one watch, drawn anew each time, so that of several processes one
 #: soon notices that its connection has gone silent.
@@ -39,27 +28,14 @@
 #: know was confirmed longer ago. Longer than a watch with its grace.
 FRESH_LIMIT_S = 5.0
 FRESH_CHECK_INTERVAL_S = 0.25
-#: Stands for a document that was never confirmed.
-AGE_MAX_MS = 1_000_000_000
+#: How long a process that starts waits for the peers before it calls the
+#: store: after a loss of power all would call it at once.
+FIRST_WAIT_S = 1.0
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 0.5
 #: The same for a process that usually learns from peers: while the store is
 #: down, its calls would only add to those of the turn stores.
 SPARE_RETRY_MAX_S = 2.0
-#: How often a process compares its documents with those of some peers.
-EXCHANGE_INTERVAL_S = 0.4
-EXCHANGE_PEERS = 3
-EXCHANGED_KINDS = (
-    DocumentKind.RULES,
-    DocumentKind.SERVERS,
-    DocumentKind.MEMBERS,
-)
-EXCHANGE_TIMEOUT_S = 0.5
-#: How often a process that reaches too few peers tries the others.
-SEARCH_INTERVAL_S = 0.15
-SEARCH_TIMEOUT_S = 0.25
-SEARCH_PEERS = 12
-
 _log = part_logger(LogPart.CONFIG)
 
 Assemble = Callable[[Iterable[StoredEntry], int], Document | None]
@@ -75,8 +51,8 @@
         the store; ``None`` if there is no document yet.
     :param board: where the document is offered.
     :param metrics: counters.
-    :param is_spare: whether the store is only called while the peers have
-        not confirmed the document.
+    :param is_watcher: whether this process watches the store; others call
+        it only while the peers have not confirmed the document.
     """
 
     def __init__(
@@ -87,11 +63,10 @@
         assemble: Assemble,
         board: DocumentBoard,
         metrics: Metrics,
-        *,
-        is_spare: bool = False,
+        is_watcher: Callable[[], bool],
     ) -> None:
         self.entries: dict[str, StoredEntry] = {}
-        self._is_spare = is_spare
+        self._is_watcher = is_watcher
         self._store = store
         self._kind = kind
         self._document_kind = document_kind
@@ -100,12 +75,14 @@
         self._metrics = metrics
         self._revision = 0
         self._is_reached = False
+        self._has_called = False
 
     async def run(self) -> None:
         """Follow the objects until cancelled."""
         delay_s = RETRY_FIRST_S
         while True:
             await self._wait_needed()
+            self._has_called = True
             try:
                 await self._advance()
             except HistoryGoneError:
@@ -119,24 +96,29 @@
                 delay_s = RETRY_FIRST_S
 
     def is_reached(self) -> bool:
-        """Return whether the store answered the last call.
+        """Return whether the objects are followed and known.
 
-        :returns: whether it did.
+        :returns: whether the store answered the last call a moment ago.
         """
         return self._is_reached
 
     def _retry_max_s(self) -> float:
-        return SPARE_RETRY_MAX_S if self._is_spare else RETRY_MAX_S
+        return RETRY_MAX_S if self._is_watcher() else SPARE_RETRY_MAX_S
 
     async def _wait_needed(self) -> None:
-        while self._is_spare and self._is_fresh():
+        started_s = time.monotonic()
+        while self._is_waiting(started_s) and not self._is_watcher():
             # What is read after a pause begins with a list.
             self._revision = 0
+            self._is_reached = False
             await asyncio.sleep(FRESH_CHECK_INTERVAL_S)
 
-    def _is_fresh(self) -> bool:
-        age_s = self._board.age_s(self._document_kind, time.monotonic())
-        return age_s < FRESH_LIMIT_S
+    def _is_waiting(self, started_s: float) -> bool:
+        """Tell whether the peers confirm the document, or may do so soon."""
+        now_s = time.monotonic()
+        age_s = self._board.age_s(self._document_kind, now_s)
+        is_first = not self._has_called and now_s - started_s < FIRST_WAIT_S
+        return is_first or age_s < FRESH_LIMIT_S
 
     async def _advance(self) -> None:
         if self._revision:
@@ -218,132 +200,3 @@
                 'source': source,
             },
         )
-
-
-class PeerExchange:
-    """Compares documents with a few random peers at a time, both ways.
-
-    :param pool: connections to peers.
-    :param peers: gives the addresses of the peers.
-    :param board: documents of this process.
-    :param metrics: counters.
-    :param reach: notes which peers answer.
-    """
-
-    def __init__(
-        self,
-        pool: PeerPool,
-        peers: Callable[[], Sequence[Address]],
-        board: DocumentBoard,
-        metrics: Metrics,
-        reach: ReachTable,
-    ) -> None:
-        self._reach = reach
-        self._pool = pool
-        self._peers = peers
-        self._board = board
-        self._metrics = metrics
-
-    async def run(self) -> None:
-        """Exchange until cancelled."""
-        await asyncio.gather(self._exchange_often(), self._search_often())
-
-    async def _exchange_often(self) -> None:
-        while True:
-            pause_s = self._interval_s() * random.uniform(0.8, 1.2)
-            await asyncio.gather(
-                asyncio.sleep(pause_s),
-                *map(self._exchange, self._chosen()),
-            )
-
-    def _interval_s(self) -> float:
-        """Exchange more often as long as there are no rules to work by."""
-        has_rules = bool(self._board.newest(DocumentKind.RULES).version)
-        return EXCHANGE_INTERVAL_S if has_rules else SEARCH_INTERVAL_S
-
-    async def _search_often(self) -> None:
-        """Look for peers soon after a start or a loss of most of them."""
-        while True:
-            await asyncio.gather(*map(self._probe, self._missing()))
-            await asyncio.sleep(SEARCH_INTERVAL_S * random.uniform(0.8, 1.2))
-
-    def _missing(self) -> Sequence[Address]:
-        """Choose unreached peers, unless most peers are reached."""
-        peers = self._peers()
-        unreached = self._reach.unreached(peers, time.monotonic())
-        if 2 * len(unreached) < len(peers):
-            return ()
-        return random.sample(unreached, min(len(unreached), SEARCH_PEERS))
-
-    async def _probe(self, peer: Address) -> None:
-        """Exchange the smallest document."""
-        exchange = self._exchange_kind(peer, DocumentKind.MEMBERS)
-        await self._observed(peer, asyncio.wait_for(exchange, SEARCH_TIMEOUT_S))
-
-    def _chosen(self) -> Sequence[Address]:
-        peers = self._peers()
-        return random.sample(peers, min(len(peers), EXCHANGE_PEERS))
-
-    async def _exchange(self, peer: Address) -> None:
-        if not await self._observed(peer, self._exchange_all(peer)):
-            # Other peers are asked as well.
-            self._metrics.count(Counter.EXCHANGE_FAILED)
-
-    async def _observed(self, peer: Address, exchange: Awaitable) -> bool:
-        """Note whether a peer answered."""
-        try:
-            await exchange
-        except (PeerError, TimeoutError):
-            self._reach.note_failure(peer, time.monotonic())
-            return False
-        self._reach.note_answer(peer, time.monotonic())
-        return True
-
-    async def _exchange_all(self, peer: Address) -> None:
-        for kind in EXCHANGED_KINDS:
-            await self._exchange_kind(peer, kind)
-
-    async def _exchange_kind(self, peer: Address, kind: DocumentKind) -> None:
-        ours = self._board.newest(kind)
-        theirs = await self._pool.call(
-            peer,
-            Pull(kind=kind, newer_than=ours.version),
-            EXCHANGE_TIMEOUT_S,
-        )
-        if not isinstance(theirs, Document):
-            raise PeerError('no document in the answer to a pull')
-        now_s = time.monotonic()
-        if theirs.version < ours.version:
-            await self._pool.call(peer, ours, EXCHANGE_TIMEOUT_S)
-            return
-        if theirs.version > ours.version:
-            offer_document(self._board, theirs, peer.host, self._metrics)
-        self._board.confirm(kind, now_s - theirs.age_ms / 1000)
-
-
-def document_handlers(board: DocumentBoard, metrics: Metrics) -> dict:
-    """Give the handlers with which a process takes part in the exchange.
-
-    :param board: documents of this process.
-    :param metrics: counters.
-    :returns: handlers by class of message.
-    """
-
-    async def pull(message: Pull, send) -> None:
-        newest = board.newest(message.kind)
-        age_ms = board.age_s(message.kind, time.monotonic()) * 1000
-        is_newer = newest.version > message.newer_than
-        await send(
-            Document(
-                kind=message.kind,
-                version=newest.version,
-                body=newest.body if is_newer else b'',
-                age_ms=int(min(age_ms, AGE_MAX_MS)),
-            ),
-        )
-
-    async def take(message: Document, send) -> None:
-        offer_document(board, message, 'peer', metrics)
-        await send(Ack())
-
-    return {Pull: pull, Document: take}
--- a/rattanvalve/sharedstate/parts.py
+++ b/rattanvalve/sharedstate/parts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -18,21 +18,25 @@
 from rattanvalve.platform.names import (
     KIND_CONFIG,
     KIND_MEMBERS,
+    KIND_RETIREMENTS,
     KIND_SERVERS,
 )
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.platform.objects import ObjectStore, StoredEntry
 from rattanvalve.platform.servers import encode_servers
-from rattanvalve.platform.turnstores import decode_members, encode_members
-from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
-from rattanvalve.sharedstate.following import (
-    Assemble,
-    ObjectFollower,
-    PeerExchange,
+from rattanvalve.platform.turnstores import (
+    decode_members,
+    decode_retirements,
+    encode_members,
+    encode_retirements,
 )
+from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
+from rattanvalve.sharedstate.exchange import EXCHANGED_KINDS, PeerExchange
+from rattanvalve.sharedstate.following import Assemble, ObjectFollower
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.reach import ReachTable
 from rattanvalve.sharedstate.rules import TrafficRules
+from rattanvalve.sharedstate.watchers import watchers_of
 
 __all__ = ('SharedState', 'run_tasks')
 
@@ -61,12 +65,15 @@
     metrics: Metrics = field(default_factory=Metrics)
     rules: TrafficRules = field(default_factory=TrafficRules)
     members: tuple[StoreMember, ...] = ()
+    #: Names of the members that the operators retire.
+    retired_names: frozenset[str] = frozenset()
     reach: ReachTable = field(default_factory=ReachTable)
     _departed_s: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.board.listen(DocumentKind.RULES, self._adopt_rules)
         self.board.listen(DocumentKind.MEMBERS, self._adopt_members)
+        self.board.listen(DocumentKind.RETIREMENTS, self._adopt_retirements)
 
     @property
     def members_version(self) -> int:
@@ -95,36 +102,67 @@
             for host in self.node.seed_hosts
         )
 
-    def followers(
+    def watcher_addresses(self) -> list[Address]:
+        """List the turn stores that watch the platform's store.
+
+        :returns: addresses, this process's own among them if it is one.
+        """
+        watchers = watchers_of(self.members, self._is_silent)
+        return [watcher.address for watcher in watchers]
+
+    def is_watcher(self) -> bool:
+        """Return whether this process watches the platform's store.
+
+        :returns: whether it is one of the watchers, or knows of none.
+        """
+        return (
+            not self.members
+            or self.node.peer_address in self.watcher_addresses()
+        )
+
+    def follower(
         self,
         store: ObjectStore,
-        *,
-        is_spare: bool,
-    ) -> dict[str, ObjectFollower]:
-        """Make the followers of all documents.
+        kind: str,
+        is_watcher: Callable[[], bool],
+    ) -> ObjectFollower:
+        """Make the follower of one document.
+
+        :param store: client of the platform's store.
+        :param kind: kind of object.
+        :param is_watcher: whether this process watches the store; others
+            call it only while the peers have not confirmed the document.
+        :returns: the follower, to be run.
+        """
+        document_kind, assemble = _DOCUMENTS[kind]
+        return ObjectFollower(
+            store,
+            kind,
+            document_kind,
+            assemble,
+            self.board,
+            self.metrics,
+            is_watcher,
+        )
+
+    def spare_followers(self, store: ObjectStore) -> list[ObjectFollower]:
+        """Make the followers of a process that never is a watcher.
 
         :param store: client of the platform's store.
-        :param is_spare: whether they call the store only while the peers
-            have not confirmed the documents.
-        :returns: followers by kind of object.
+        :returns: followers, to be run.
         """
-        return {
-            kind: ObjectFollower(
-                store,
-                kind,
-                document_kind,
-                assemble,
-                self.board,
-                self.metrics,
-                is_spare=is_spare,
-            )
-            for kind, (document_kind, assemble) in _DOCUMENTS.items()
-        }
-
-    def exchange(self, pool: PeerPool) -> PeerExchange:
+        kinds = (KIND_CONFIG, KIND_SERVERS, KIND_MEMBERS)
+        return [self.follower(store, kind, _is_never) for kind in kinds]
+
+    def exchange(
+        self,
+        pool: PeerPool,
+        kinds: Sequence[DocumentKind] = EXCHANGED_KINDS,
+    ) -> PeerExchange:
         """Make the exchange of documents with the turn stores.
 
         :param pool: connections to peers.
+        :param kinds: kinds of documents.
         :returns: the exchange, to be run.
         """
         return PeerExchange(
@@ -133,6 +171,8 @@
             self.board,
             self.metrics,
             self.reach,
+            self._other_watchers,
+            kinds,
         )
 
     def departed_count(self, now_s: float) -> int:
@@ -148,6 +188,18 @@
             for removed_s in self._departed_s.values()
         )
 
+    def _other_watchers(self) -> list[Address]:
+        own = self.node.peer_address
+        return [known for known in self.watcher_addresses() if known != own]
+
+    def _is_silent(self, address: Address) -> bool:
+        return address != self.node.peer_address and self.reach.has_failed(
+            address
+        )
+
+    def _adopt_retirements(self, body: bytes) -> None:
+        self.retired_names = decode_retirements(body)
+
     def _adopt_rules(self, body: bytes) -> None:
         self.rules = decode_configuration(body)
 
@@ -203,9 +255,17 @@
         DocumentKind.MEMBERS,
         _listing(DocumentKind.MEMBERS, encode_members),
     ),
+    KIND_RETIREMENTS: (
+        DocumentKind.RETIREMENTS,
+        _listing(DocumentKind.RETIREMENTS, encode_retirements),
+    ),
 }
 
 
+def _is_never() -> bool:
+    return False
+
+
 async def run_tasks(
     store_address: Address,
     build: Callable[[ObjectStore], list],
--- a/rattanvalve/turnstore/documentfiles.py
+++ b/rattanvalve/turnstore/documentfiles.py
@@ -15,7 +15,7 @@
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Document
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
-from rattanvalve.sharedstate.following import EXCHANGED_KINDS
+from rattanvalve.sharedstate.exchange import EXCHANGED_KINDS
 from rattanvalve.turnstore.durablefiles import replace_file
 
 __all__ = ('DocumentFiles',)
--- a/rattanvalve/turnstore/membership.py
+++ b/rattanvalve/turnstore/membership.py
@@ -60,7 +60,7 @@
     :param own: this member.
     :param store: client of the platform's store.
     :param members: follows the objects of all members.
-    :param retirements: follows the operators' retirements.
+    :param is_retired: whether the operators retire this member.
     :param view: gives the members.
     :param pulled: gives how far each other member was pulled.
     :param pulled_versions: gives the version of the members with which each
@@ -72,7 +72,7 @@
         own: StoreMember,
         store: ObjectStore,
         members: ObjectFollower,
-        retirements: ObjectFollower,
+        is_retired: Callable[[], bool],
         view: Callable[[], MembersView],
         pulled: Callable[[], Mapping[str, PullState]],
         pulled_versions: Mapping[str, int],
@@ -80,7 +80,7 @@
         self._own = own
         self._store = store
         self._members = members
-        self._retirements = retirements
+        self._is_retired = is_retired
         self._view = view
         self._pulled = pulled
         self._pulled_versions = pulled_versions
@@ -102,10 +102,18 @@
                 )
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    def needs_objects(self) -> bool:
+        """Return whether this member has to change its own object.
+
+        :returns: whether the objects of the members are to be followed.
+        """
+        is_listed = self._own in self._view().members
+        return self._is_retired() or not is_listed
+
     async def _check(self) -> None:
         if not self._members.is_reached():
             return
-        is_retiring = self._own.name in self._retirements.entries
+        is_retiring = self._is_retired()
         if is_retiring != self._own.is_leaving:
             self._own = replace(self._own, is_leaving=is_retiring)
             self._written_status = ''
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -8,18 +8,17 @@
 from rattanvalve.peer_server import PeerServer
 from rattanvalve.peers import PeerPool
 from rattanvalve.platform.names import (
+    KIND_CONFIG,
     KIND_MEMBERS,
     KIND_RETIREMENTS,
+    KIND_SERVERS,
 )
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.platform.objects import ObjectStore
 from rattanvalve.sharedstate.documents import DocumentKind
+from rattanvalve.sharedstate.exchange import document_handlers
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
-from rattanvalve.sharedstate.following import (
-    ObjectFollower,
-    document_handlers,
-    offer_document,
-)
+from rattanvalve.sharedstate.following import offer_document
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.parts import SharedState, run_tasks
 from rattanvalve.turnstore.disklog import DiskLog
@@ -121,34 +120,36 @@
             self._turn_log.close()
 
     def _tasks(self, store: ObjectStore) -> list:
-        followers = self._state.followers(store, is_spare=False)
-        retirements = ObjectFollower(
-            store,
-            KIND_RETIREMENTS,
-            DocumentKind.RETIREMENTS,
-            lambda entries, revision: None,
-            self._state.board,
-            self._state.metrics,
-        )
         own = StoreMember(
             name=self._node.name,
             address=self._node.peer_address,
             zone=self._node.zone,
         )
+        members = self._state.follower(
+            store,
+            KIND_MEMBERS,
+            lambda: membership.needs_objects() or self._state.is_watcher(),
+        )
+        followers = (
+            members,
+            *(
+                self._state.follower(store, kind, self._state.is_watcher)
+                for kind in (KIND_CONFIG, KIND_SERVERS, KIND_RETIREMENTS)
+            ),
+        )
         membership = Membership(
             own,
             store,
-            followers[KIND_MEMBERS],
-            retirements,
+            members,
+            lambda: self._node.name in self._state.retired_names,
             self._view,
             lambda: self._replicator.pulled,
             self._service.pulled_versions,
         )
         return [
-            *(follower.run() for follower in followers.values()),
-            retirements.run(),
+            *(follower.run() for follower in followers),
             membership.run(),
-            self._state.exchange(self._pool).run(),
+            self._state.exchange(self._pool, tuple(DocumentKind)).run(),
             self._replicator.run(),
             self._files.run(),
             self._sweep(),
--- a/tests/gateway/whole_path.feature
+++ b/tests/gateway/whole_path.feature
@@ -32,6 +32,13 @@
     And turn c continues b with "third" through gateway 0
     Then the model got the prompts and outputs of a and b before "third"
 
+  Scenario: a turn store that learns of its retirement from a watcher
+    Given a fleet on the platform of which one turn store watches the store
+    When turn a begins with "hello " through gateway 0
+    And a turn store that does not watch is retired and is done
+    Then the configuration of version 2 reaches all processes within 2 s
+    And few calls of the store come from those that do not watch
+
   Scenario: a turn that comes while a gateway starts is answered
     When gateway 0 and all turn stores start again
     Then the first turn that gateway 0 accepts is answered
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -20,6 +20,7 @@
         self.refused_hosts = set()
         #: Writes that take effect while their answer is lost.
         self.lost_answers = 0
+        self.call_count = 0
         self._history = []
         self._first_revision = 0
         self._changed = asyncio.Event()
@@ -73,6 +74,7 @@
         return web.json_response(self.stored[key])
 
     async def _serve(self, request):
+        self.call_count += 1
         if request.remote in self.refused_hosts:
             return web.Response(status=REFUSED)
         handlers = {
--- a/tests/steps/exchange_steps.py
+++ b/tests/steps/exchange_steps.py
@@ -11,7 +11,7 @@
 from rattanvalve.errors import PeerError
 from rattanvalve.messages import Document
 from rattanvalve.sharedstate.documents import DocumentBoard
-from rattanvalve.sharedstate.following import EXCHANGED_KINDS, PeerExchange
+from rattanvalve.sharedstate.exchange import EXCHANGED_KINDS, PeerExchange
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.reach import ReachTable
 
