Let the control traffic of one member grow less with the fleet

Cause: on the large deployment each of 24 turn stores listed all its records to 23 others every 0.25 s, and each of these worked out the members of every program anew; 84 processes compared three documents with three peers every 0.4 s.

A listing now holds only the keys that the asking member keeps, where both know the same members; members of a program are worked out once. Intervals of pulls and exchanges grow with the number of turn stores beyond 8 and 9, and an exchange asks a watcher and one other peer instead of three.

Ruled out: fewer pulls by pairs that share no program, as all pairs do.

--- a/rattanvalve/sharedstate/exchange.py
+++ b/rattanvalve/sharedstate/exchange.py
@@ -20,7 +20,11 @@
 AGE_MAX_MS = 1_000_000_000
 #: How often a process compares its documents with those of some peers.
 EXCHANGE_INTERVAL_S = 0.4
-EXCHANGE_PEERS = 3
+#: Turn stores up to which that interval holds; it grows in proportion beyond
+#: to its limit, as the fleet that asks them grows with them.
+EXCHANGE_MEMBERS = 9
+EXCHANGE_INTERVAL_MAX_S = 1.0
+EXCHANGE_PEERS = 2
 EXCHANGED_KINDS = (
     DocumentKind.RULES,
     DocumentKind.SERVERS,
@@ -78,8 +82,10 @@
 
     def _interval_s(self) -> float:
         """Exchange more often as long as there are no rules to work by."""
-        has_rules = bool(self._board.newest(DocumentKind.RULES).version)
-        return EXCHANGE_INTERVAL_S if has_rules else SEARCH_INTERVAL_S
+        if not self._board.newest(DocumentKind.RULES).version:
+            return SEARCH_INTERVAL_S
+        growth = max(len(self._peers()) / EXCHANGE_MEMBERS, 1)
+        return min(EXCHANGE_INTERVAL_S * growth, EXCHANGE_INTERVAL_MAX_S)
 
     async def _search_often(self) -> None:
         """Look for peers soon after a start or a loss of most of them."""
--- a/rattanvalve/sharedstate/members.py
+++ b/rattanvalve/sharedstate/members.py
@@ -11,7 +11,7 @@
 from rattanvalve.channels import Address
 from rattanvalve.rendezvous import rank
 
-__all__ = ('StoreMember', 'group_of', 'quorum_size')
+__all__ = ('MembersView', 'StoreMember', 'group_of', 'quorum_size')
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +24,14 @@
     is_leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class MembersView:
+    """Members of the turn store at one version of their list."""
+
+    version: int = 0
+    members: tuple[StoreMember, ...] = ()
+
+
 def quorum_size(lost_disks_max: int) -> int:
     """Tell how many members have to store a record.
 
--- a/rattanvalve/turnstore/membership.py
+++ b/rattanvalve/turnstore/membership.py
@@ -16,8 +16,8 @@
 from rattanvalve.platform.objects import ObjectStore
 from rattanvalve.platform.turnstores import member_spec
 from rattanvalve.sharedstate.following import ObjectFollower
-from rattanvalve.sharedstate.members import StoreMember
-from rattanvalve.turnstore.replication import MembersView, PullState
+from rattanvalve.sharedstate.members import MembersView, StoreMember
+from rattanvalve.turnstore.replication import PullState
 
 __all__ = ('Membership', 'silent_members')
 
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -19,18 +19,15 @@
 from rattanvalve.sharedstate.exchange import document_handlers
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.following import offer_document
-from rattanvalve.sharedstate.members import StoreMember
+from rattanvalve.sharedstate.members import MembersView, StoreMember
 from rattanvalve.sharedstate.parts import SharedState, run_tasks
 from rattanvalve.turnstore.disklog import DiskLog
 from rattanvalve.turnstore.documentfiles import DocumentFiles
 from rattanvalve.turnstore.durablefiles import replace_file
 from rattanvalve.turnstore.membership import Membership
+from rattanvalve.turnstore.placement import RecordPlacement
 from rattanvalve.turnstore.rateshares import RateShares
-from rattanvalve.turnstore.replication import (
-    MembersView,
-    Replicator,
-    is_caught_up,
-)
+from rattanvalve.turnstore.replication import Replicator, is_caught_up
 from rattanvalve.turnstore.service import TurnService
 from rattanvalve.turnstore.turnlog import TurnLog
 
@@ -68,17 +65,19 @@
         self._is_complete = self._marker.exists()
         # Until the first list of members says otherwise.
         self._is_former_member = True
+        placement = RecordPlacement(self._view, node.lost_disks_max)
         self._service = TurnService(
             self._turn_log,
             self._shares,
             lambda: self._is_complete,
+            placement,
         )
         self._replicator = Replicator(
             node.name,
             self._turn_log,
             self._pool,
             self._view,
-            node.lost_disks_max,
+            placement,
             self._note_progress,
         )
         self._state.board.listen(DocumentKind.RULES, self._configure_shares)
--- a/rattanvalve/turnstore/replication.py
+++ b/rattanvalve/turnstore/replication.py
@@ -9,7 +9,7 @@
 from rattanvalve.errors import FrameError, PeerError
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.peers import PeerPool
-from rattanvalve.sharedstate.members import StoreMember, group_of
+from rattanvalve.sharedstate.members import MembersView, StoreMember
 from rattanvalve.turn_messages import (
     FetchRecords,
     ListRecords,
@@ -17,25 +17,21 @@
     RecordKey,
     RecordList,
 )
+from rattanvalve.turnstore.placement import RecordPlacement
 from rattanvalve.turnstore.turnlog import TurnLog
 
-__all__ = ('MembersView', 'PullState', 'Replicator', 'is_caught_up')
+__all__ = ('PullState', 'Replicator', 'is_caught_up')
 
 PULL_INTERVAL_S = 0.25
+#: Members up to which that interval holds; it grows in proportion beyond, so
+#: that the pulls of one member do not grow with their number.
+PULL_MEMBERS = 8
 PULL_TIMEOUT_S = 1.0
 FETCH_COUNT = 100
 
 _log = part_logger(LogPart.TURNS)
 
 
-@dataclass(frozen=True, slots=True)
-class MembersView:
-    """Members of the turn store at one version of their list."""
-
-    version: int = 0
-    members: tuple[StoreMember, ...] = ()
-
-
 @dataclass(slots=True)
 class PullState:
     """How far the records of one member were pulled."""
@@ -84,7 +80,7 @@
     :param turn_log: records of this store.
     :param pool: connections to the other members.
     :param view: gives the members.
-    :param lost_disks_max: disks that may be lost at once.
+    :param placement: tells which members keep the records of a program.
     :param note_progress: called after each complete pull.
     """
 
@@ -94,7 +90,7 @@
         turn_log: TurnLog,
         pool: PeerPool,
         view: Callable[[], MembersView],
-        lost_disks_max: int,
+        placement: RecordPlacement,
         note_progress: Callable[[], Awaitable[None]],
     ) -> None:
         self.pulled: dict[str, PullState] = {}
@@ -102,7 +98,7 @@
         self._turn_log = turn_log
         self._pool = pool
         self._view = view
-        self._lost_disks_max = lost_disks_max
+        self._placement = placement
         self._note_progress = note_progress
         self._tasks: dict[str, asyncio.Task] = {}
 
@@ -138,7 +134,11 @@
                 )
             except OSError as error:
                 _log.error('disk failed', extra={'error': str(error)})
-            await asyncio.sleep(PULL_INTERVAL_S * random.uniform(0.7, 1.3))
+            await asyncio.sleep(self._interval_s() * random.uniform(0.7, 1.3))
+
+    def _interval_s(self) -> float:
+        member_count = len(self._view().members)
+        return PULL_INTERVAL_S * max(member_count / PULL_MEMBERS, 1)
 
     async def _pull(self, name: str) -> None:
         state = self.pulled[name]
@@ -179,9 +179,7 @@
             state.after = 0
             if is_restart:
                 return False
-        wanted = [
-            key.key for key in listed.keys if self._is_wanted(key, view.members)
-        ]
+        wanted = [key.key for key in listed.keys if self._is_wanted(key)]
         for start in range(0, len(wanted), FETCH_COUNT):
             await self._fetch(member, wanted[start : start + FETCH_COUNT])
         state.after = listed.next_after
@@ -195,15 +193,10 @@
         )
         await asyncio.gather(*map(self._turn_log.take_over, batch.records))
 
-    def _is_wanted(
-        self,
-        key: RecordKey,
-        members: Sequence[StoreMember],
-    ) -> bool:
+    def _is_wanted(self, key: RecordKey) -> bool:
         if key.key in self._turn_log.index:
             return False
-        group = group_of(key.program_id, members, self._lost_disks_max)
-        return self._own_name in {member.name for member in group}
+        return self._placement.is_kept_by(self._own_name, key.program_id)
 
     async def _ask(self, member: StoreMember, message, answer_class):
         answer = await self._pool.call(member.address, message, PULL_TIMEOUT_S)
--- a/rattanvalve/turnstore/service.py
+++ b/rattanvalve/turnstore/service.py
@@ -21,6 +21,7 @@
     TurnChain,
     TurnRecord,
 )
+from rattanvalve.turnstore.placement import RecordPlacement
 from rattanvalve.turnstore.rateshares import RateShares
 from rattanvalve.turnstore.turnlog import TurnLog
 
@@ -38,6 +39,7 @@
     :param shares: shares of the workspaces' rates.
     :param is_complete: tells whether this store may answer for what it does
         not find.
+    :param placement: tells which members keep the records of a program.
     """
 
     def __init__(
@@ -45,12 +47,14 @@
         turn_log: TurnLog,
         shares: RateShares,
         is_complete: Callable[[], bool],
+        placement: RecordPlacement,
     ) -> None:
         #: Version of the members that each member pulled everything with.
         self.pulled_versions: dict[str, int] = {}
         self._turn_log = turn_log
         self._shares = shares
         self._is_complete = is_complete
+        self._placement = placement
         self._incarnation = secrets.token_hex(8)
         #: Hosts of gateways with the time until which they count as known.
         self._gateways: dict[str, float] = {}
@@ -89,6 +93,13 @@
     async def _list(self, message: ListRecords, send: Send) -> None:
         index = self._turn_log.index
         next_after, keys = index.listed_after(message.after, LIST_COUNT)
+        if message.members_version == self._placement.version():
+            # Keys that the other member has no use for are not sent.
+            keys = [
+                key
+                for key in keys
+                if self._placement.is_kept_by(message.member, key.program_id)
+            ]
         is_end = next_after >= index.end()
         if message.after >= index.end():
             self.pulled_versions[message.member] = message.members_version
--- a/tests/sharedstate/exchange.feature
+++ b/tests/sharedstate/exchange.feature
@@ -16,3 +16,9 @@
     And a process that has their documents and has met them all
     When a process exchanges documents with them for 1 seconds
     Then it has asked at most 36 times
+
+  Scenario: more turn stores are asked less often
+    Given 24 turn stores that answer
+    And a process that has their documents and has met them all
+    When a process exchanges documents with them for 3 seconds
+    Then it has asked at most 24 times
--- /dev/null
+++ b/tests/steps/record_listing_steps.py
@@ -0,0 +1,97 @@
+"""Steps of turnstore/turnstore.feature about listings for other members."""
+
+import shutil
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from behave import given, then
+
+from rattanvalve.channels import Address
+from rattanvalve.sharedstate.members import (
+    MembersView,
+    StoreMember,
+    group_of,
+)
+from rattanvalve.turn_messages import ListRecords, Reserve
+from rattanvalve.turnstore.disklog import DiskLog
+from rattanvalve.turnstore.placement import RecordPlacement
+from rattanvalve.turnstore.rateshares import RateShares
+from rattanvalve.turnstore.service import TurnService
+from rattanvalve.turnstore.turnlog import TurnLog
+
+LOST_DISKS_MAX = 1
+VERSION = 5
+
+
+@given(
+    '{count:d} members and a store with the records of {programs:d} programs'
+)
+def step_store(context, count, programs):
+    folder = Path(tempfile.mkdtemp())
+    context.closers.append(lambda: shutil.rmtree(folder))
+    turn_log = TurnLog(DiskLog(folder))
+    context.programs = [f'p{number}' for number in range(programs)]
+    context.members = tuple(
+        StoreMember(f'm{number}', Address(f'h{number}', 1))
+        for number in range(count)
+    )
+
+    async def fill():
+        for program in context.programs:
+            reserve = Reserve(
+                program_id=program,
+                turn_id=program,
+                retention_ms=60_000,
+            )
+            await turn_log.store(reserve)
+
+    context.run(fill())
+    view = MembersView(VERSION, context.members)
+    context.service = TurnService(
+        turn_log,
+        RateShares('m0'),
+        lambda: True,
+        RecordPlacement(lambda: view, LOST_DISKS_MAX),
+    )
+
+
+def listed_for(context, name, version):
+    """List all programs for a member, page by page."""
+    found = []
+
+    async def note(answer):
+        found.append(answer)
+
+    async def read():
+        after = 0
+        while not (found and found[-1].is_end):
+            message = ListRecords(
+                member=name,
+                after=after,
+                members_version=version,
+            )
+            await context.service._list(message, note)
+            after = found[-1].next_after
+
+    with mock.patch('rattanvalve.turnstore.service.LIST_COUNT', 7):
+        context.run(read())
+    return [key.program_id for page in found for key in page.keys]
+
+
+@then(
+    'each member is listed the keys of its programs only, and all in pages',
+)
+def step_own(context):
+    for known in context.members:
+        kept = [
+            program
+            for program in context.programs
+            if known in group_of(program, context.members, LOST_DISKS_MAX)
+        ]
+        assert listed_for(context, known.name, VERSION) == kept, known
+
+
+@then('a member that knows other members is listed all keys')
+def step_other_version(context):
+    assert listed_for(context, 'm1', VERSION - 1) == context.programs
--- a/tests/steps/turnstore_steps.py
+++ b/tests/steps/turnstore_steps.py
@@ -10,17 +10,13 @@
 
 from rattanvalve.channels import Address
 from rattanvalve.gateway.ingress import RATE_WAIT_MAX_S
-from rattanvalve.sharedstate.members import StoreMember, group_of
+from rattanvalve.sharedstate.members import MembersView, StoreMember, group_of
 from rattanvalve.sharedstate.rules import TrafficRules, Workspace
 from rattanvalve.turn_messages import Reserve, TakeRate, TurnRecord
 from rattanvalve.turnstore.disklog import DiskLog
 from rattanvalve.turnstore.membership import SILENT_LIMIT_S, silent_members
 from rattanvalve.turnstore.rateshares import RateShares
-from rattanvalve.turnstore.replication import (
-    MembersView,
-    PullState,
-    is_caught_up,
-)
+from rattanvalve.turnstore.replication import PullState, is_caught_up
 from rattanvalve.turnstore.turnlog import TurnLog
 from rattanvalve.turnstore.turnrecords import KEEP_MARGIN_S
 
--- a/tests/turnstore/turnstore.feature
+++ b/tests/turnstore/turnstore.feature
@@ -68,3 +68,8 @@
 
   Scenario: without a limit or a configuration
     Then a workspace without a limit gets all and an unknown one is not known
+
+  Scenario: a store lists only what the member that asks keeps
+    Given 9 members and a store with the records of 30 programs
+    Then each member is listed the keys of its programs only, and all in pages
+    And a member that knows other members is listed all keys
