Keep a process up through unexpected errors and malformed entries

A background task that failed ended its whole process (all of them stood in one group). A server entry with a port beyond 65535, or with a name in place of an IP number, raised errors that nothing expected in each request that chose it. And a late copy of a refusal without an id was taken for the next request's refusal on the connection, so a request that ran was said not to have run. The features failed first.

A task that fails is logged and begins again. Addresses are IP numbers with a port. An answer without an id is ours only on a connection that carried no request before. A cold time below zero counts as warm.

Ruled out for malformed frames and documents: they close their connection or are passed over (peer server, exchange), as existing features show.

--- a/rattanvalve/gateway/listening.py
+++ b/rattanvalve/gateway/listening.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 from aiohttp import web
 
@@ -9,7 +10,7 @@
 from rattanvalve.counters import Metrics
 from rattanvalve.http_errors import malformed_http_counter
 
-__all__ = ('caller_server', 'listen')
+__all__ = ('caller_server', 'listen', 'readiness_server')
 
 #: Longer than any idle limit that the rules set for callers.
 KEEPALIVE_TIMEOUT_S = 75.0
@@ -37,6 +38,21 @@
     )
 
 
+def readiness_server(is_ready: Callable[[], bool]) -> web.Server:
+    """Make the server that tells the balancer of this process.
+
+    :param is_ready: whether callers may be sent here.
+    :returns: the server, which makes a protocol for each connection.
+    """
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        if is_ready():
+            return web.Response()
+        return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+
+    return web.Server(answer, access_log=None)
+
+
 async def listen(server: web.Server, address: Address) -> asyncio.Server:
     """Listen for connections.
 
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from contextlib import AsyncExitStack, suppress
-from http import HTTPStatus
 
 from aiohttp import web
 
@@ -13,7 +12,11 @@
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.forwarding import Forwarder
 from rattanvalve.gateway.ingress import Ingress
-from rattanvalve.gateway.listening import caller_server, listen
+from rattanvalve.gateway.listening import (
+    caller_server,
+    listen,
+    readiness_server,
+)
 from rattanvalve.gateway.loads import LoadTable
 from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.gateway.relays import RelayService
@@ -29,7 +32,8 @@
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
-from rattanvalve.sharedstate.parts import SharedState, run_tasks
+from rattanvalve.sharedstate.parts import SharedState
+from rattanvalve.sharedstate.tasks import run_tasks
 
 __all__ = ('GatewayProcess',)
 
@@ -140,8 +144,10 @@
     ) -> None:
         self._listener = await listen(callers, self._node.callers)
         closers.callback(self._listener.close)
-        readiness = web.Server(self._answer_ready, access_log=None)
-        server = await listen(readiness, self._node.readiness)
+        server = await listen(
+            readiness_server(self._is_ready),
+            self._node.readiness,
+        )
         closers.callback(server.close)
         metrics_server = await serve_metrics(self._page, self._node)
         closers.callback(metrics_server.close)
@@ -175,23 +181,15 @@
     def _tasks(self, store: ObjectStore) -> list:
         followers = self._state.spare_followers(store)
         return [
-            *(follower.run() for follower in followers),
-            self._state.exchange(self._peers).run(),
-            self._calls.relays.run(),
-            self._pool.run(),
+            *(follower.run for follower in followers),
+            self._state.exchange(self._peers).run,
+            self._calls.relays.run,
+            self._pool.run,
         ]
 
-    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
-        is_ready = (
-            self._ingress.is_able()
-            and not self._ingress.is_stopping
-            and not self._directory.is_empty()
-        )
-        return web.Response(
-            status=(
-                HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
-            ),
-        )
+    def _is_ready(self) -> bool:
+        is_serving = self._ingress.is_able() and not self._ingress.is_stopping
+        return is_serving and not self._directory.is_empty()
 
     def _take_rules(self, body: bytes) -> None:
         # The shared state has decoded the same document before.
--- a/rattanvalve/gateway/response_parser.py
+++ b/rattanvalve/gateway/response_parser.py
@@ -52,6 +52,7 @@
         self.idle_limit_s = IDLE_DEFAULT_S
         self._parser = httptools.HttpResponseParser(self)
         self._request_id = ''
+        self._request_count = 0
         self._headers: CIMultiDict[str] = CIMultiDict()
         self._is_ours = False
         self._is_unframed = False
@@ -67,6 +68,7 @@
         :param request_id: id that the response will carry.
         """
         self._request_id = request_id
+        self._request_count += 1
         self.head = None
         self.is_complete = False
         self._is_unframed = False
@@ -169,8 +171,10 @@
             return False
         answered_id = self._headers.get(REQUEST_ID)
         if answered_id is None:
-            # Without an id only a refusal can be taken for ours.
-            return status >= HTTPStatus.BAD_REQUEST
+            # Only a refusal, and on a connection that had no request before:
+            # on any other it may be a late copy for an earlier request.
+            is_refusal = status >= HTTPStatus.BAD_REQUEST
+            return is_refusal and self._request_count == 1
         return answered_id == self._request_id
 
 
--- a/rattanvalve/platform/nodefile.py
+++ b/rattanvalve/platform/nodefile.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import socket
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -16,6 +17,7 @@
 __all__ = ('ENVIRONMENT_VARIABLE', 'NodeSettings', 'parse_address', 'read_node')
 
 ENVIRONMENT_VARIABLE = 'RATTANVALVE_NODE_FILE'
+PORT_MAX = 65_535
 
 
 class _Listen(msgspec.Struct, rename='camel'):
@@ -87,14 +89,25 @@
 def parse_address(text: str) -> Address:
     """Read an address.
 
-    :param text: ``HOST:PORT``.
+    :param text: ``IP:PORT``.
     :returns: the address.
     :raises ValueError: if the text has another form.
     """
-    host, separator, port = text.rpartition(':')
-    if not separator or not host:
+    host, _, port_text = text.rpartition(':')
+    is_number = port_text.isascii() and port_text.isdigit()
+    port = int(port_text) if is_number else 0
+    if not (_is_ip_number(host) and 0 < port <= PORT_MAX):
         raise ValueError(f'no address: {text!r}')
-    return Address(host, int(port))
+    return Address(host, port)
+
+
+def _is_ip_number(host: str) -> bool:
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        # A name, which nothing here looks up.
+        return False
+    return True
 
 
 def read_node(path: Path | None = None) -> NodeSettings:
--- a/rattanvalve/platform/servers.py
+++ b/rattanvalve/platform/servers.py
@@ -50,7 +50,7 @@
         zone=server.zone,
         slots=server.slots,
         is_draining=server.state == 'draining',
-        cold_ms=server.cold_remaining_ms,
+        cold_ms=max(server.cold_remaining_ms, 0),
         born_ms=server.born,
     )
 
--- a/rattanvalve/sharedstate/parts.py
+++ b/rattanvalve/sharedstate/parts.py
@@ -1,12 +1,10 @@
 """State that every process on the platform has, and how it is followed."""
 
-import asyncio
 import time
 from collections.abc import Callable, Iterable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-import aiohttp
 import msgspec
 
 from rattanvalve.channels import Address
@@ -38,7 +36,7 @@
 from rattanvalve.sharedstate.rules import TrafficRules
 from rattanvalve.sharedstate.watchers import watchers_of
 
-__all__ = ('SharedState', 'run_tasks')
+__all__ = ('SharedState',)
 
 #: Time in which the members have copied what a removed one had alone.
 COPY_LIMIT_S = 15.0
@@ -264,23 +262,3 @@
 
 def _is_never() -> bool:
     return False
-
-
-async def run_tasks(
-    store_address: Address,
-    build: Callable[[ObjectStore], list],
-) -> None:
-    """Run the tasks of a process until one fails or this is cancelled.
-
-    :param store_address: address of the platform's store.
-    :param build: makes the tasks' coroutines with the store client.
-    """
-    base_url = f'http://{store_address.host}:{store_address.port}'
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=5)
-    timeout = aiohttp.ClientTimeout(total=None)
-    async with (
-        aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
-        asyncio.TaskGroup() as group,
-    ):
-        for work in build(ObjectStore(base_url, session)):
-            group.create_task(work)
--- /dev/null
+++ b/rattanvalve/sharedstate/tasks.py
@@ -0,0 +1,48 @@
+"""Background tasks of a process; one that fails does not end the others."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+
+import aiohttp
+
+from rattanvalve.channels import Address
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.platform.objects import ObjectStore
+
+__all__ = ('Task', 'run_tasks')
+
+#: A task that has failed begins again after this time.
+RESTART_PAUSE_S = 1.0
+
+Task = Callable[[], Awaitable[None]]
+
+_log = part_logger(LogPart.PROCESS)
+
+
+async def run_tasks(
+    store_address: Address,
+    build: Callable[[ObjectStore], Iterable[Task]],
+) -> None:
+    """Run the tasks of a process until cancelled.
+
+    :param store_address: address of the platform's store.
+    :param build: gives the tasks, with the client of the store.
+    """
+    base_url = f'http://{store_address.host}:{store_address.port}'
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=5)
+    timeout = aiohttp.ClientTimeout(total=None)
+    async with (
+        aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
+        asyncio.TaskGroup() as group,
+    ):
+        for task in build(ObjectStore(base_url, session)):
+            group.create_task(_keep_running(task))
+
+
+async def _keep_running(task: Task) -> None:
+    while True:
+        try:
+            await task()
+        except Exception as error:
+            _log.error('task failed', exc_info=error)
+        await asyncio.sleep(RESTART_PAUSE_S)
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -20,7 +20,8 @@
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.following import offer_document
 from rattanvalve.sharedstate.members import MembersView, StoreMember
-from rattanvalve.sharedstate.parts import SharedState, run_tasks
+from rattanvalve.sharedstate.parts import SharedState
+from rattanvalve.sharedstate.tasks import run_tasks
 from rattanvalve.turnstore.disklog import DiskLog
 from rattanvalve.turnstore.documentfiles import DocumentFiles
 from rattanvalve.turnstore.durablefiles import replace_file
@@ -146,12 +147,12 @@
             self._service.pulled_versions,
         )
         return [
-            *(follower.run() for follower in followers),
-            membership.run(),
-            self._state.exchange(self._pool, tuple(DocumentKind)).run(),
-            self._replicator.run(),
-            self._files.run(),
-            self._sweep(),
+            *(follower.run for follower in followers),
+            membership.run,
+            self._state.exchange(self._pool, tuple(DocumentKind)).run,
+            self._replicator.run,
+            self._files.run,
+            self._sweep,
         ]
 
     def _view(self) -> MembersView:
--- a/tests/gateway/decisions.feature
+++ b/tests/gateway/decisions.feature
@@ -43,6 +43,7 @@
 
   Scenario: responses are told apart by their ids
     Then responses of other requests before and after ours are dropped
+    And a late refusal without an id is not taken for the next request's
     And bytes that come while nothing was asked spoil the connection
     And a response without a length ends with its connection
     And bytes that are no response break the connection
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -229,6 +229,21 @@
     assert parser.take_chunk() == b'hi' and not parser.take_chunk()
 
 
+@then("a late refusal without an id is not taken for the next request's")
+def step_late_refusal(context):
+    refusal = (
+        b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+    assert parse(refusal).head.status == 503
+    parser = parse(OURS)
+    parser.take_chunk()
+    parser.expect('next')
+    parser.feed(refusal)
+    assert parser.head is None
+    parser.feed(OURS.replace(b'ours', b'next'))
+    assert parser.head.status == 200
+
+
 @then('bytes that come while nothing was asked spoil the connection')
 def step_unasked(context):
     assert not parse(OURS, OTHERS).is_reusable
