--- a/rattanvalve/sharedstate/tasks.py
+++ b/rattanvalve/sharedstate/tasks.py
@@ -1,6 +1,7 @@
 """Background tasks of a process; one that fails does not end the others."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable, Iterable
 
 import aiohttp
@@ -8,6 +9,7 @@
 from rattanvalve.channels import Address
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.platform.objects import ObjectStore
+from rattanvalve.sharedstate.loop_delay import LoopDelay
 
 __all__ = ('Task', 'run_tasks')
 
@@ -35,7 +37,8 @@
         aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
         asyncio.TaskGroup() as group,
     ):
-        for task in build(ObjectStore(base_url, session)):
+        delay = LoopDelay(time.monotonic())
+        for task in (delay.run, *build(ObjectStore(base_url, session))):
             group.create_task(_keep_running(task))
 
 
--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -153,6 +153,25 @@
         except OSError:
             self.endless_ended += 1
 
+    async def _do_drip(self, request_id, reader, writer):
+        """Send a byte of an event now and then, for ever."""
+        writer.write(self._stream_head(request_id) + b'6\r\ndata: \r\n')
+        try:
+            while True:
+                writer.write(b'1\r\na\r\n')
+                await writer.drain()
+                await asyncio.sleep(0.05)
+        except OSError:
+            self.endless_ended += 1
+
+    async def _do_slow(self, request_id, reader, writer):
+        """Send whole events with long pauses between them."""
+        writer.write(self._stream_head(request_id))
+        for event in EVENTS:
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            await asyncio.sleep(0.6)
+        writer.write(b'0\r\n\r\n')
+
     async def _do_held(self, request_id, reader, writer):
         closed = asyncio.ensure_future(reader.read(1))
         release = asyncio.ensure_future(self.release.wait())
--- a/tests/steps/gateway_servers_steps.py
+++ b/tests/steps/gateway_servers_steps.py
@@ -1,10 +1,12 @@
 """Steps of gateway/whole_path.feature about servers and their answers."""
 
 import asyncio
+import time
 
 from behave import then, when
 
 from tests.platform_fleet import wait_until
+from tests.platform_servers import EVENTS
 
 
 @then('an unsafe call that breaks gets 502 and reaches one server')
@@ -78,6 +80,29 @@
     assert not context.bytes.endswith(b'0\r\n\r\n')
 
 
+@then('a stream with pauses of 0.6 s between its events is whole')
+def step_slow(context):
+    answer = send_turn_path(context, '/chat/slow')
+    assert (answer[0], answer[2]) == (200, b''.join(EVENTS)), answer
+
+
+@then('a stream of a byte now and then ends incomplete at its deadline')
+def step_drip(context):
+    started_s = time.monotonic()
+    context.bytes = context.run(
+        context.fleet.raw_answer(
+            '/chat/drip',
+            'Request-Id: dripping',
+            'Deadline-Ms: 800',
+        ),
+    )
+    duration_s = time.monotonic() - started_s
+    assert not context.bytes.endswith(b'0\r\n\r\n')
+    assert 0.7 < duration_s < 1.5, duration_s
+    server = context.fleet.servers['models-1']
+    context.run(wait_until(lambda: server.endless_ended == 1))
+
+
 @when('a caller leaves a held call')
 def step_leave(context):
     async def leave():
--- a/tests/steps/tasks_steps.py
+++ b/tests/steps/tasks_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from contextlib import suppress
 from unittest import mock
 
@@ -9,7 +10,7 @@
 
 from rattanvalve.channels import Address
 from rattanvalve.platform.servers import decode_server
-from rattanvalve.sharedstate import tasks
+from rattanvalve.sharedstate import loop_delay, tasks
 
 ENTRY = {
     'service': 'app',
@@ -75,3 +76,42 @@
 def step_warm(context, cold_ms):
     spec = json.dumps(ENTRY | {'coldRemainingMs': cold_ms}).encode()
     assert decode_server('s', spec).cold_ms == 0
+
+
+@given(
+    'a loop whose timers are late by 20, 80, 300 and 60 ms, a second apart',
+)
+def step_late(context):
+    context.late_s = (0.02, 0.08, 0.3, 0.06)
+
+
+def delays_of(log):
+    """List the delays that were logged."""
+    return [call[1]['extra']['delay_ms'] for call in log.warning.call_args_list]
+
+
+@then('the lines tell 80 ms at once and 300 ms after five seconds')
+def step_lines(context):
+    log = mock.Mock()
+    with mock.patch.object(loop_delay, '_log', log):
+        delay = loop_delay.LoopDelay(0)
+        for now_s, late_s in enumerate(context.late_s, start=1):
+            delay.note(late_s, now_s)
+        assert delays_of(log) == [80]
+        delay.note(0, 8)
+    assert delays_of(log) == [80, 300]
+
+
+@then('a loop that is held for {held_ms:d} ms logs at least {least_ms:d} ms')
+def step_held_loop(context, held_ms, least_ms):
+    async def run():
+        running = asyncio.ensure_future(loop_delay.LoopDelay(0).run())
+        await asyncio.sleep(0.05)
+        asyncio.get_running_loop().call_soon(time.sleep, held_ms / 1000)
+        await asyncio.sleep(0.05)
+        running.cancel()
+
+    log = mock.Mock()
+    with mock.patch.object(loop_delay, '_log', log):
+        context.run(run())
+    assert delays_of(log) and delays_of(log)[0] >= least_ms, delays_of(log)
