--- a/rattanvalve/sharedstate/loop_delay.py
+++ b/rattanvalve/sharedstate/loop_delay.py
@@ -24,7 +24,7 @@
 
     def __init__(self, started_s: float) -> None:
         self._line_s = started_s
-        self._longest_s = 0.0
+        self._longest_s: float = 0
 
     def note(self, delay_s: float, now_s: float) -> None:
         """Note how late a timer was, and write a line when one is due.
