Give tokens back also when the caller leaves while its turn waits

Cause: a turn was settled only after a refusal or after it was sent, so one whose caller left during its wait for the rate stayed reserved at its most until it expired. The feature failed first (402 for a turn that fits).

--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -129,12 +129,11 @@
         trace.route = call.route.name
         if self._calls.is_cut_off():
             return self._refuse_cut_off(sink)
-        refusal = await self._prepare(call, sink, trace)
-        if refusal is not None:
-            return refusal
         try:
-            return await self._forwarder.forward(call, sink, trace)
+            refusal = await self._prepare(call, sink, trace)
+            return refusal or await self._forwarder.forward(call, sink, trace)
         finally:
+            # Also if the caller leaves while the request waits.
             event_tokens = self._state.rules.event_tokens(call.route)
             self._turns.settle(call, call.handed_count * event_tokens)
 
@@ -154,12 +153,9 @@
         if refusal is not None:
             return refusal
         try:
-            refusal = await self._take_rate(call, trace)
+            return await self._take_rate(call, trace)
         except QuorumError:
-            refusal = self._refuse_cut_off(sink)
-        if refusal is not None:
-            self._turns.settle(call, 0)
-        return refusal
+            return self._refuse_cut_off(sink)
 
     def _refuse_cut_off(self, sink: CallerSink) -> Refusal:
         """Refuse a request; the caller's next one goes to another gateway."""
--- a/rattanvalve/gateway/turns.py
+++ b/rattanvalve/gateway/turns.py
@@ -68,7 +68,8 @@
     async def prepare(self, call: Call, event_tokens: int) -> Refusal | None:
         """Reserve the tokens of a turn and find what it continues.
 
-        :param call: the turn; its context is set here.
+        :param call: the turn; its context is set here. The caller settles it
+            in any case.
         :param event_tokens: tokens that each event is counted for.
         :returns: why it cannot be served, or ``None``.
         """
@@ -77,13 +78,8 @@
             self._find_context(call),
             return_exceptions=True,
         )
-        refusals = [
-            refusal for refusal in map(_refusal_of, outcomes) if refusal
-        ]
-        if not refusals:
-            return None
-        self.settle(call, 0)
-        return refusals[0]
+        refusals = filter(None, map(_refusal_of, outcomes))
+        return next(refusals, None)
 
     def settle(self, call: Call, tokens: int) -> None:
         """Count what a turn generated in place of its reservation.
--- a/tests/gateway/resumed_streams.feature
+++ b/tests/gateway/resumed_streams.feature
@@ -13,6 +13,11 @@
     And all models accept again
     Then one more turn of the program on route plan is answered
 
+  Scenario: a caller that leaves while its turn waits gives its tokens back
+    When the rate is set to 1 a second with a burst of 1
+    And a turn of a program with 40 tokens is given up while it waits
+    Then one more short turn of the program is answered
+
   Scenario: a caller goes on with a stream through another gateway
     Then a caller that resumes plan after event 1 gets events 2 and 3
     And a caller that resumes chat after event 1 gets all events
--- a/tests/steps/gateway_resume_steps.py
+++ b/tests/steps/gateway_resume_steps.py
@@ -6,6 +6,10 @@
 
 from tests.platform_servers import EVENTS
 
+#: The three events of the stand-in are 27 tokens; 9 are reserved with this.
+FEW_TOKENS = {'Token_Usage': '100,1'}
+#: Before the rate has room again.
+GIVE_UP_S = 0.3
 PROGRAM = {'Program_Id': 'program-1', 'Token_Usage': '100,27'}
 
 
@@ -16,8 +20,7 @@
             path,
             number % 2,
             Token_Budget=str(budget),
-            **PROGRAM,
-            **headers,
+            **PROGRAM | headers,
         ),
     )
 
@@ -53,6 +56,33 @@
         context.run(asyncio.sleep(0.2))
 
 
+@when('a turn of a program with {budget:d} tokens is given up while it waits')
+def step_give_up(context, budget):
+    context.budget = budget
+    fleet = context.fleet
+    turn = {'Token_Budget': str(budget), **PROGRAM}
+
+    async def give_up():
+        # The other turn of the program makes the second one wait.
+        first = await fleet.request('/plan/stream', 0, **turn | FEW_TOKENS)
+        assert first[0] == 200, first
+        waiting = asyncio.ensure_future(
+            fleet.request('/plan/stream', 0, **turn | FEW_TOKENS),
+        )
+        await asyncio.sleep(GIVE_UP_S)
+        waiting.cancel()
+        await asyncio.sleep(2)
+
+    context.run(give_up())
+    assert fleet.arrivals('/plan/stream') == 1
+
+
+@then('one more short turn of the program is answered')
+def step_short(context):
+    status, _, body = send_plan(context, context.budget, **FEW_TOKENS)
+    assert status == 200, (status, body)
+
+
 @then('one more turn of the program on route plan is answered')
 def step_one_more(context):
     status, _, body = send_plan(context, context.budget)
