--- a/tests/peers.feature
+++ b/tests/peers.feature
@@ -12,7 +12,7 @@
 
   @known_red
   Scenario: closing a stream cancels the work at the peer
-    Given a peer server that streams chunks
+    Given a peer server that streams chunks without end
     When a stream is left after the first chunk
     Then the handler was cancelled
 
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -37,6 +37,23 @@
     start(context, {messages.Settle: answer_settle})
 
 
+@given('a peer server that streams chunks without end')
+def step_endless_server(context):
+    context.is_cancelled = asyncio.Event()
+
+    async def stream_chunks(message, send):
+        # A stream with an end may have ended before its reader leaves.
+        try:
+            while True:
+                await send(messages.Chunk(content=b'more'))
+                await asyncio.sleep(0.001)
+        except asyncio.CancelledError:
+            context.is_cancelled.set()
+            raise
+
+    start(context, {messages.Run: stream_chunks})
+
+
 @given('a peer server that streams chunks')
 def step_stream_server(context):
     context.is_cancelled = asyncio.Event()
