Read whole numbers of others in one place, and raise on none of them

Found on reading the change once more: an event id, a port, a load and a part of a prompt were each checked by code of their own, of different strictness. A budget of "inf", and any of the others with over 4300 digits or with digits like a superscript two, raised an error that nothing expected, although the docs say 400 for such a budget. The scenario's new step shows each of them; that they raised before was seen by calling the readers (four of four).

One reader now, as strict as the strictest; numbers of headers are finite. Open streams are kept by their limit without a class of their own.

--- a/rattanvalve/gateway/calls.py
+++ b/rattanvalve/gateway/calls.py
@@ -8,18 +8,16 @@
 from rattanvalve.platform import names
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.rules import Route, Workspace
+from rattanvalve.wholenumbers import whole_number
 
 __all__ = (
     'Call',
     'Refusal',
     'TurnCall',
     'header_number',
-    'read_event_id',
     'read_turn',
 )
 
-EVENT_ID_DIGITS_MAX = 18
-
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
@@ -130,7 +128,7 @@
         number = float(text or '')
     except ValueError:
         return None
-    return number if number >= 0 else None
+    return number if 0 <= number < math.inf else None
 
 
 def read_turn(headers) -> TurnCall:
@@ -158,22 +156,11 @@
     )
 
 
-def read_event_id(text: str) -> int | None:
-    """Read which event of a stream a caller has as its last.
-
-    :param text: content of the header.
-    :returns: id; ``None`` if it is malformed.
-    """
-    is_number = text.isascii() and text.isdigit()
-    if not is_number or len(text) > EVENT_ID_DIGITS_MAX:
-        return None
-    return int(text)
-
-
 def _read_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in text.split(','):
-        part_id, _, count = entry.strip().partition(':')
-        if part_id and count.isdigit():
-            parts.append(PromptPart(part_id, int(count)))
+        part_id, _, count_text = entry.strip().partition(':')
+        count = whole_number(count_text)
+        if part_id and count is not None:
+            parts.append(PromptPart(part_id, count))
     return tuple(parts)
--- a/rattanvalve/gateway/events.py
+++ b/rattanvalve/gateway/events.py
@@ -1,6 +1,7 @@
 """Follows the server-sent events of a stream on their way to the caller."""
 
 from rattanvalve.errors import ServerBrokenError
+from rattanvalve.wholenumbers import whole_number
 
 __all__ = ('EventFollower',)
 
@@ -85,8 +86,8 @@
         content = content.removeprefix(b' ')
         if name == _DATA:
             self._data.append(content)
-        elif name == _ID and content.isdigit():
-            self._event_id = int(content)
+        elif name == _ID:
+            self._event_id = whole_number(content.decode('latin-1'))
 
     def _end_event(self) -> bytes:
         event = b''.join(self._event)
--- a/rattanvalve/gateway/keyed_streams.py
+++ b/rattanvalve/gateway/keyed_streams.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 from rattanvalve.gateway.calls import Call
 from rattanvalve.sharedstate.rules import TrafficRules
@@ -14,12 +13,6 @@
 FINISH_SHARE = 0.5
 
 
-@dataclass(slots=True, eq=False)
-class _OpenStream:
-    call: Call
-    limit: asyncio.Timeout
-
-
 class KeyedStreams:
     """Open streams with the limits of their time.
 
@@ -28,7 +21,7 @@
 
     def __init__(self, revocation_s: float) -> None:
         self._finish_s = revocation_s * FINISH_SHARE
-        self._open: set[_OpenStream] = set()
+        self._open: dict[asyncio.Timeout, Call] = {}
 
     @contextmanager
     def guard(self, call: Call, limit: asyncio.Timeout) -> Iterator[None]:
@@ -37,13 +30,12 @@
         :param call: a request; one without a stream has its time.
         :param limit: limit of its time, which is brought forward.
         """
-        stream = _OpenStream(call, limit)
         if call.route.is_stream:
-            self._open.add(stream)
+            self._open[limit] = call
         try:
             yield
         finally:
-            self._open.discard(stream)
+            self._open.pop(limit, None)
 
     def apply(self, rules: TrafficRules, now_s: float) -> None:
         """Bring the end of the streams forward whose key is gone.
@@ -52,8 +44,8 @@
         :param now_s: present time of the event loop in seconds.
         """
         until_s = now_s + self._finish_s
-        for stream in self._open:
-            due_s = stream.limit.when()
-            is_kept = rules.allows(stream.call.key, stream.call.workspace)
+        for limit, call in self._open.items():
+            due_s = limit.when()
+            is_kept = rules.allows(call.key, call.workspace)
             if not is_kept and due_s is not None and due_s > until_s:
-                stream.limit.reschedule(until_s)
+                limit.reschedule(until_s)
--- a/rattanvalve/gateway/loads.py
+++ b/rattanvalve/gateway/loads.py
@@ -6,6 +6,7 @@
 
 from rattanvalve.gateway.endpoint_health import EndpointHealth
 from rattanvalve.sharedstate.endpoints import EndpointEntry
+from rattanvalve.wholenumbers import whole_number
 
 __all__ = ('EndpointLoad', 'LoadTable', 'PromptPart')
 
@@ -123,13 +124,11 @@
         :param text: running, waiting and slots, separated by commas.
         :param now_s: monotonic time in seconds.
         """
-        numbers = text.split(',')
-        if len(numbers) < 2 or not all(
-            part.strip().isdigit() for part in numbers
-        ):
+        numbers = [whole_number(part.strip()) for part in text.split(',')]
+        if len(numbers) < 2 or None in numbers:
             return
         load = self.of(endpoint)
-        load.reported_count = int(numbers[0]) + int(numbers[1])
+        load.reported_count = numbers[0] + numbers[1]
         load.change_count = 0
         load.reported_s = now_s
 
--- a/rattanvalve/gateway/reading.py
+++ b/rattanvalve/gateway/reading.py
@@ -9,7 +9,6 @@
     Call,
     Refusal,
     header_number,
-    read_event_id,
     read_turn,
 )
 from rattanvalve.platform import names
@@ -17,6 +16,7 @@
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.parts import SharedState
 from rattanvalve.sharedstate.rules import Route, TrafficRules, Workspace
+from rattanvalve.wholenumbers import whole_number
 
 __all__ = ('RequestReader',)
 
@@ -118,7 +118,7 @@
     resume_after = None
     resume_text = headers.get(names.LAST_EVENT_ID)
     if route.is_resumable and resume_text is not None:
-        resume_after = read_event_id(resume_text)
+        resume_after = whole_number(resume_text)
         if resume_after is None:
             return None
     if turn.is_malformed:
--- a/rattanvalve/platform/nodefile.py
+++ b/rattanvalve/platform/nodefile.py
@@ -13,6 +13,7 @@
 
 from rattanvalve.channels import Address
 from rattanvalve.errors import SettingsError
+from rattanvalve.wholenumbers import whole_number
 
 __all__ = ('ENVIRONMENT_VARIABLE', 'NodeSettings', 'parse_address', 'read_node')
 
@@ -94,8 +95,7 @@
     :raises ValueError: if the text has another form.
     """
     host, _, port_text = text.rpartition(':')
-    is_number = port_text.isascii() and port_text.isdigit()
-    port = int(port_text) if is_number else 0
+    port = whole_number(port_text) or 0
     if not (_is_ip_number(host) and 0 < port <= PORT_MAX):
         raise ValueError(f'no address: {text!r}')
     return Address(host, port)
--- a/tests/gateway/decisions.feature
+++ b/tests/gateway/decisions.feature
@@ -87,6 +87,7 @@
 
   Scenario: headers of callers that are malformed are left out
     Then odd numbers and prompt parts in headers are passed over
+    And numbers without end or of other digits raise no error anywhere
 
   Scenario: a request whose connection was closed meanwhile is not passed on
     Then an ingress with a closed connection asks no other part
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -459,6 +459,27 @@
     assert turn.parts == (PromptPart('a', 1), PromptPart('d', 4))
 
 
+@then('numbers without end or of other digits raise no error anywhere')
+def step_endless_numbers(context):
+    for text in ('9' * 5000, '\u00b2', 'inf'):
+        turn = read_turn(
+            {
+                'Program-Id': 'p',
+                'Token-Usage': f'1,{text}',
+                'Token-Budget': 'inf',
+                'Prompt-Prefix': f'a:{text},b:2',
+            },
+        )
+        assert turn.is_malformed and turn.output_tokens_max == 0, turn
+        assert turn.parts == (PromptPart('b', 2),)
+        follower = EventFollower()
+        event = f'id: {text}\ndata: a\n\n'.encode('latin-1')
+        assert follower.feed(event) == event and follower.event_count == 1
+        loads = LoadTable()
+        loads.report(endpoint('one'), f'1,{text},4', 1)
+        assert loads.of(endpoint('one')).expected_count(1) == 0
+
+
 @then('an ingress with a closed connection asks no other part')
 def step_closed_connection(context):
     # Any use of the parts would fail, as there are none.
