--- a/rattanvalve/docpages.py
+++ b/rattanvalve/docpages.py
@@ -19,7 +19,7 @@
 _DOCS = Path(__file__).resolve().parent.parent / 'docs'
 _GENERATED_CODE = 'wire_gen'
 _FEATURE = re.compile(r'`(tests/[a-z_/]+\.feature)`')
-_LINK = re.compile(r'\]\(([a-zA-Z0-9_/-]+\.md)\)')
+_LINK = re.compile(r'\]\(([a-zA-Z0-9_./-]+\.md)\)')
 
 
 def _result_codes_page() -> str:
@@ -140,7 +140,7 @@
     """List references of docs pages to files that do not exist."""
     root = _DOCS.parent
     broken = []
-    for page in (root / 'README.md', *sorted(_DOCS.glob('*.md'))):
+    for page in (root / 'README.md', *sorted(_DOCS.rglob('*.md'))):
         text = page.read_text()
         referenced = {root / name for name in _FEATURE.findall(text)}
         referenced.update(page.parent / name for name in _LINK.findall(text))
