Log and count the request rate limits that servers state

A gateway writes a line when an endpoint states a limit, another one, none any more, or one that cannot be read, and counts each; the line of a request has the limits that were known when it was sent.

--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -2,25 +2,19 @@
 
 import asyncio
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
-from dataclasses import dataclass
-from enum import Enum, auto
 from http import HTTPStatus
 
 from rattanvalve.clocks import boot_time_s
+from rattanvalve.counters import Counter
 from rattanvalve.errors import (
     QuorumError,
     ServerExchangeError,
     ServerUnreachableError,
 )
+from rattanvalve.gateway.attempt_health import HealthRecorder, SentRequest
 from rattanvalve.gateway.calls import Call
-from rattanvalve.gateway.connection_pool import ConnectionPool
-from rattanvalve.gateway.costs import ServiceCosts
-from rattanvalve.gateway.directory import EndpointDirectory
-from rattanvalve.gateway.endpoint_health import AverageDurations, EndpointHealth
+from rattanvalve.gateway.endpoint_tables import EndpointTables
 from rattanvalve.gateway.events import EventParser
-from rattanvalve.gateway.loads import EndpointLoad, LoadTable
 from rattanvalve.gateway.placement import Demand
 from rattanvalve.gateway.response_parser import ResponseHead
 from rattanvalve.gateway.revocable_streams import RevocableStreams
@@ -40,9 +34,6 @@
 UNREACHABLE_AVOID_S = 1.0
 #: The same after a connection that broke during a request.
 BROKEN_AVOID_S = 0.3
-#: A request that the caller cancels after this time or later counts as a
-#: failure of the endpoint, because the endpoint probably hangs.
-HANG_THRESHOLD_S = 1.5
 #: Largest response body that is buffered until it is complete.
 BODY_BYTES_MAX = 8 * 1024 * 1024
 SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
@@ -74,63 +65,29 @@
     """The rate grant of a request expired before the request was sent."""
 
 
-class _Outcome(Enum):
-    """Result of a request for the health statistics of its endpoint."""
-
-    SERVED = auto()
-    FAILED = auto()
-    #: The caller cancelled before ``HANG_THRESHOLD_S``; not counted.
-    LEFT_EARLY = auto()
-
-
-@dataclass(frozen=True, slots=True)
-class _SentRequest:
-    """Send time of a request and its expected cost at the endpoint then."""
-
-    sent_s: float
-    costs: ServiceCosts
-    uncached_tokens: int
-    #: Whether the endpoint was expected to have a free slot for the request.
-    has_free_slot: bool
-
-    def record_head_latency(self, now_s: float) -> None:
-        """Record the time to the head of a stream in the cost estimate.
-
-        A server sends the head together with the first event. Requests that
-        had to queue are skipped, as their time includes the wait for a slot.
-        """
-        if self.has_free_slot:
-            duration_ms = (now_s - self.sent_s) * 1000
-            self.costs.record_head_latency(self.uncached_tokens, duration_ms)
-
-
 class Attempts:
     """Sends requests to endpoints and records their load and health.
 
     :param state: rules and identity of this process.
-    :param directory: known endpoints; those that announce their shutdown are
-        marked in it.
-    :param loads: load and health of the endpoints.
-    :param pool: connections to the endpoints.
+    :param tables: entries, loads, limits and connections of the endpoints;
+        endpoints that announce their shutdown are marked in them.
     :param turns: commits finished turns to the turn stores.
     """
 
     def __init__(
         self,
         state: SharedState,
-        directory: EndpointDirectory,
-        loads: LoadTable,
-        pool: ConnectionPool,
+        tables: EndpointTables,
         turns: TurnManager,
     ) -> None:
         #: Open streams, which end early if their API key is withdrawn.
         self.streams = RevocableStreams(state.node.key_revocation_s)
         self._state = state
-        self._directory = directory
-        self._loads = loads
-        self._pool = pool
+        self._tables = tables
+        self._loads = tables.loads
+        self._pool = tables.pool
         self._turns = turns
-        self._average_durations = AverageDurations()
+        self._health = HealthRecorder()
 
     async def make(
         self,
@@ -157,12 +114,13 @@
             self._pool.release(endpoint, connection)
             raise GrantExpiredError
         load = self._loads.get(endpoint)
-        sent = _new_sent_request(demand, endpoint, load)
+        sent = SentRequest.now(demand, endpoint, load, time.monotonic())
+        self._record_limit(endpoint, trace)
         self._loads.record_start(endpoint)
         if demand.is_generation:
             load.record_prompt(demand.parts, demand.cache_tokens)
         try:
-            with self._track_outcome(call, sent, endpoint, trace):
+            with self._health.track(call, sent, load.health, trace):
                 async with asyncio.timeout_at(
                     _loop_time(call.deadline_s),
                 ) as timeout:
@@ -197,45 +155,11 @@
             self._loads.record_end(endpoint)
             self._pool.release(endpoint, connection)
 
-    @contextmanager
-    def _track_outcome(
-        self,
-        call: Call,
-        sent: _SentRequest,
-        endpoint: EndpointEntry,
-        trace: Trace,
-    ) -> Iterator[None]:
-        """Record the outcome of a request in the health of its endpoint."""
-        health = self._loads.get(endpoint).health
-        health.record_sent(call.request_id, sent.sent_s)
-        outcome = _Outcome.FAILED
-        try:
-            yield
-            if not trace.is_cut and trace.status < SERVER_ERROR:
-                outcome = _Outcome.SERVED
-        except asyncio.CancelledError:
-            if time.monotonic() - sent.sent_s < HANG_THRESHOLD_S:
-                outcome = _Outcome.LEFT_EARLY
-            raise
-        finally:
-            health.record_answered(call.request_id)
-            self._record_outcome(call, health, outcome, sent)
-
-    def _record_outcome(
-        self,
-        call: Call,
-        health: EndpointHealth,
-        outcome: _Outcome,
-        sent: _SentRequest,
-    ) -> None:
-        now_s = time.monotonic()
-        if outcome is _Outcome.FAILED:
-            health.record_failure(now_s)
-        elif outcome is _Outcome.SERVED:
-            duration_s = now_s - sent.sent_s
-            sent.costs.record_duration(duration_s * 1000)
-            slowness = self._average_durations.add(call.route.name, duration_s)
-            health.record_success(slowness, now_s)
+    def _record_limit(self, endpoint: EndpointEntry, trace: Trace) -> None:
+        limit_per_s = self._tables.limits.rate_per_s(endpoint)
+        trace.limits_per_s.append(limit_per_s)
+        if limit_per_s is not None:
+            self._state.metrics.count(Counter.ENDPOINT_LIMITED_REQUESTS)
 
     async def _connect(self, endpoint: EndpointEntry) -> ServerConnection:
         try:
@@ -259,7 +183,7 @@
     async def _exchange(
         self,
         call: Call,
-        sent: _SentRequest,
+        sent: SentRequest,
         endpoint: EndpointEntry,
         connection: ServerConnection,
         sink: Sink,
@@ -271,9 +195,15 @@
         head = await connection.read_head()
         self._loads.get(endpoint).health.record_answered(call.request_id)
         if names.SERVER_LEAVING in head.headers:
-            self._directory.mark_leaving(endpoint)
+            self._tables.directory.mark_leaving(endpoint)
         load_text = head.headers.get(names.SERVER_LOAD, '')
         self._loads.apply_report(endpoint, load_text, time.monotonic())
+        self._tables.limits.apply_response(
+            endpoint,
+            head.headers.getall(names.SERVER_LIMIT, ()),
+            sent.sent_s,
+            time.monotonic(),
+        )
         trace.status = head.status
         if _is_refusal(head):
             await _read_body(connection)
@@ -350,20 +280,6 @@
         load.avoided_until_s = now_s + duration_s
 
 
-def _new_sent_request(
-    demand: Demand,
-    endpoint: EndpointEntry,
-    load: EndpointLoad,
-) -> _SentRequest:
-    now_s = time.monotonic()
-    return _SentRequest(
-        sent_s=now_s,
-        costs=demand.costs,
-        uncached_tokens=demand.uncached_tokens(load),
-        has_free_slot=load.expected_count(now_s) < endpoint.slots,
-    )
-
-
 def _loop_time(monotonic_s: float) -> float:
     now_s = asyncio.get_running_loop().time()
     return now_s + monotonic_s - time.monotonic()
--- /dev/null
+++ b/rattanvalve/gateway/endpoint_tables.py
@@ -0,0 +1,37 @@
+"""What a gateway knows of the endpoints, in one object."""
+
+from dataclasses import dataclass, field
+
+from rattanvalve.counters import Metrics
+from rattanvalve.gateway.connection_pool import ConnectionPool
+from rattanvalve.gateway.directory import EndpointDirectory
+from rattanvalve.gateway.endpoint_limits import EndpointLimits
+from rattanvalve.gateway.loads import LoadTable
+from rattanvalve.sharedstate.endpoints import EndpointEntry
+
+__all__ = ('EndpointTables',)
+
+
+@dataclass(slots=True)
+class EndpointTables:
+    """Entries, loads, limits and connections of all known endpoints.
+
+    An endpoint that the directory drops is removed from all tables.
+
+    :param metrics: counters of this process.
+    """
+
+    metrics: Metrics
+    loads: LoadTable = field(default_factory=LoadTable)
+    pool: ConnectionPool = field(default_factory=ConnectionPool)
+    limits: EndpointLimits = field(init=False)
+    directory: EndpointDirectory = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.limits = EndpointLimits(self.metrics)
+        self.directory = EndpointDirectory(self._forget)
+
+    def _forget(self, endpoint: EndpointEntry) -> None:
+        self.pool.forget(endpoint)
+        self.loads.forget(endpoint)
+        self.limits.forget(endpoint)
--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -10,8 +10,7 @@
 )
 from rattanvalve.gateway.calls import Call, Refusal
 from rattanvalve.gateway.costs import CostTable
-from rattanvalve.gateway.directory import EndpointDirectory
-from rattanvalve.gateway.loads import LoadTable
+from rattanvalve.gateway.endpoint_tables import EndpointTables
 from rattanvalve.gateway.placement import Demand, choose_endpoint
 from rattanvalve.gateway.service_choice import choose_service
 from rattanvalve.gateway.sinks import Sink
@@ -37,21 +36,18 @@
     """Chooses an endpoint for each attempt and retries where it is safe.
 
     :param state: rules and identity of this process.
-    :param directory: known endpoints.
-    :param loads: load and health of the endpoints.
+    :param tables: entries, loads and limits of the endpoints.
     :param attempts: performs an attempt at one endpoint.
     """
 
     def __init__(
         self,
         state: SharedState,
-        directory: EndpointDirectory,
-        loads: LoadTable,
+        tables: EndpointTables,
         attempts: Attempts,
     ) -> None:
         self._state = state
-        self._directory = directory
-        self._loads = loads
+        self._tables = tables
         self._attempts = attempts
         self._costs = CostTable()
 
@@ -110,8 +106,8 @@
             return _deadline_refusal(trace)
         endpoint = choose_endpoint(
             demand,
-            self._directory.usable(demand.service, now_s),
-            self._loads,
+            self._tables.directory.usable(demand.service, now_s),
+            self._tables.loads,
             self._state.node.zone,
             now_s,
             tried,
@@ -119,7 +115,7 @@
         if endpoint is None or len(tried) >= ENDPOINTS_TRIED_MAX:
             return _no_endpoint_refusal(trace, has_tried=bool(tried))
         trace.endpoints.append(endpoint.name)
-        load = self._loads.get(endpoint)
+        load = self._tables.loads.get(endpoint)
         trace.expected_count = load.expected_count(now_s)
         return endpoint
 
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -220,6 +220,7 @@
                 'wait_ms': trace.rate_wait_ms,
                 'status': trace.status,
                 'endpoints': trace.endpoints,
+                'limits_per_s': trace.limits_per_s,
                 'reasons': trace.reasons,
                 'resumed_after': trace.resumed_after,
                 'expected_count': round(trace.expected_count, 1),
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -8,8 +8,7 @@
 
 from rattanvalve.errors import SettingsError
 from rattanvalve.gateway.attempts import Attempts
-from rattanvalve.gateway.connection_pool import ConnectionPool
-from rattanvalve.gateway.directory import EndpointDirectory
+from rattanvalve.gateway.endpoint_tables import EndpointTables
 from rattanvalve.gateway.forwarding import Forwarder
 from rattanvalve.gateway.ingress import Ingress
 from rattanvalve.gateway.listening import (
@@ -17,7 +16,6 @@
     listen,
     readiness_server,
 )
-from rattanvalve.gateway.loads import LoadTable
 from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.gateway.relays import RelayService
 from rattanvalve.gateway.turn_cache import TurnCache
@@ -30,7 +28,6 @@
 from rattanvalve.platform.objects import ObjectStore
 from rattanvalve.platform.servers import decode_servers
 from rattanvalve.sharedstate.documents import DocumentKind
-from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.shared_state import SharedState
 from rattanvalve.sharedstate.tasks import run_tasks
@@ -71,9 +68,7 @@
         self._node = node
         self._state = SharedState(node)
         self._peers = PeerPool(peer_secret)
-        self._pool = ConnectionPool()
-        self._loads = LoadTable()
-        self._directory = EndpointDirectory(self._discard_endpoint)
+        self._tables = EndpointTables(self._state.metrics)
         self._listener: asyncio.Server | None = None
         self._calls = MemberCalls(
             self._peers,
@@ -101,15 +96,12 @@
         turns = TurnManager(client, cache)
         self._attempts = Attempts(
             self._state,
-            self._directory,
-            self._loads,
-            self._pool,
+            self._tables,
             turns,
         )
         forwarder = Forwarder(
             self._state,
-            self._directory,
-            self._loads,
+            self._tables,
             self._attempts,
         )
         self._page = MetricsPage(self._state.metrics)
@@ -194,14 +186,14 @@
             *(follower.run for follower in followers),
             self._state.exchange(self._peers).run,
             self._calls.relays.run,
-            self._pool.run,
+            self._tables.pool.run,
         ]
 
     def _is_ready(self) -> bool:
         is_serving = (
             self._ingress.can_serve_programs() and not self._ingress.is_stopping
         )
-        return is_serving and not self._directory.is_empty()
+        return is_serving and not self._tables.directory.is_empty()
 
     def _apply_rules(self, body: bytes) -> None:
         # The shared state has already decoded this document.
@@ -213,16 +205,12 @@
         age_s = self._state.board.confirmation_age_s(
             DocumentKind.SERVERS, now_s
         )
-        self._directory.update(
+        self._tables.directory.update(
             decode_servers(body),
             now_s,
             is_store_stale=age_s > STORE_STALE_S,
         )
 
-    def _discard_endpoint(self, endpoint: EndpointEntry) -> None:
-        self._pool.forget(endpoint)
-        self._loads.forget(endpoint)
-
 
 async def _cancel(task: asyncio.Task) -> None:
     task.cancel()
--- a/rattanvalve/gateway/trace.py
+++ b/rattanvalve/gateway/trace.py
@@ -18,6 +18,9 @@
     start_wait_ms: int = 0
     rate_wait_ms: int = 0
     endpoints: list[str] = field(default_factory=list)
+    #: Limit of each endpoint in requests per second when it got the request;
+    #: ``None`` if none was known.
+    limits_per_s: list[float | None] = field(default_factory=list)
     reasons: list[str] = field(default_factory=list)
     run_count: int = 0
     #: Runs that failed because their endpoint ended.
--- a/rattanvalve/platform/names.py
+++ b/rattanvalve/platform/names.py
@@ -20,6 +20,7 @@
     'RETRY_AFTER',
     'SEAL',
     'SERVER_LEAVING',
+    'SERVER_LIMIT',
     'SERVER_LOAD',
     'TOKEN_BUDGET',
     'TOKEN_USAGE',
@@ -44,6 +45,9 @@
 # Proof that the server itself wrote the response.
 SEAL = 'Server-Seal'
 SERVER_LOAD = 'Server-Load'
+# Requests per second that the server accepts from all gateways together; set
+# while the limit holds.
+SERVER_LIMIT = 'Server-Limit'
 # Set in each response of a draining server.
 SERVER_LEAVING = 'Server-Leaving'
 NOT_RUN = 'Not-Executed'
