Tests that fail: servers get more than the limit that they state

Four gateways and 16 callers: a server with a limit of 5 a second gets 254 requests in 4 s (35 allowed), one with 0.5 a second 398 (8 allowed). An endpoint process of the own interface: 80 in 4 s at 4 a second (29 allowed). The bounds are those of the contract: one and a half times the limit and 5 requests, from 3 s on.

standins/limits.py is the model of such a server, for all stand-ins.

--- a/rattanvalve/standins/service.py
+++ b/rattanvalve/standins/service.py
@@ -1,12 +1,14 @@
 """Stand-in for a plain service that answers every method and path."""
 
 import asyncio
-from dataclasses import dataclass
+import time
+from dataclasses import dataclass, field
 from functools import partial
 
 from aiohttp import web
 
 from rattanvalve.standins.journal import JournalWriter, make_journal_line
+from rattanvalve.standins.limits import StatedRate
 
 __all__ = ('ServiceState', 'build_service_app')
 
@@ -28,6 +30,7 @@
     capacity_count: int = 16
     running_count: int = 0
     started_count: int = 0
+    rate: StatedRate = field(default_factory=StatedRate)
 
 
 def build_service_app(
@@ -75,6 +78,7 @@
     state.started_count += 1
     number = state.started_count
     state.running_count += 1
+    state.rate.record_arrival(time.monotonic())
     journal(make_journal_line('start', request, body))
     try:
         await asyncio.sleep(state.delay_s)
@@ -85,8 +89,14 @@
         state.running_count -= 1
     journal(make_journal_line('end', request, body))
     if state.fail_every_count and number % state.fail_every_count == 0:
-        return web.json_response({'error': 'internal failure'}, status=500)
-    return web.json_response(_receipt(state, number, request, body))
+        return web.json_response(
+            {'error': 'internal failure'},
+            status=500,
+            headers=state.rate.headers(),
+        )
+    return web.json_response(
+        _receipt(state, number, request, body), headers=state.rate.headers()
+    )
 
 
 def _receipt(
--- a/tests/fakeserver.py
+++ b/tests/fakeserver.py
@@ -1,9 +1,12 @@
 """Stand-in engine and plain service for the features of endpoint clients."""
 
 import asyncio
+import time
 
 from aiohttp import web
 
+from rattanvalve.standins.limits import StatedRate
+
 EVENTS = (
     b'data: {"choices": [{"delta": {"content": "a"}}]}\n\n',
     b'data: {"choices": [], "usage": {"prompt_tokens": 7,'
@@ -18,6 +21,7 @@
 
     def __init__(self):
         self.journal = []
+        self.rate = StatedRate()
         self.release = asyncio.Event()
         self.seen = asyncio.Event()
         self.cancelled = asyncio.Event()
@@ -25,6 +29,7 @@
     async def handle(self, request):
         """Serve any request; the path selects the response or fault."""
         self.journal.append((request.method, request.raw_path, request.headers))
+        self.rate.record_arrival(time.monotonic())
         self.seen.set()
         if request.path == '/break':
             await request.read()
@@ -32,8 +37,10 @@
         if request.path == '/held':
             await self._wait()
         if request.path != '/v1/chat/completions':
-            return web.Response(body=b'plain', status=201)
-        response = web.StreamResponse()
+            return web.Response(
+                body=b'plain', status=201, headers=self.rate.headers()
+            )
+        response = web.StreamResponse(headers=self.rate.headers())
         response.content_type = 'text/event-stream'
         await response.prepare(request)
         for event in EVENTS:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -102,19 +102,23 @@
         self.first_host_number = next(_numbers) * 10
         self.session = None
 
-    async def start(self, server_names=('app-1', 'app-2', 'models-1')):
-        """Start all processes and wait until both gateways are ready."""
+    async def start(
+        self,
+        server_names=('app-1', 'app-2', 'models-1'),
+        gateway_count=2,
+    ):
+        """Start all processes and wait until the gateways are ready."""
         self.store_address = await self.store.start()
         for name in server_names:
             await self.add_server(name)
         self.store.put('config', 'main', configuration())
         for index in range(3):
             self.start_turn_store(index)
-        for index in range(2):
+        for index in range(gateway_count):
             self.start_gateway(index)
         self.session = aiohttp.ClientSession(auto_decompress=False)
-        await self.wait_ready(0)
-        await self.wait_ready(1)
+        for index in range(gateway_count):
+            await self.wait_ready(index)
 
     async def stop(self):
         """Stop all processes and remove the data folders."""
--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -1,8 +1,11 @@
 """Stand-in for a platform server; the path of a request selects a fault."""
 
 import asyncio
+import time
 from urllib.parse import urlsplit
 
+from rattanvalve.standins.limits import StatedRate
+
 EVENTS = (
     b'id: 1\ndata: one\n\n',
     b'id: 2\ndata: two\n\n',
@@ -26,6 +29,7 @@
         self.last_error = None
         self.endless_ended = 0
         self.is_leaving = False
+        self.rate = StatedRate()
 
     async def start(self):
         """Listen; return the address as ``HOST:PORT``."""
@@ -62,6 +66,7 @@
         body = await reader.readexactly(int(headers.get('Content-Length', 0)))
         method, target, _ = start.split(' ')
         self.requests.append((method, target, headers, body))
+        self.rate.record_arrival(time.monotonic())
         request_id = headers['Request-Id']
         if self.refuses:
             writer.write(self._whole(request_id, b'', 503, 'Not-Executed: 1'))
@@ -199,9 +204,14 @@
             'Server-Load: 1,0,4',
             extra_header,
             *(('Server-Leaving: 1',) if self.is_leaving else ()),
+            *self._limit_lines(),
         )
         return '\r\n'.join((*lines, '', '')).encode() + body
 
+    def _limit_lines(self):
+        headers = self.rate.headers()
+        return [f'{name}: {text}' for name, text in headers.items()]
+
     def _stream_head(self, request_id):
         lines = (
             'HTTP/1.1 200 OK',
@@ -209,5 +219,6 @@
             f'Server-Seal: {self.name}',
             'Content-Type: text/event-stream',
             'Transfer-Encoding: chunked',
+            *self._limit_lines(),
         )
         return '\r\n'.join((*lines, '', '')).encode()
--- a/tests/steps/endpoint_service_steps.py
+++ b/tests/steps/endpoint_service_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import replace
 from unittest import mock
 
@@ -379,3 +380,26 @@
     (method, path, headers) = context.server.journal[-1]
     assert (method, path) == ('DELETE', '/v1/cache')
     assert headers['X-Fencing-Token'] == '7', headers
+
+
+@when('the server states a limit of {limit:g} a second')
+def step_limit(context, limit):
+    context.server.rate.state(limit, time.monotonic())
+
+
+@when('{rate:d} runs a second are sent for {duration:d} s')
+def step_many_runs(context, rate, duration):
+    async def send():
+        readers = []
+        for number in range(rate * duration):
+            run = build_run('GET', '/look', number=f'entry-a/x/limit-{number}')
+            readers.append(asyncio.ensure_future(read(context, run)))
+            await asyncio.sleep(1 / rate)
+        context.answers = await asyncio.gather(*readers)
+
+    context.run(send())
+
+
+@then('the server got no more than its limit allows')
+def step_within_limit(context):
+    assert not context.server.rate.excess(), context.server.rate.excess()
