Keep the rate that a server states in its endpoint process too

What callers saw: nothing; a server beside an endpoint process of the own interface that states a limit of 4 requests a second got 80 in 4 s, 29 allowed.

Cause: the same as on the platform, the header was not read. Here one process is the only sender to its server, so one token bucket is enough: the queue hands out a slot only with a token (server_rate.py, runqueue.py), in its usual order of priority. A request that would wait for more than 5 s or half of its time is refused at once as ENDPOINTS_LIMITED with the time until its token.

Not done: requests that wait already are not refused again when a limit shrinks or more urgent ones arrive; they end at their deadline, as not run.

--- a/rattanvalve/endpoint_parts.py
+++ b/rattanvalve/endpoint_parts.py
@@ -13,6 +13,7 @@
 from rattanvalve.messages import Ticket
 from rattanvalve.records import RecordStore
 from rattanvalve.runqueue import RunQueue
+from rattanvalve.server_rate import ServerRate
 from rattanvalve.service_client import ServiceClient
 
 __all__ = ('DETACHED_GRACE_S', 'ConfirmationAge', 'EndpointParts')
@@ -43,6 +44,7 @@
 
     records: RecordStore
     queue: RunQueue
+    rate: ServerRate
     client: EngineClient | ServiceClient
     keeper: CacheKeeper
     reports: FinishReports
--- a/rattanvalve/endpoint_process.py
+++ b/rattanvalve/endpoint_process.py
@@ -27,6 +27,7 @@
     peer_secrets_from_settings,
 )
 from rattanvalve.runqueue import RunQueue
+from rattanvalve.server_rate import ServerRate
 from rattanvalve.server_session import open_session
 from rattanvalve.service_client import ServiceClient
 from rattanvalve.settings import EndpointSettings
@@ -129,13 +130,16 @@
             settings.statsd.port,
             ROLE_ENDPOINT,
         )
+        rate = ServerRate(metrics)
         return EndpointParts(
             records=RecordStore(settings.name, self._incarnation, owner_of),
             queue=RunQueue(
                 settings.capacity_count,
                 settings.max_queue_per_workspace_count,
                 settings.queue_policy,
+                rate,
             ),
+            rate=rate,
             client=client,
             keeper=CacheKeeper(client, metrics),
             reports=FinishReports(self._pool, board, owner_of),
--- a/rattanvalve/gateway/endpoint_limits.py
+++ b/rattanvalve/gateway/endpoint_limits.py
@@ -5,9 +5,9 @@
 
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.logs import LogPart, part_logger
-from rattanvalve.sharedstate.endpoint_limits import KnownLimit, LimitTable
+from rattanvalve.sharedstate.endpoint_limits import LimitTable
 from rattanvalve.sharedstate.endpoints import EndpointEntry
-from rattanvalve.statedlimits import parse_stated_limit
+from rattanvalve.statedlimits import newest_limit, parse_stated_limit
 from rattanvalve.turn_messages import EndpointLimit
 
 __all__ = ('EndpointLimits',)
@@ -113,13 +113,9 @@
             return
         self._malformed.discard(endpoint.key)
         known = self._table.get(endpoint.key)
-        if stated.rate_per_s is None and (
-            known is None or sent_s <= known.heard_s
-        ):
-            # The response to an earlier request may have been written before
-            # the endpoint stated the limit.
+        newest = newest_limit(known, stated, sent_s, now_s)
+        if newest is known:
             return
-        newest = KnownLimit(stated.rate_per_s, now_s)
         if self._table.merge(endpoint.key, newest, now_s):
             self._changed.add(endpoint.key)
             self.news.set()
--- a/rattanvalve/jobrunner.py
+++ b/rattanvalve/jobrunner.py
@@ -1,6 +1,7 @@
 """Dispatches accepted jobs to the server and completes their records."""
 
 import asyncio
+from functools import partial
 from typing import Any
 
 from rattanvalve import outcomes
@@ -9,10 +10,11 @@
 from rattanvalve.errors import BodyError, FencedError, InvariantError
 from rattanvalve.job_pauses import JobPauses
 from rattanvalve.logs import LogPart, part_logger
-from rattanvalve.messages import End, Refusal, Usage
+from rattanvalve.messages import End, Head, Refusal, Usage
 from rattanvalve.queuepolicies import timeout_s_of
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.runjob import Job
+from rattanvalve.server_session import LIMIT_HEADER, Sink
 from rattanvalve.workset import WorkSet
 
 __all__ = ('JobRunner',)
@@ -52,6 +54,7 @@
         self.unfinished = WorkSet()
         self._parts = parts
         self._pauses = JobPauses(parts, self.dispatch)
+        self._token_timer: asyncio.TimerHandle | None = None
 
     def submit(self, job: Job) -> Refusal | None:
         """Queue a job whose ticket was accepted.
@@ -92,6 +95,7 @@
             self._complete(job, outcomes.NOT_RUN, Usage())
             self._parts.metrics.count_code(ResultCode.TIMEOUT_QUEUED)
             _put_final(job, Refusal(code=ResultCode.TIMEOUT_QUEUED))
+        self._dispatch_later(queue.token_wait_s)
 
     def cancel(self, job: Job) -> None:
         """Remove a job from the queue, or cancel it at the server.
@@ -112,6 +116,16 @@
         for job in tuple(self.jobs.values()):
             self.cancel(job)
 
+    def _dispatch_later(self, wait_s: float) -> None:
+        """Dispatch again when the server's limit has a token."""
+        if self._token_timer is not None:
+            self._token_timer.cancel()
+            self._token_timer = None
+        if wait_s:
+            self._token_timer = asyncio.get_running_loop().call_later(
+                wait_s + _TIMER_MARGIN_S, self.dispatch
+            )
+
     async def _execute(self, job: Job) -> None:
         """Run a job in its slot and complete it also after a failure."""
         usage = Usage()
@@ -149,13 +163,31 @@
             async with asyncio.timeout(job.deadline_s - parts.clock()):
                 outcome, usage = await parts.client.run(
                     job.run,
-                    job.sink(),
+                    self._observing_sink(job),
                     parts.records.newest_epoch,
                 )
         finally:
             parts.keeper.turn_ended(job.ticket)
         return outcome, usage, _CODE_OF_OUTCOME[outcome]
 
+    def _observing_sink(self, job: Job) -> Sink:
+        """Build the sink of a job, which also reads the server's limit."""
+        sink = job.sink()
+        sent_s = self._parts.clock()
+        return Sink(
+            start=partial(self._start, sink, sent_s), append=sink.append
+        )
+
+    async def _start(self, sink: Sink, sent_s: float, head: Head) -> None:
+        texts = [
+            header.content
+            for header in head.headers
+            if header.name.lower() == LIMIT_HEADER
+        ]
+        now_s = self._parts.clock()
+        self._parts.rate.apply_response(texts, sent_s, now_s)
+        await sink.start(head)
+
     def _complete(self, job: Job, outcome: str, usage: Usage) -> None:
         """Complete the record of a job, free its slot, report its outcome."""
         parts, now_s = self._parts, self._parts.clock()
--- a/rattanvalve/runqueue.py
+++ b/rattanvalve/runqueue.py
@@ -3,6 +3,7 @@
 from collections import Counter as CountTable
 from dataclasses import dataclass
 
+from rattanvalve.counters import Metrics
 from rattanvalve.errors import InvariantError
 from rattanvalve.grouporder import GroupOrder
 from rattanvalve.lazyheap import LazyHeap
@@ -10,6 +11,7 @@
 from rattanvalve.preemption import Preemption
 from rattanvalve.queuepolicies import QUEUE_POLICIES, timeout_s_of
 from rattanvalve.resultcodes import ResultCode
+from rattanvalve.server_rate import ServerRate
 
 __all__ = ('QUEUE_POLICIES', 'RunQueue')
 
@@ -17,6 +19,10 @@
 _FIRST_RUN_S = 1.0
 #: Weight of the latest run in the moving average of run times.
 _MEAN_WEIGHT = 0.2
+#: Longest wait for tokens of the server's limit, and largest share of the time
+#: limit of a request, for which it is accepted.
+LIMIT_WAIT_MAX_S = 5.0
+LIMIT_WAIT_SHARE = 0.5
 _MS_PER_S = 1000
 
 
@@ -36,6 +42,7 @@
     :param capacity_count: number of slots, the limit of concurrent requests.
     :param max_per_workspace_count: limit of waiting requests per workspace.
     :param policy_name: name in :data:`QUEUE_POLICIES`.
+    :param rate: limit that the server states; none if omitted.
     """
 
     def __init__(
@@ -43,7 +50,12 @@
         capacity_count: int,
         max_per_workspace_count: int,
         policy_name: str,
+        rate: ServerRate | None = None,
     ) -> None:
+        #: Time in seconds until the next request has a token of the server's
+        #: limit; 0 if it does not wait for one.
+        self.token_wait_s = float(0)
+        self._rate = rate or ServerRate(Metrics())
         self._capacity_count = capacity_count
         self._max_per_workspace_count = max_per_workspace_count
         self._order = GroupOrder(QUEUE_POLICIES[policy_name])
@@ -93,7 +105,8 @@
 
         :param ticket: accepted ticket.
         :param now_s: monotonic time in seconds.
-        :returns: ``None`` if the request was enqueued, else ``QUEUE_FULL``.
+        :returns: ``None`` if the request was enqueued, else ``QUEUE_FULL``, or
+            ``ENDPOINTS_LIMITED`` if the server's limit leaves no token in time.
         :raises InvariantError: if the number is waiting or running already.
         """
         if ticket.number in self._waiting or ticket.number in self._running:
@@ -107,6 +120,18 @@
                 code=ResultCode.QUEUE_FULL,
                 retry_after_ms=_retry_after_ms(share_s, self._capacity_count),
             )
+        wait_s = float(0)
+        if self._rate.is_limited:
+            own_class = self._order.class_of(ticket)
+            ahead_count = sum(
+                map(self._order.waiting_count, range(own_class + 1))
+            )
+            wait_s = self._rate.wait_s(ahead_count, now_s)
+        if wait_s > _limit_wait_max_s(ticket):
+            return Refusal(
+                code=ResultCode.ENDPOINTS_LIMITED,
+                retry_after_ms=int(_MS_PER_S * wait_s),
+            )
         self._waiting[ticket.number] = ticket
         self._waiting_counts[ticket.workspace] += 1
         self._deadlines.push(ticket.number, now_s + timeout_s_of(ticket))
@@ -121,11 +146,15 @@
             waits, or a paused request resumes first.
         """
         self._collect_expired(now_s)
+        self.token_wait_s = 0
         number = self._order.next_number()
         if number is None or self.running_count >= self._capacity_count:
             return None
         if self._next_resumable(now_s):
             return None
+        self.token_wait_s = self._rate.wait_s(0, now_s)
+        if not self._rate.take(now_s):
+            return None
         ticket = self._remove_waiting(number)
         charged_tokens = max(ticket.reserved_tokens, 1)
         self._order.start(ticket, charged_tokens)
@@ -245,6 +274,10 @@
             found = self._deadlines.peek()
 
 
+def _limit_wait_max_s(ticket: Ticket) -> float:
+    return min(LIMIT_WAIT_MAX_S, timeout_s_of(ticket) * LIMIT_WAIT_SHARE)
+
+
 def _retry_after_ms(share_s: float, capacity_count: int) -> int:
     """Estimate when a request of one group leaves the queue.
 
--- a/rattanvalve/server_session.py
+++ b/rattanvalve/server_session.py
@@ -13,6 +13,7 @@
 
 __all__ = (
     'EXCHANGE_ERRORS',
+    'LIMIT_HEADER',
     'Exchange',
     'Sink',
     'build_headers',
@@ -21,6 +22,8 @@
     'open_session',
 )
 
+#: Response header with the requests per second that the server accepts.
+LIMIT_HEADER = 'server-limit'
 CONNECT_TIMEOUT_S = 3
 _READ_BUFFER_BYTES = 64 * 1024
 #: The only request headers of a caller that are forwarded to a server.
--- a/rattanvalve/sharedstate/endpoint_limits.py
+++ b/rattanvalve/sharedstate/endpoint_limits.py
@@ -7,9 +7,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from rattanvalve.statedlimits import KnownLimit
 from rattanvalve.turn_messages import EndpointLimit
 
-__all__ = ('KnownLimit', 'LimitTable')
+__all__ = ('LimitTable',)
 
 #: A repeated statement of the same limit is newer only beyond this time.
 #: Otherwise the transit time of messages would make it younger at each hop.
@@ -18,18 +19,6 @@
 LIMIT_TTL_S = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class KnownLimit:
-    """Newest statement of an endpoint.
-
-    ``rate_per_s`` is ``None`` after a response without a limit. ``heard_s`` is
-    the monotonic time in seconds of the response.
-    """
-
-    rate_per_s: float | None
-    heard_s: float
-
-
 @dataclass(slots=True)
 class _Entry:
     known: KnownLimit
--- a/rattanvalve/statedlimits.py
+++ b/rattanvalve/statedlimits.py
@@ -1,10 +1,10 @@
-"""Parses the request rate limit that a server states in its responses."""
+"""Request rate limits that servers state in their responses."""
 
 import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-__all__ = ('StatedLimit', 'parse_stated_limit')
+__all__ = ('KnownLimit', 'StatedLimit', 'newest_limit', 'parse_stated_limit')
 
 #: ASCII digits only, as ``\d`` also matches the digits of other scripts. More
 #: digits than this are no rate that a server could mean.
@@ -24,6 +24,18 @@
     is_malformed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class KnownLimit:
+    """Newest statement of a server.
+
+    ``rate_per_s`` is ``None`` after a response without a limit. ``heard_s`` is
+    the monotonic time in seconds of the response.
+    """
+
+    rate_per_s: float | None
+    heard_s: float
+
+
 def parse_stated_limit(texts: Sequence[str]) -> StatedLimit:
     """Parse the values of all limit headers of one response.
 
@@ -37,3 +49,26 @@
     if len(texts) > 1 or not _RATE_PATTERN.fullmatch(text):
         return StatedLimit(is_malformed=True)
     return StatedLimit(rate_per_s=float(text))
+
+
+def newest_limit(
+    known: KnownLimit | None,
+    stated: StatedLimit,
+    sent_s: float,
+    now_s: float,
+) -> KnownLimit | None:
+    """Combine what was known of a server with what a response states.
+
+    :param known: newest statement before; ``None`` if there was none.
+    :param stated: statement of the response.
+    :param sent_s: monotonic time in seconds at which the request was sent.
+    :param now_s: monotonic time in seconds.
+    :returns: newest statement now. A response without a limit counts only if
+        its request was sent after the limit was heard, as an earlier response
+        may have been written before the server stated it.
+    """
+    if stated.is_malformed:
+        return known
+    if stated.rate_per_s is None and (known is None or sent_s <= known.heard_s):
+        return known
+    return KnownLimit(stated.rate_per_s, now_s)
--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -88,9 +88,11 @@
     Given an owner that answers Ack to reports
     Then the end of an old ticket is reported to its new owner, not the former
 
-  @known_red
   Scenario: an endpoint process exceeds the limit that its server states
     Given an endpoint process beside a plain service
     When the server states a limit of 4 a second
     And 20 runs a second are sent for 8 s
     Then the server got no more than its limit allows
+    And refused runs learned at once when to return and the others ended
+    When the server states no limit any more and a run ends
+    Then 8 runs that follow at once are all answered
--- a/tests/steps/endpoint_limits_steps.py
+++ b/tests/steps/endpoint_limits_steps.py
@@ -21,12 +21,13 @@
 from rattanvalve.gateway.return_schedule import ReturnSchedule
 from rattanvalve.gateway.trace import Trace
 from rattanvalve.resultcodes import ResultCode
-from rattanvalve.sharedstate.endpoint_limits import KnownLimit, LimitTable
+from rattanvalve.sharedstate.endpoint_limits import LimitTable
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.reachability import ReachTable
 from rattanvalve.sharedstate.rules import Route
 from rattanvalve.standins.limits import allowed_count, busiest_window
+from rattanvalve.statedlimits import KnownLimit
 from rattanvalve.turn_messages import EndpointLimit, TakeEndpointRate
 from rattanvalve.turnstore.endpointrates import EndpointRates
 
--- a/tests/steps/endpoint_service_steps.py
+++ b/tests/steps/endpoint_service_steps.py
@@ -33,6 +33,7 @@
 from rattanvalve.records import RecordStore
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.runqueue import RunQueue
+from rattanvalve.server_rate import ServerRate
 from rattanvalve.service_client import ServiceClient
 from rattanvalve.standins.batch import EngineCosts
 from rattanvalve.standins.text import expected_tokens
@@ -71,9 +72,11 @@
     context.pool = PeerPool(SECRET)
     board = Blackboard()
     metrics = Metrics()
+    rate = ServerRate(metrics)
     parts = EndpointParts(
         records=RecordStore('endpoint-a', 'inc-a', owner_of),
-        queue=RunQueue(2, 10, 'program_fair'),
+        queue=RunQueue(2, 10, 'program_fair', rate),
+        rate=rate,
         client=client,
         keeper=CacheKeeper(client, metrics),
         reports=FinishReports(context.pool, board, owner_of),
@@ -403,3 +406,42 @@
 @then('the server got no more than its limit allows')
 def step_within_limit(context):
     assert not context.server.rate.excess(), context.server.rate.excess()
+
+
+@then('refused runs learned at once when to return and the others ended')
+def step_refused_runs(context):
+    refused = [
+        messages[-1]
+        for messages in context.answers
+        if isinstance(messages[-1], Refusal)
+    ]
+    assert refused and all(
+        refusal.code in {ResultCode.ENDPOINTS_LIMITED, ResultCode.QUEUE_FULL}
+        and refusal.retry_after_ms > 0
+        for refusal in refused
+    ), {refusal.code for refusal in refused}
+    ran_count = len(context.answers) - len(refused)
+    assert ran_count == len(context.server.journal), ran_count
+
+
+@when('the server states no limit any more and a run ends')
+def step_limit_ends(context):
+    context.server.rate.state(None, time.monotonic())
+    context.received = context.run(
+        read(context, build_run('GET', '/look', number='e/x/last'))
+    )
+
+
+@then('{count:d} runs that follow at once are all answered')
+def step_all_answered(context, count):
+    async def send():
+        runs = (
+            build_run('GET', '/look', number=f'e/x/after-{number}')
+            for number in range(count)
+        )
+        return await asyncio.gather(*(read(context, run) for run in runs))
+
+    started_s = time.monotonic()
+    answers = context.run(send())
+    assert all(isinstance(messages[-1], End) for messages in answers), answers
+    assert time.monotonic() - started_s < 1
