Repeat a run that a newer view refused in that view, not in the old one

Cause: an endpoint process that has adopted a newer view refuses a ticket of the older one. The relay asked the owner for another ticket at once, the owner issued it in its own, still older view, and so on until the four tickets of a turn were used up, all within a few milliseconds; then the last refusal went to the caller. Evidence: both new tests fail on the old code, the relay's with this refusal after immediate repetitions, the owner's with a second ticket of the epoch that was refused.

So the next ticket can be accepted. The wait is counted as retry.stale_epoch.

--- a/rattanvalve/owner_client.py
+++ b/rattanvalve/owner_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -105,6 +106,19 @@
             self._count_retry(decision)
             await self._wait_newer_view(view, give_up_s - now_s)
 
+    async def wait_epoch(self, epoch: int) -> None:
+        """Wait until this process has adopted a view of an epoch.
+
+        A ticket of an older view would be refused again.
+
+        :param epoch: epoch that an endpoint process requires; the wait ends
+            after ``wait_max_s`` also without it.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.wait_max_s):
+                while self.blackboard.view.epoch < epoch:
+                    await self.blackboard.wait_changed()
+
     async def _ask_once(
         self,
         message: Begin | Resolve,
--- a/rattanvalve/owner_service.py
+++ b/rattanvalve/owner_service.py
@@ -125,7 +125,10 @@
         :returns: new ticket of the same turn, the outcome, or a refusal.
         """
         name = (resolve.workspace, resolve.shard)
-        refusal = await self.takeover.wait_serving(name, OWNER_WAIT_MAX_S)
+        # A ticket of an older view than the sender's would be refused again.
+        refusal = await self.takeover.wait_serving(
+            name, OWNER_WAIT_MAX_S, resolve.epoch
+        )
         if refusal is not None:
             return refusal
         if resolve.reason == outcomes.LOOKUP_REASON:
--- a/rattanvalve/relay.py
+++ b/rattanvalve/relay.py
@@ -145,9 +145,15 @@
                 # The caller has the whole response; only the end message of
                 # the endpoint process is missing.
                 return await progress.delivery.finish()
+            await self._wait_newer_epoch(progress.refusal)
             decision = await self._resolve(progress)
         return progress.refusal or Refusal(code=ResultCode.BACKEND_FAILED)
 
+    async def _wait_newer_epoch(self, refusal: Refusal | None) -> None:
+        if refusal is not None and refusal.code == ResultCode.STALE_EPOCH:
+            self._metrics.count(Counter.RETRY_STALE_EPOCH)
+            await self._owner_client.wait_epoch(refusal.epoch)
+
     async def _apply_decision(
         self,
         decision: OwnerDecision,
--- a/rattanvalve/takeover.py
+++ b/rattanvalve/takeover.py
@@ -61,17 +61,20 @@
         self,
         name: ShardName,
         timeout_s: float,
+        epoch: int = 0,
     ) -> Refusal | None:
         """Wait until this process may decide for a shard.
 
         :param name: workspace and shard index.
         :param timeout_s: longest wait in seconds.
+        :param epoch: epoch that this process must have adopted before.
         :returns: ``None`` once the shard is served; a refusal if this process
             is not the owner or the takeover exceeds the timeout.
         """
         deadline_s = self._ports.clock() + timeout_s
         while self.chain.is_own_shard(self.view(), name):
-            if self.is_serving(name):
+            is_recent = self.view().epoch >= epoch
+            if is_recent and self.is_serving(name):
                 return None
             left_s = deadline_s - self._ports.clock()
             if left_s <= 0:
--- a/tests/ingress_bench.py
+++ b/tests/ingress_bench.py
@@ -19,6 +19,7 @@
 from rattanvalve.peer_server import PeerServer
 from rattanvalve.peers import PeerPool
 from rattanvalve.response_copies import ResponseCopies
+from rattanvalve.resultcodes import ResultCode
 from tests.samples import NORTH_KEY, sample_catalog
 
 SECRET = b's' * 32
@@ -89,6 +90,8 @@
         self.resolves = []
         self.left = []
         self.ticket_count = 0
+        #: State with the view whose epoch tickets get; without one, 0.
+        self.blackboard = Blackboard()
 
     async def begin(self, begin):
         """Return the scripted decision for a new request."""
@@ -128,6 +131,7 @@
             program_id=begin.program_id,
             is_repeatable=begin.is_repeatable,
             timeout_ms=begin.timeout_ms,
+            epoch=self.blackboard.view.epoch,
             **place,
         )
 
@@ -148,10 +152,19 @@
         self.ended = defaultdict(str)
         self.release = asyncio.Event()
         self.parts_sent = 0
+        #: Tickets of older epochs are refused.
+        self.epoch_min = 0
 
     async def run(self, run, send):
         """Respond to a run as the script's next word says."""
         self.runs.append(run)
+        if run.ticket.epoch < self.epoch_min:
+            await send(
+                messages.Refusal(
+                    code=ResultCode.STALE_EPOCH, epoch=self.epoch_min
+                )
+            )
+            return
         word = self.script.pop(0) if self.script else 'answer'
         number = run.ticket.number
         self.ended[number] = 'running'
--- a/tests/owner_service.feature
+++ b/tests/owner_service.feature
@@ -56,6 +56,9 @@
       | never ran | begins        |
       | began     | waits for it  |
 
+  Scenario: a lagging owner repeats a run in the view that refused it
+    Then a run that a newer view refused is repeated in that view
+
   Scenario: an outdated handover is refused
     Then a handover of an older epoch is refused
 
--- a/tests/relay.feature
+++ b/tests/relay.feature
@@ -52,6 +52,12 @@
       | plain chat | - | answered | crossed | 500 | 1901 | unknown |
       | plain chat | 1406 1406 1406 1406 1406 1406 1406 | - | - | 503 | 1406 | not_run |
 
+  Scenario: a caller gets the refusal of an epoch that changes in a moment
+    Given an ingress whose endpoint does "-" and owner "-"
+    And the endpoint has a view that the ingress and owner get in 0.4 s
+    When a "plain chat" request is sent
+    Then the caller has the complete text once after 2 runs
+
   Scenario: a stream that cannot be completed ends with an error event
     Given an ingress whose endpoint does "break3" and owner "ticket unknown"
     When a "stream" request is sent
--- a/tests/steps/owner_service_steps.py
+++ b/tests/steps/owner_service_steps.py
@@ -422,6 +422,23 @@
         assert bool(entry.owner.table.shards) is is_taken
 
 
+@then('a run that a newer view refused is repeated in that view')
+def step_newer_view(context):
+    world, entry = start_single_entry(context)
+    context.world = world
+    ticket = drive(context, entry.service.begin(new_begin()))
+    resolve = replace(resolve_of(ticket), epoch=ticket.epoch + 1)
+
+    async def resolve_during_change():
+        answer = asyncio.ensure_future(entry.service.resolve(resolve))
+        await world.time.sleep(0.3)
+        await world.change_view()
+        return await answer
+
+    answer = drive(context, resolve_during_change())
+    assert answer.epoch == ticket.epoch + 1, answer
+
+
 @then('a run of an earlier incarnation ends with unknown')
 def step_restarted(context):
     world, entry = start_single_entry(context)
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -19,7 +19,7 @@
     runs,
 )
 from rattanvalve.counters import Counter
-from rattanvalve.messages import Header
+from rattanvalve.messages import Header, View
 from rattanvalve.request_checks import ServicePath
 from rattanvalve.resultcodes import ResultCode, result_code_info
 from tests import ingress_checks
@@ -43,6 +43,20 @@
     context.bench.endpoint.settle_script = split_words(records)
 
 
+@given('the endpoint has a view that the ingress and owner get in {delay:g} s')
+def step_newer_view(context, delay):
+    bench = context.bench
+    bench.blackboard.view = View(epoch=3)
+    bench.owner.blackboard = bench.blackboard
+    bench.endpoint.epoch_min = 4
+
+    def adopt():
+        bench.blackboard.view = View(epoch=4)
+        bench.blackboard.publish()
+
+    context.loop.call_later(delay, adopt)
+
+
 @given('responses are held up to {limit:d} bytes')
 def step_held(context, limit):
     patch = mock.patch.object(delivery, 'MAX_BUFFERED_BYTES', limit)
