Read numbers of other parties in ASCII digits only

What callers saw: a superscript digit in the Keep-Alive header of a server broke the connection and its request; one in If-Match or in the audit's last count of the administration API gave an internal error instead of 400.

Cause: str.isdigit accepts digits that int refuses. All three places, and the load client's, use parse_whole_number, which has no such gap. Both new tests failed before: ValueError, and a status 500.

--- a/rattanvalve/admin_api.py
+++ b/rattanvalve/admin_api.py
@@ -37,6 +37,7 @@
 from rattanvalve.keys import generate_key, key_digest
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.resultcodes import ResultCode
+from rattanvalve.wholenumbers import parse_whole_number
 
 __all__ = ('build_admin_app',)
 
@@ -103,12 +104,13 @@
 
 def _expected_generation(request: web.Request) -> int:
     tag = request.headers.get('If-Match', '').strip('"')
-    if not tag.isdigit():
+    generation = parse_whole_number(tag)
+    if generation is None:
         raise AdminError(
             ResultCode.BAD_FIELD,
             'If-Match must name the generation that the change starts from',
         )
-    return int(tag)
+    return generation
 
 
 def _changes_as_dicts(before: Config, after: Config) -> list[dict[str, Any]]:
@@ -199,10 +201,10 @@
 
 
 async def _get_audit(request: web.Request) -> web.Response:
-    last = request.query.get('last', '20')
-    if not last.isdigit() or not 1 <= int(last) <= 100:
+    last_count = parse_whole_number(request.query.get('last', '20'))
+    if last_count is None or not 1 <= last_count <= 100:
         raise AdminError(ResultCode.BAD_FIELD, '`last` must be 1 to 100')
-    records = await request.app[CONTEXT].audit(int(last))
+    records = await request.app[CONTEXT].audit(last_count)
     return web.json_response({'records': records})
 
 
--- a/rattanvalve/gateway/response_parser.py
+++ b/rattanvalve/gateway/response_parser.py
@@ -15,8 +15,9 @@
 
 from rattanvalve.errors import ServerExchangeError
 from rattanvalve.platform.names import REQUEST_ID
+from rattanvalve.wholenumbers import parse_whole_number
 
-__all__ = ('ResponseHead', 'ResponseParser')
+__all__ = ('ResponseHead', 'ResponseParser', 'parse_idle_timeout')
 
 #: Idle timeout of a connection if the server does not announce one.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
@@ -151,7 +152,7 @@
         self._is_close_delimited = _is_close_delimited(status, headers)
         if self._is_close_delimited or not self._parser.should_keep_alive():
             self.is_reusable = False
-        self.idle_timeout_s = _parse_idle_timeout(headers.get('Keep-Alive', ''))
+        self.idle_timeout_s = parse_idle_timeout(headers.get('Keep-Alive', ''))
         self.head = ResponseHead(status, headers)
         self._unmatched_bytes = 0
 
@@ -192,7 +193,7 @@
     return not is_framed and status not in _BODILESS
 
 
-def _parse_idle_timeout(keep_alive: str) -> float:
+def parse_idle_timeout(keep_alive: str) -> float:
     """Parse the idle timeout of the server from a ``Keep-Alive`` header.
 
     :param keep_alive: header value such as ``timeout=5``.
@@ -200,6 +201,7 @@
     """
     for part in keep_alive.split(','):
         name, _, text = part.strip().partition('=')
-        if name.lower() == 'timeout' and text.isdigit():
-            return max(int(text) - IDLE_TIMEOUT_MARGIN_S, 0)
+        timeout_s = parse_whole_number(text)
+        if name.lower() == 'timeout' and timeout_s is not None:
+            return max(timeout_s - IDLE_TIMEOUT_MARGIN_S, 0)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/rattanvalve/load_client.py
+++ b/rattanvalve/load_client.py
@@ -10,6 +10,7 @@
 
 from rattanvalve.client_records import Attempt, CallRecord
 from rattanvalve.resultcodes import ResultCode
+from rattanvalve.wholenumbers import parse_whole_number
 
 __all__ = ('CallRequest', 'LoadClient', 'Targets')
 
@@ -153,8 +154,8 @@
         return
     detail = content.get('error') if isinstance(content, dict) else None
     if isinstance(detail, dict):
-        code = str(detail.get('code') or '')
-        attempt.code = int(code) if code.isdigit() else 0
+        code = parse_whole_number(str(detail.get('code') or ''))
+        attempt.code = code or 0
         attempt.error = str(detail.get('message', ''))
 
 
--- a/tests/admin_api.feature
+++ b/tests/admin_api.feature
@@ -16,6 +16,10 @@
       | GET    | /v1/config   | unknown | 1102 |
       | DELETE | /v1/keys/a   | viewer  | 1104 |
 
+  Scenario: a number in digits of another script is an internal error
+    Given an administration API
+    Then generation "²" and a last count of "²" are refused as bad fields
+
   Scenario: a granted key is shown once and stored as a digest
     Given an administration API
     When a key is granted to north
--- a/tests/gateway/decisions.feature
+++ b/tests/gateway/decisions.feature
@@ -37,6 +37,9 @@
     When one of them starts again
     Then what was known of its former start is forgotten
 
+  Scenario: a digit of another script in a header ends the connection
+    Then an idle timeout of "²" seconds counts as none, one of "5" as 4.3 s
+
   Scenario: events that are cut anywhere give the same output
     Then a stream cut at each byte gives the same events and output
     And a stream that ends within an event may not end there
--- a/tests/steps/admin_api_steps.py
+++ b/tests/steps/admin_api_steps.py
@@ -18,6 +18,7 @@
 from rattanvalve.errors import PeerError, StoreConflictError, StoreError
 from rattanvalve.keys import key_digest
 from rattanvalve.messages import Member, View
+from rattanvalve.resultcodes import ResultCode
 from rattanvalve.views import ROLE_ENTRY
 from tests.samples import sample_catalog, sample_document
 
@@ -320,3 +321,25 @@
 @given('entry c of the cell does not answer')
 def step_unreachable(context):
     context.store.unreachable = ('c',)
+
+
+@then('generation "²" and a last count of "²" are refused as bad fields')
+def step_foreign_digits(context):
+    answers = context.run(read_foreign_digits(context))
+    codes = [answer['error']['code'] for answer in answers]
+    assert codes == [ResultCode.BAD_FIELD] * 2, answers
+
+
+async def read_foreign_digits(context):
+    """Send superscript digits where the API expects numbers."""
+    config = await send_request(context, 'GET', '/v1/config')
+    return (
+        await send_request(
+            context,
+            'PUT',
+            '/v1/config',
+            headers={'If-Match': '"²"'},
+            json=config,
+        ),
+        await send_request(context, 'GET', '/v1/audit?last=²'),
+    )
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -15,7 +15,11 @@
 from rattanvalve.gateway.loads import LoadTable, PromptPart
 from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.gateway.placement import Demand, choose_endpoint
-from rattanvalve.gateway.response_parser import ResponseParser
+from rattanvalve.gateway.response_parser import (
+    DEFAULT_IDLE_TIMEOUT_S,
+    ResponseParser,
+    parse_idle_timeout,
+)
 from rattanvalve.gateway.service_choice import choose_service
 from rattanvalve.gateway.turn_client import TurnClient, merge_ledgers
 from rattanvalve.gateway.turns import is_within_budget, max_charged_tokens
@@ -186,6 +190,12 @@
     assert [entry.born_ms for entry in context.forgotten] == [1]
 
 
+@then('an idle timeout of "²" seconds counts as none, one of "5" as 4.3 s')
+def step_idle_timeout(context):
+    assert parse_idle_timeout('timeout=²') == DEFAULT_IDLE_TIMEOUT_S
+    assert abs(parse_idle_timeout('timeout=5') - 4.3) < 0.001
+
+
 @then('{first:d} endpoints are usable at once and {later:d} after two seconds')
 def step_usable(context, first, later):
     assert len(context.directory.usable('models', 1)) == first
