Forget all of a server whose entry lapsed or broke before it changed

A gateway kept load, limit and connections of a former start of a server in two cases: the entry lapsed and came back with a new start, or was replaced by one that names no usable server. Nothing removed them later. The directory now compares every former entry, lapsed ones included, with the newest list. The test failed before: nothing was forgotten.

--- a/rattanvalve/gateway/directory.py
+++ b/rattanvalve/gateway/directory.py
@@ -74,13 +74,15 @@
                 self._lapsed[entry.name] = _LapsedEntry(entry, expires_s)
             else:
                 self._drop(entry)
-        for name, entry in self._entries.items():
-            replacement = usable.get(name)
-            if replacement and replacement.identity != entry.identity:
+        lapsed = {
+            name: self._lapsed.pop(name).entry
+            for name in newest
+            if name in self._lapsed
+        }
+        for name, entry in (*self._entries.items(), *lapsed.items()):
+            if name in newest and not _is_same(usable.get(name), entry):
                 self._drop(entry)
         self._entries = usable
-        for name in usable:
-            self._lapsed.pop(name, None)
 
     def usable(self, service: str, now_s: float) -> list[EndpointEntry]:
         """List the endpoints of a service that accept new requests.
@@ -145,3 +147,7 @@
     def _drop(self, entry: EndpointEntry) -> None:
         self._leaving.discard(entry.identity)
         self._forget(entry)
+
+
+def _is_same(newest: EndpointEntry | None, former: EndpointEntry) -> bool:
+    return newest is not None and newest.identity == former.identity
--- a/tests/gateway/decisions.feature
+++ b/tests/gateway/decisions.feature
@@ -40,6 +40,11 @@
   Scenario: a digit of another script in a header ends the connection
     Then an idle timeout of "²" seconds counts as none, one of "5" as 4.3 s
 
+  Scenario: loads of an old identity stay after its entry lapsed or broke
+    Given a directory with 6 endpoints
+    When an entry lapses and returns started again, and another is malformed
+    Then what was known of both former starts is forgotten
+
   Scenario: events that are cut anywhere give the same output
     Then a stream cut at each byte gives the same events and output
     And a stream that ends within an event may not end there
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -190,6 +190,21 @@
     assert [entry.born_ms for entry in context.forgotten] == [1]
 
 
+@when('an entry lapses and returns started again, and another is malformed')
+def step_lapse_restarted(context):
+    context.listed.pop('s-0')
+    update(context, 1, is_store_stale=True)
+    context.listed['s-0'] = endpoint('s-0', born_ms=2)
+    context.listed['s-1'] = None
+    update(context, 2)
+
+
+@then('what was known of both former starts is forgotten')
+def step_both_forgotten(context):
+    found = [(entry.name, entry.born_ms) for entry in context.forgotten]
+    assert sorted(found) == [('s-0', 1), ('s-1', 1)], found
+
+
 @then('an idle timeout of "²" seconds counts as none, one of "5" as 4.3 s')
 def step_idle_timeout(context):
     assert parse_idle_timeout('timeout=²') == DEFAULT_IDLE_TIMEOUT_S
