Keep the other documents on disk if one of them cannot be written

After a failed write of one document a turn store saved no later one in that round, so one file that always fails kept all others off the disk, and a start without the platform's store began with old ones. Each document is now tried in each round. The test failed before: members stayed at version 9 instead of 20.

--- a/rattanvalve/turnstore/documentfiles.py
+++ b/rattanvalve/turnstore/documentfiles.py
@@ -88,7 +88,7 @@
                     'document not kept',
                     extra={'kind': str(kind), 'error': str(error)},
                 )
-                return
+                continue
             self._versions[kind] = document.version
 
     def _file_path(self, kind: str) -> Path:
--- a/tests/steps/documentfiles_steps.py
+++ b/tests/steps/documentfiles_steps.py
@@ -9,9 +9,9 @@
 
 from rattanvalve.messages import Document
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
+from rattanvalve.turnstore import documentfiles
 from rattanvalve.turnstore.documentfiles import DocumentFiles
 
-
 def load_saved(context):
     """Load the saved documents, as a restarted process does."""
     return list(DocumentFiles(context.folder, DocumentBoard()).load())
@@ -54,3 +54,25 @@
         context.run(files.save())
     context.run(files.save())
     assert len(load_saved(context)) == 2
+
+
+@when('newer rules cannot be written and newer members can')
+def step_one_fails(context):
+    for kind in (DocumentKind.RULES, DocumentKind.MEMBERS):
+        document = Document(kind=str(kind), version=20, body=b'{}')
+        context.board.offer(document)
+    replace_file = documentfiles.replace_file
+
+    def replace_unless_rules(path, body):
+        if 'rules' in path.name:
+            raise OSError('injected disk failure')
+        replace_file(path, body)
+
+    with mock.patch.object(documentfiles, 'replace_file', replace_unless_rules):
+        context.run(DocumentFiles(context.folder, context.board).save())
+
+
+@then('the newer members are on the disk')
+def step_newer_members(context):
+    versions = {saved.kind: saved.version for saved in load_saved(context)}
+    assert versions == {'rules': 7, 'members': 20}, versions
--- a/tests/turnstore/turnstore.feature
+++ b/tests/turnstore/turnstore.feature
@@ -26,6 +26,11 @@
       | missing |
       | changed |
 
+  Scenario: one document that cannot be written keeps the others from the disk
+    Given kept rules of version 7 and members of version 9
+    When newer rules cannot be written and newer members can
+    Then the newer members are on the disk
+
   Scenario: records are forgotten with their time, chains as a whole
     Given a turn log with a chain of 3 turns and a reservation
     Then before the end of the newest turn's time the whole chain is there
