Skip entries of the store that are nested too deeply

One entry of a server or a turn store with some thousand nested brackets, from any writer, raised a RecursionError that no reader of the lists expected, and the list stayed as it was for all gateways. All decoders of the platform catch the same exceptions now, named in platform/malformed.py. The test failed before with RecursionError.

--- a/rattanvalve/platform/configuration.py
+++ b/rattanvalve/platform/configuration.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from rattanvalve.errors import ConfigurationError
+from rattanvalve.platform.malformed import MALFORMED_JSON
 from rattanvalve.sharedstate.rules import (
     Engine,
     Limits,
@@ -84,7 +85,7 @@
     """
     try:
         stored = msgspec.json.decode(body, type=_Configuration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_JSON as error:
         raise ConfigurationError(
             f'unreadable configuration: {error}'
         ) from error
--- a/rattanvalve/platform/objects.py
+++ b/rattanvalve/platform/objects.py
@@ -13,6 +13,7 @@
     StoreConflictError,
     StoreError,
 )
+from rattanvalve.platform.malformed import MALFORMED_JSON
 
 __all__ = ('Changes', 'ObjectStore', 'StoredEntry')
 
@@ -223,14 +224,14 @@
 def _decode(body: bytes, kind: type) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_JSON as error:
         raise StoreError(f'malformed answer: {error}') from error
 
 
 def _decode_entry(raw: msgspec.Raw) -> StoredEntry | None:
     try:
         stored = msgspec.json.decode(raw, type=_Object)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except MALFORMED_JSON:
         # Another writer stored an object without readable metadata.
         return None
     metadata = stored.metadata
--- a/rattanvalve/platform/servers.py
+++ b/rattanvalve/platform/servers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from rattanvalve.platform.malformed import MALFORMED_JSON
 from rattanvalve.platform.nodefile import parse_address
 from rattanvalve.platform.objects import StoredEntry
 from rattanvalve.sharedstate.endpoints import EndpointEntry
@@ -41,7 +42,7 @@
     try:
         server = msgspec.json.decode(spec, type=_Server)
         address = parse_address(server.address)
-    except (msgspec.DecodeError, ValueError):
+    except MALFORMED_JSON:
         return None
     if server.state not in _STATES or server.slots < 1:
         return None
--- a/rattanvalve/platform/turnstores.py
+++ b/rattanvalve/platform/turnstores.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rattanvalve.channels import Address
+from rattanvalve.platform.malformed import MALFORMED_JSON
 from rattanvalve.platform.objects import StoredEntry
 from rattanvalve.sharedstate.members import StoreMember
 
@@ -53,7 +54,7 @@
     for entry in entries:
         try:
             spec = msgspec.json.decode(entry.spec, type=_Member)
-        except msgspec.DecodeError:
+        except MALFORMED_JSON:
             continue
         listed.append(_ListedMember(entry.name, spec))
     return msgspec.json.encode(listed)
--- a/rattanvalve/sharedstate/shared_state.py
+++ b/rattanvalve/sharedstate/shared_state.py
@@ -13,6 +13,7 @@
 from rattanvalve.messages import Document
 from rattanvalve.peers import PeerPool
 from rattanvalve.platform.configuration import decode_configuration
+from rattanvalve.platform.malformed import MALFORMED_JSON
 from rattanvalve.platform.names import (
     KIND_CONFIG,
     KIND_MEMBERS,
@@ -232,7 +233,7 @@
         if entry.name == _MAIN_CONFIG:
             # The version is the one that operators set, not the store's
             # revision.
-            with suppress(msgspec.DecodeError):
+            with suppress(*MALFORMED_JSON):
                 stored = msgspec.json.decode(entry.spec, type=_Versioned)
                 return Document(
                     kind=DocumentKind.RULES,
--- a/tests/steps/documentfiles_steps.py
+++ b/tests/steps/documentfiles_steps.py
@@ -5,13 +5,27 @@
 from pathlib import Path
 from unittest import mock
 
+import msgspec
 from behave import given, then, when
 
+from rattanvalve.channels import Address
 from rattanvalve.messages import Document
+from rattanvalve.platform.objects import StoredEntry
+from rattanvalve.platform.servers import decode_server
+from rattanvalve.platform.turnstores import (
+    decode_members,
+    encode_members,
+    member_spec,
+)
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
+from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.turnstore import documentfiles
 from rattanvalve.turnstore.documentfiles import DocumentFiles
 
+#: Nesting that is deeper than any JSON decoder follows.
+NESTING = 100_000
+
+
 def load_saved(context):
     """Load the saved documents, as a restarted process does."""
     return list(DocumentFiles(context.folder, DocumentBoard()).load())
@@ -76,3 +90,19 @@
 def step_newer_members(context):
     versions = {saved.kind: saved.version for saved in load_saved(context)}
     assert versions == {'rules': 7, 'members': 20}, versions
+
+
+@then('members and servers are listed without malformed entries')
+def step_member_entries(context):
+    good = member_spec(StoreMember('a', Address('h', 1)))
+    specs = {
+        'a': msgspec.json.encode(good),
+        'b': b'{"host": "\xff"}',
+        'c': b'1',
+        'd': b'{"extra":' + b'[' * NESTING,
+    }
+    entries = [StoredEntry(name, 1, spec) for name, spec in specs.items()]
+    members = decode_members(encode_members(entries))
+    assert [member.name for member in members] == ['a'], members
+    servers = {name: decode_server(name, spec) for name, spec in specs.items()}
+    assert servers == dict.fromkeys(specs), servers
--- a/tests/turnstore/turnstore.feature
+++ b/tests/turnstore/turnstore.feature
@@ -31,6 +31,9 @@
     When newer rules cannot be written and newer members can
     Then the newer members are on the disk
 
+  Scenario: an entry that is nested too deeply breaks the list
+    Then members and servers are listed without malformed entries
+
   Scenario: records are forgotten with their time, chains as a whole
     Given a turn log with a chain of 3 turns and a reservation
     Then before the end of the newest turn's time the whole chain is there
