Report an answer that is no object of the administration API

rattanvalvectl ended in an exception, exit code 1, when something else answered at its address with JSON that is no object, or with an error that is none. It says so now and exits with 5, as without a response. The test failed before with an empty output.

--- a/rattanvalve/ctl_client.py
+++ b/rattanvalve/ctl_client.py
@@ -79,9 +79,13 @@
         ) as response,
     ):
         body = await response.json()
+    if not isinstance(body, dict):
+        return Err(AdminFailure(0, f'{base_url} sent no JSON object'))
     error = body.get('error')
     if error is None:
         return Ok(body)
+    if not isinstance(error, dict):
+        return Err(AdminFailure(0, f'{base_url} sent an unknown error'))
     return Err(
         AdminFailure(
             error.get('code', 0),
--- a/tests/ctl_main.feature
+++ b/tests/ctl_main.feature
@@ -42,6 +42,16 @@
       | status --all                       | 0         | rate_exceeded 7                   |
       | apply good.json --wait 0           | 6         | not at b, c                       |
 
+  Scenario Outline: an answer that is no object of ours ends in an exception
+    Given an HTTP server that answers every request with <body>
+    When rattanvalvectl runs status
+    Then it exits with 5 and prints <text>
+
+    Examples:
+      | body             | text                  |
+      | [1]              | sent no JSON object   |
+      | {"error": "odd"} | sent an unknown error |
+
   Scenario: the checks notice entries that are passed over
     Given a break: entries without an answer are passed over
     And an administration API
--- a/tests/steps/ctl_main_steps.py
+++ b/tests/steps/ctl_main_steps.py
@@ -4,7 +4,9 @@
 import tempfile
 from pathlib import Path
 
-from behave import then, when
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+from behave import given, then, when
 from click.testing import CliRunner
 
 from rattanvalve.ctl_main import main
@@ -26,6 +28,22 @@
         (folder / name).write_text(text)
 
 
+@given('an HTTP server that answers every request with {body}')
+def step_odd_server(context, body):
+    async def answer(request):
+        return web.Response(text=body, content_type='application/json')
+
+    async def start():
+        app = web.Application()
+        app.router.add_route('*', '/{path:.*}', answer)
+        client = TestClient(TestServer(app))
+        await client.start_server()
+        return client
+
+    context.client = context.run(start())
+    context.closers.append(context.client.close)
+
+
 @when('rattanvalvectl runs {arguments}')
 def step_run(context, arguments):
     with tempfile.TemporaryDirectory() as name:
