Use one lease duration for confirmations and seals

LEASE_S stood in two modules with the same value and meaning; a change of one would have let a successor act before the other's lease ended.

--- a/rattanvalve/sealing.py
+++ b/rattanvalve/sealing.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from rattanvalve.channels import Address
+from rattanvalve.confirmations import LEASE_S
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.errors import PeerError
 from rattanvalve.messages import (
@@ -22,10 +23,8 @@
 from rattanvalve.shardstate import MissingEndpoint
 from rattanvalve.viewchain import Step, ViewChain
 
-__all__ = ('LEASE_S', 'SealRound', 'Sealer')
+__all__ = ('SealRound', 'Sealer')
 
-#: Time in seconds after which the confirmation of a previous owner expires.
-LEASE_S = 10.0
 #: Timeout of one ``Seal`` message, in seconds.
 SEAL_TIMEOUT_S = 3.0
 #: Pause before unsealed endpoints are tried again, in seconds.
