Let servers of the soak and of load runs state rate limits

In the soak, one or all servers of each service now state a limit of 0.3 to 1 a second again and again, beside all other faults, and the check "no server gets more than its limit" sums over all gateways without excusing any. It has random numbers of its own, so that old seeds draw the faults they drew.

--- a/rattanvalve/standins/main.py
+++ b/rattanvalve/standins/main.py
@@ -79,6 +79,11 @@
     click.option('--delay-s', type=float, default=0),
     click.option('--fail-every-count', default=0),
     click.option('--capacity-count', default=16),
+    click.option(
+        '--limit-per-s',
+        type=float,
+        help='Request rate to state in responses; none if omitted.',
+    ),
 )
 
 
--- a/rattanvalve/standins/service.py
+++ b/rattanvalve/standins/service.py
@@ -21,7 +21,8 @@
 
     ``delay_s`` is the duration of a request in seconds. Every
     ``fail_every_count``-th request runs and then fails with status 500; 0
-    disables failures.
+    disables failures. ``limit_per_s`` is the request rate that the service
+    states in its responses.
     """
 
     name: str = 'service'
@@ -30,7 +31,11 @@
     capacity_count: int = 16
     running_count: int = 0
     started_count: int = 0
-    rate: StatedRate = field(default_factory=StatedRate)
+    limit_per_s: float | None = None
+    rate: StatedRate = field(init=False, default_factory=StatedRate)
+
+    def __post_init__(self) -> None:
+        self.rate.state(self.limit_per_s, time.monotonic())
 
 
 def build_service_app(
--- a/tests/client_library.feature
+++ b/tests/client_library.feature
@@ -1,6 +1,5 @@
 Feature: an unmodified chat-completions client library works
 
-  @known_red
   Scenario: requests, streams, models and errors of real processes
     Given a small deployment of real processes and a client library
     Then a request gets the text that belongs to its messages
--- a/tests/platform_soak/broken_program.py
+++ b/tests/platform_soak/broken_program.py
@@ -8,6 +8,7 @@
 from rattanvalve.gateway import main as gateway_main
 from rattanvalve.turn_messages import RateGrant
 from rattanvalve.turnstore import main as turnstore_main
+from rattanvalve.turnstore.endpointrates import EndpointRates
 from rattanvalve.turnstore.rateshares import RateShares
 from tests.run_broken import run_broken
 
@@ -19,6 +20,16 @@
         (turns, 'is_within_budget', lambda entries, budget_tokens: True),
     ),
     'context is left out': ((turns.CachedTurn, 'context', lambda turn: ()),),
+    'limits are not counted': (
+        (
+            EndpointRates,
+            'take',
+            lambda rates, message, now_s: RateGrant(
+                is_known=True,
+                is_granted=True,
+            ),
+        ),
+    ),
     'rates are not counted': (
         (
             RateShares,
--- a/tests/platform_soak/evidence.py
+++ b/tests/platform_soak/evidence.py
@@ -57,6 +57,8 @@
     responses: list[ResponseRecord] = field(default_factory=list)
     sent: set[str] = field(default_factory=set)
     budgets: dict[str, int] = field(default_factory=dict)
+    #: One line for each limit of a server that was exceeded.
+    limit_excesses: list[str] = field(default_factory=list)
     turn_tokens_max: int = 27
     rate_per_s: float = 0
     burst: float = 0
@@ -166,6 +168,11 @@
     return []
 
 
+def exceeded_limits(evidence):
+    """Find servers that got more requests than the limit they stated."""
+    return list(evidence.limit_excesses)
+
+
 def unexpected_runs(evidence):
     """Find runs of requests that no caller sent, or in another workspace."""
     return [
@@ -184,6 +191,7 @@
     'no whole turn is forgotten': lost_turns,
     'no program exceeds its budget': over_budget,
     'no workspace exceeds its rate': over_rate,
+    'no server gets more than its limit': exceeded_limits,
     'nothing runs that nobody sent': unexpected_runs,
 }
 
--- a/tests/platform_soak/run.py
+++ b/tests/platform_soak/run.py
@@ -13,11 +13,13 @@
     inject_fault,
     kill_all,
 )
+from tests.platform_soak.limits import state_limits
 from tests.platform_soak.world import SoakWorld
 
 __all__ = ('SoakReport', 'soak')
 
 FAULT_INTERVAL_MEAN_S = 0.7
+LIMITED_SERVICES = ('models', 'app')
 CHECK_INTERVAL_S = 2.0
 #: Time from the last fault in which all gateways must become ready.
 RECOVERY_S = 12.0
@@ -72,6 +74,10 @@
     try:
         await world.start(callers)
         checker = asyncio.ensure_future(_check_periodically(world, report))
+        limiters = [
+            asyncio.ensure_future(state_limits(world, report, service))
+            for service in LIMITED_SERVICES
+        ]
         await _inject_faults(world, report, length_s)
         if not break_name:
             report.faults.append(
@@ -79,6 +85,8 @@
             )
             await kill_all(world, random.Random(seed))
             await _inject_faults(world, report, length_s)
+        for limiter in limiters:
+            limiter.cancel()
         await _check_recovery(world, report)
         checker.cancel()
     except (TimeoutError, OSError) as error:
--- a/tests/platform_soak/servers.py
+++ b/tests/platform_soak/servers.py
@@ -58,6 +58,7 @@
         headers = dict(line.split(': ', 1) for line in lines)
         body = await reader.readexactly(int(headers.get('Content-Length', 0)))
         request_id = headers['Request-Id']
+        self.rate.record_arrival(time.monotonic())
         if self._rng.random() < REFUSAL_PROBABILITY:
             writer.write(self._whole(request_id, b'', 503, 'Not-Executed: 1'))
             return
--- a/tests/platform_soak/soak.feature
+++ b/tests/platform_soak/soak.feature
@@ -13,6 +13,7 @@
       | a whole turn was denied         | no whole turn is forgotten           |
       | a program got more tokens       | no program exceeds its budget        |
       | a workspace ran too much        | no workspace exceeds its rate        |
+      | a server got more than it takes | no server gets more than its limit   |
       | a request ran that nobody sent  | nothing runs that nobody sent        |
 
   Scenario: evidence without faults is clean
@@ -32,12 +33,14 @@
       | 313  | 6       |
 
   Scenario Outline: the soak notices a broken mechanism in real processes
-    When the soak runs for 6 seconds with seed 7 and the break <break>
+    When the soak runs for 6 seconds with seed <seed> and the break <break>
     Then the soak reports "<promise>"
 
+    # With seed 500, all servers state limits at once.
     Examples:
-      | break                       | promise                          |
-      | turns are repeated          | nothing runs twice               |
-      | budgets are not counted     | no program exceeds its budget    |
-      | context is left out         | turns run on their whole context |
-      | rates are not counted       | no workspace exceeds its rate    |
+      | break                       | seed | promise                            |
+      | turns are repeated          | 7    | nothing runs twice                 |
+      | budgets are not counted     | 7    | no program exceeds its budget      |
+      | context is left out         | 7    | turns run on their whole context   |
+      | rates are not counted       | 7    | no workspace exceeds its rate      |
+      | limits are not counted      | 500  | no server gets more than its limit |
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -83,7 +83,7 @@
         self._ports = {
             name: free_port() for name in ('internal', 'front', 'ready')
         }
-        self._servers = []
+        self.servers = {}
         self._callers = []
 
     async def start(self, caller_count):
@@ -120,7 +120,7 @@
         proxies = (*self.server_proxies.values(), *self.store_proxies.values())
         for proxy in proxies:
             proxy.stop()
-        for server in self._servers:
+        for server in self.servers.values():
             await server.stop()
         await self.store.stop()
 
@@ -177,7 +177,7 @@
         )
         await proxy.start()
         self.server_proxies[name] = proxy
-        self._servers.append(server)
+        self.servers[name] = server
         spec = {
             'service': name.partition('-')[0],
             'address': f'127.0.0.1:{proxy.listen.port}',
--- a/tests/steps/platform_soak_steps.py
+++ b/tests/steps/platform_soak_steps.py
@@ -89,6 +89,9 @@
         tokens=90,
     ),
     'a workspace ran too much': add_many_runs,
+    'a server got more than it takes': lambda evidence: (
+        evidence.limit_excesses.append('one too many')
+    ),
     'a request ran that nobody sent': lambda evidence: add_run(
         evidence,
         request_id='b9',
