Bound the tokens that one request asks for

With many endpoints at their limits a request asked for a token of each, one round trip to the turn stores after the other, before it was refused. It is refused after four now, so at once. The test failed before: all 50 were asked.

--- a/rattanvalve/gateway/endpoint_choice.py
+++ b/rattanvalve/gateway/endpoint_choice.py
@@ -35,6 +35,9 @@
 #: Longest wait for a token, and largest share of the time before the deadline.
 LIMIT_WAIT_MAX_S = 1.0
 LIMIT_WAIT_DEADLINE_SHARE = 0.3
+#: Number of endpoints without a token after which a request is refused, as
+#: each of them costs a round trip to the turn stores.
+TOKEN_REQUESTS_MAX = 4
 #: Lowest rate for which the cost of a token is estimated.
 TOKEN_RATE_MIN_PER_S = 0.1
 #: Time until an endpoint is tried again after no turn store knew its tokens.
@@ -88,7 +91,7 @@
             limits; ``None`` if no candidate remains.
         """
         refused: set[str] = set()
-        while True:
+        while len(refused) < TOKEN_REQUESTS_MAX:
             now_s = time.monotonic()
             candidates = self._candidates(demand, tried, now_s)
             with_room = self._with_room(call, demand, candidates, now_s)
@@ -115,6 +118,7 @@
             refused.add(endpoint.name)
         if not candidates:
             return None
+        now_s = time.monotonic()
         return self._capacity.refuse(call, demand, candidates, now_s)
 
     def _candidates(
--- a/tests/gateway/endpoint_limits.feature
+++ b/tests/gateway/endpoint_limits.feature
@@ -69,6 +69,10 @@
     Then neither an attempt nor a repetition is sent to it
     And the caller gets a refusal with the time until the next token
 
+  Scenario: a request asks for tokens of many endpoints one after the other
+    Given a gateway with 50 endpoints that have no token left
+    Then a request is refused after it has asked for tokens of 4
+
   Scenario: refused callers return at once and are refused again
     When 50 starts are refused in one second at a capacity of 5 a second
     Then their delays spread over the next 10 s at 5 a second
--- a/tests/steps/endpoint_limits_steps.py
+++ b/tests/steps/endpoint_limits_steps.py
@@ -357,12 +357,25 @@
 
 @given('a gateway whose endpoint has no token left')
 def step_exhausted(context):
-    tables = EndpointTables(Metrics())
-    tables.directory.update(
-        [('app-1', endpoint())], time.monotonic(), is_store_stale=False
-    )
+    open_gateway(context, 1)
+
+
+@given('a gateway with {count:d} endpoints that have no token left')
+def step_many_exhausted(context, count):
+    open_gateway(context, count)
+
+
+def open_gateway(context, count):
+    """Create a gateway whose endpoints state a limit of 0.2 a second."""
     now_s = time.monotonic()
-    tables.limits.apply_response(endpoint(), ('0.2',), now_s - 1, now_s)
+    tables = EndpointTables(Metrics())
+    listed = {
+        f'app-{number}': endpoint(name=f'app-{number}')
+        for number in range(1, count + 1)
+    }
+    tables.directory.update(listed.items(), now_s, is_store_stale=False)
+    for entry in listed.values():
+        tables.limits.apply_response(entry, ('0.2',), now_s - 1, now_s)
     context.stores = Stores(('a', 'b', 'c'))
     context.stores.relays = mock.Mock(known_count=mock.Mock(return_value=0))
     context.tables = tables
@@ -396,6 +409,18 @@
     assert 4 < refusal.retry_after_s <= 5.1, refusal
 
 
+@then('a request is refused after it has asked for tokens of {count:d}')
+def step_few_asked(context, count):
+    refusal = choose(context, build_call())
+    assert refusal.code is ResultCode.ENDPOINTS_LIMITED, refusal
+    asked = {
+        report.endpoint
+        for rates in context.stores.rates.values()
+        for report in rates.limits.reports(0)
+    }
+    assert len(asked) == count, asked
+
+
 @when('50 starts are refused in one second at a capacity of 5 a second')
 def step_refused(context):
     schedule = ReturnSchedule()
