Read the limits of endpoints at a start without a pause

A gateway that starts holds callers back until it has read the limits; it asked one turn store each 0.15 s, and 0.3 s more if that one was down. It asks all of them each 0.02 s until the first has answered. A gateway that knows no limit does not build the keys of endpoints for each request any more.

--- a/rattanvalve/gateway/endpoint_limits.py
+++ b/rattanvalve/gateway/endpoint_limits.py
@@ -40,6 +40,8 @@
         :param endpoint: the endpoint.
         :returns: requests per second; ``None`` if it states no limit.
         """
+        if self._table.is_empty():
+            return None
         known = self._table.get(endpoint.key)
         return None if known is None else known.rate_per_s
 
--- a/rattanvalve/gateway/limit_exchange.py
+++ b/rattanvalve/gateway/limit_exchange.py
@@ -21,8 +21,9 @@
 
 #: Interval at which a gateway exchanges all limits with one turn store.
 EXCHANGE_INTERVAL_S = 1.0
-#: The same until the first exchange has succeeded.
-FIRST_INTERVAL_S = 0.05
+#: The same with all of them until the first exchange has succeeded, as callers
+#: wait for it.
+FIRST_INTERVAL_S = 0.02
 #: Shortest time between two messages to all turn stores, so that limits that
 #: change together are sent together.
 NEWS_INTERVAL_S = 0.1
@@ -53,6 +54,9 @@
 
     async def run(self) -> None:
         """Exchange limits until cancelled."""
+        while not self.has_read_limits:
+            await self._exchange_with_all(())
+            await asyncio.sleep(FIRST_INTERVAL_S)
         while True:
             await self._exchange_once()
             await asyncio.sleep(NEWS_INTERVAL_S)
@@ -60,8 +64,6 @@
 
     async def _wait_for_news(self) -> None:
         interval_s = EXCHANGE_INTERVAL_S - NEWS_INTERVAL_S
-        if not self.has_read_limits:
-            interval_s = FIRST_INTERVAL_S
         try:
             async with asyncio.timeout(interval_s * random.uniform(0.8, 1.2)):
                 await self._limits.news.wait()
@@ -70,19 +72,26 @@
             return
 
     async def _exchange_once(self) -> None:
-        members = self._calls.members()
-        endpoints = self._endpoints()
-        if not (members and endpoints):
-            return
         now_s = time.monotonic()
         news = self._limits.take_news(now_s)
         if news:
-            await asyncio.gather(
-                *(self._exchange(member, news) for member in members)
-            )
+            await self._exchange_with_all(news)
             return
-        reports = self._limits.reports(now_s)
-        await self._exchange(random.choice(members), reports)
+        members = self._calls.members()
+        if members:
+            reports = self._limits.reports(now_s)
+            await self._exchange(random.choice(members), reports)
+
+    async def _exchange_with_all(
+        self, reports: Sequence[EndpointLimit]
+    ) -> None:
+        if not self._endpoints():
+            # What the turn stores know would be ignored.
+            return
+        members = self._calls.members()
+        await asyncio.gather(
+            *(self._exchange(member, reports) for member in members)
+        )
 
     async def _exchange(
         self, member: StoreMember, reports: Sequence[EndpointLimit]
--- a/rattanvalve/sharedstate/endpoint_limits.py
+++ b/rattanvalve/sharedstate/endpoint_limits.py
@@ -32,6 +32,13 @@
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
 
+    def is_empty(self) -> bool:
+        """Return whether no endpoint has stated a limit.
+
+        :returns: whether there is no statement at all.
+        """
+        return not self._entries
+
     def get(self, endpoint: str) -> KnownLimit | None:
         """Return the newest statement of an endpoint.
 
