--- a/tests/run_checks.py
+++ b/tests/run_checks.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import re
 import subprocess
 import sys
 import tempfile
@@ -65,6 +66,7 @@
     """
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
+        transcript = Path(folder) / 'transcript.txt'
         done = subprocess.run(
             (
                 sys.executable,
@@ -72,6 +74,8 @@
                 'behave',
                 '--format=json',
                 f'--outfile={report}',
+                '--format=plain',
+                f'--outfile={transcript}',
                 '--format=progress',
                 '--tags=not @known_red',
                 'tests',
@@ -80,31 +84,37 @@
             check=False,
         )
         text = report.read_text() if report.exists() else ''
+        if done.returncode:
+            print_errors(transcript)
     scenarios = [
         scenario
         for feature in json.loads(text or '[]')
         for scenario in feature.get('elements', ())
         if scenario['type'] == 'scenario'
     ]
-    for executed in scenarios:
-        print_errors(executed)
     return done.returncode == 0, [
         (scenario['name'], scenario['status']) for scenario in scenarios
     ]
 
 
-def print_errors(scenario):
-    """Print the end of each error of a scenario's failed steps.
+def print_errors(transcript):
+    """Print the failed and broken steps with the end of their errors.
 
-    :param scenario: scenario of the JSON report of behave.
+    The JSON report has no message for a step that raised an exception.
+
+    :param transcript: output of behave's plain formatter.
     """
-    for step in scenario.get('steps', ()):
-        text = step.get('result', {}).get('error_message')
-        if text:
-            lines = text if isinstance(text, list) else text.splitlines()
-            _write(f'{scenario["name"]}: {step["name"]}')
-            for line in lines[-ERROR_LINES:]:
-                _write(f'    {line}')
+    if not transcript.exists():
+        return
+    blocks = re.split(
+        r'(?m)^(?=[^\n]*\.\.\. (?:failed|error) in )', transcript.read_text()
+    )
+    for block in blocks[1:]:
+        lines = block.partition('\n\n')[0].splitlines()
+        step, *error = lines
+        _write(step.strip())
+        for line in error[-ERROR_LINES:]:
+            _write(f'    {line}')
 
 
 def find_known_red():
