Name the limit header of servers once

Its name stood in the platform's names, in the sessions of endpoint processes and in the stand-ins; the latter two now take it from the first.

--- a/rattanvalve/server_session.py
+++ b/rattanvalve/server_session.py
@@ -10,6 +10,7 @@
 from rattanvalve import outcomes
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Head, Header, Run
+from rattanvalve.platform.names import SERVER_LIMIT
 
 __all__ = (
     'EXCHANGE_ERRORS',
@@ -22,8 +23,9 @@
     'open_session',
 )
 
-#: Response header with the requests per second that the server accepts.
-LIMIT_HEADER = 'server-limit'
+#: Response header with the requests per second that the server accepts, in
+#: lower case.
+LIMIT_HEADER = SERVER_LIMIT.lower()
 CONNECT_TIMEOUT_S = 3
 _READ_BUFFER_BYTES = 64 * 1024
 #: The only request headers of a caller that are forwarded to a server.
--- a/rattanvalve/standins/limits.py
+++ b/rattanvalve/standins/limits.py
@@ -3,9 +3,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-__all__ = ('LIMIT_HEADER', 'StatedRate', 'allowed_count', 'busiest_window')
+from rattanvalve.platform.names import SERVER_LIMIT
+
+__all__ = ('StatedRate', 'allowed_count', 'busiest_window')
 
-LIMIT_HEADER = 'Server-Limit'
 #: The check of a server that states a limit: from the grace period on, it gets
 #: in no window more than the tolerance times what the limit allows, plus the
 #: slack.
@@ -74,7 +75,7 @@
 
         :returns: the limit header; nothing while no limit is stated.
         """
-        return {LIMIT_HEADER: self.text} if self.text else {}
+        return {SERVER_LIMIT: self.text} if self.text else {}
 
     def excess(self) -> str:
         """Describe by how much the limit was exceeded after the grace period.
