Do the work of limits only where endpoints state one; share their twins

Hot path: each request that continues a program estimated the latency of all endpoints without a limit a second time, for a wait that only an endpoint with a limit asks for. The wait is now worked out after that check, and a service without limits skips the whole filter of candidates.

Twins: the floor and the burst time of stated limits stood in three modules (statedlimits.py has them now), the answer without a token in two (rateshares.refused_grant), the rule that a request which may have run is not refused as "not run" three times in forwarding.py, and the share of an endpoint kept a copy of its bucket's burst.

Behaviour, bounds and tests are unchanged.

--- a/rattanvalve/gateway/endpoint_choice.py
+++ b/rattanvalve/gateway/endpoint_choice.py
@@ -25,6 +25,7 @@
 from rattanvalve.gateway.service_capacity import ServiceCapacity
 from rattanvalve.gateway.trace import Trace
 from rattanvalve.sharedstate.endpoints import EndpointEntry
+from rattanvalve.statedlimits import kept_rate_per_s
 from rattanvalve.turn_messages import RateGrant, TakeEndpointRate
 
 __all__ = ('ChosenEndpoint', 'EndpointChooser')
@@ -38,8 +39,6 @@
 #: Number of endpoints without a token after which a request is refused, as
 #: each of them costs a round trip to the turn stores.
 TOKEN_REQUESTS_MAX = 4
-#: Lowest rate for which the cost of a token is estimated.
-TOKEN_RATE_MIN_PER_S = 0.1
 #: Time until an endpoint is tried again after no turn store knew its tokens.
 UNKNOWN_TOKENS_WAIT_S = 0.2
 
@@ -106,10 +105,9 @@
             )
             if endpoint is None:
                 break
-            wait_max_s = self._wait_max_s(
-                call, demand, endpoint, with_room, now_s
+            chosen = await self._admit(
+                call, demand, endpoint, with_room, now_s, trace
             )
-            chosen = await self._take(call, endpoint, wait_max_s, trace)
             if chosen is not None:
                 self._capacity.record(
                     call, demand.service, trace.limit_wait_ms, now_s
@@ -136,6 +134,8 @@
     ) -> list[EndpointEntry]:
         """List the candidates that may take a request now."""
         capacity = self._capacity
+        if not capacity.is_short(candidates):
+            return list(candidates)
         if call.is_program_start and not capacity.has_room_for_start(
             call, demand, candidates, now_s
         ):
@@ -144,14 +144,11 @@
         latest_s = now_s
         if call.rank == CONTINUATION_RANK:
             latest_s += LIMIT_WAIT_MAX_S
-        is_short = capacity.is_short(candidates)
         return [
             endpoint
             for endpoint in candidates
             if limits.exhausted_until_s(endpoint, call.rank) <= latest_s
-            and not (
-                is_short and capacity.is_queue_full(endpoint, call.rank, now_s)
-            )
+            and not capacity.is_queue_full(endpoint, call.rank, now_s)
         ]
 
     def _token_cost_ms(
@@ -169,9 +166,24 @@
             return 0
         wait_s = max(limits.exhausted_until_s(endpoint, rank) - now_s, 0)
         if not demand.is_mostly_cached(self._tables.loads.get(endpoint)):
-            wait_s += 1 / max(rate_per_s, TOKEN_RATE_MIN_PER_S)
+            wait_s += 1 / kept_rate_per_s(rate_per_s)
         return wait_s * 1000
 
+    async def _admit(
+        self,
+        call: Call,
+        demand: Demand,
+        endpoint: EndpointEntry,
+        with_room: Sequence[EndpointEntry],
+        now_s: float,
+        trace: Trace,
+    ) -> ChosenEndpoint | None:
+        """Admit a request; return ``None`` if a needed token is not granted."""
+        if self._tables.limits.rate_per_s(endpoint) is None:
+            return ChosenEndpoint(endpoint)
+        wait_max_s = self._wait_max_s(call, demand, endpoint, with_room, now_s)
+        return await self._take(call, endpoint, wait_max_s, trace)
+
     def _wait_max_s(
         self,
         call: Call,
@@ -215,11 +227,8 @@
     ) -> ChosenEndpoint | None:
         """Take a token; return ``None`` if the endpoint has none in time."""
         limits = self._tables.limits
-        now_s = time.monotonic()
-        if limits.rate_per_s(endpoint) is None:
-            return ChosenEndpoint(endpoint)
         message = TakeEndpointRate(
-            limit=limits.report(endpoint, now_s),
+            limit=limits.report(endpoint, time.monotonic()),
             is_start=call.rank != CONTINUATION_RANK,
             priority=call.priority,
             wait_max_ms=int(wait_max_s * 1000),
--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -34,6 +34,8 @@
 GRANT_EXPIRED_RETRY_AFTER_S = 0.1
 NO_ENDPOINT_RETRY_AFTER_S = 0.5
 
+_GRANT_EXPIRED = Refusal(ResultCode.RATE_EXCEEDED, GRANT_EXPIRED_RETRY_AFTER_S)
+
 
 class Forwarder:
     """Chooses an endpoint for each attempt and retries where it is safe.
@@ -81,7 +83,7 @@
                 await self._attempts.make(call, demand, chosen, sink, trace)
             except GrantExpiredError:
                 return _end_unanswered(
-                    call, sink, trace, _grant_expired_refusal(trace)
+                    call, sink, trace, _unless_run(trace, _GRANT_EXPIRED)
                 )
             except TimeoutError:
                 trace.run_count += 1
@@ -116,9 +118,9 @@
         if refusal is not None:
             return refusal
         if chosen is None:
-            return _no_endpoint_refusal(trace, has_tried=bool(tried))
+            chosen = _no_endpoint_refusal(has_tried=bool(tried))
         if isinstance(chosen, Refusal):
-            return _limited_refusal(trace, chosen)
+            return _unless_run(trace, chosen)
         trace.endpoints.append(chosen.endpoint.name)
         load = self._tables.loads.get(chosen.endpoint)
         trace.expected_count = load.expected_count(time.monotonic())
@@ -212,21 +214,14 @@
     return Refusal(ResultCode.TIMEOUT_QUEUED)
 
 
-def _grant_expired_refusal(trace: Trace) -> Refusal:
-    if trace.run_count:
-        return Refusal(ResultCode.BACKEND_FAILED)
-    return Refusal(ResultCode.RATE_EXCEEDED, GRANT_EXPIRED_RETRY_AFTER_S)
-
-
-def _limited_refusal(trace: Trace, refusal: Refusal) -> Refusal:
+def _unless_run(trace: Trace, refusal: Refusal) -> Refusal:
+    """Return a refusal, or another one if the request may have run before."""
     if trace.run_count:
         return Refusal(ResultCode.BACKEND_FAILED)
     return refusal
 
 
-def _no_endpoint_refusal(trace: Trace, *, has_tried: bool) -> Refusal:
-    if trace.run_count:
-        return Refusal(ResultCode.BACKEND_FAILED)
+def _no_endpoint_refusal(*, has_tried: bool) -> Refusal:
     if has_tried:
         return Refusal(ResultCode.QUEUE_FULL, QUEUE_FULL_RETRY_AFTER_S)
     return Refusal(ResultCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER_S)
--- a/rattanvalve/gateway/service_capacity.py
+++ b/rattanvalve/gateway/service_capacity.py
@@ -87,13 +87,10 @@
 
         :param call: request that starts a program.
         :param demand: resources that the request needs.
-        :param candidates: endpoints of the service.
+        :param candidates: endpoints of a service that is short of capacity.
         :param now_s: monotonic time in seconds.
-        :returns: whether the program may start; always true if no endpoint
-            states a limit.
+        :returns: whether the program may start.
         """
-        if not self.is_short(candidates):
-            return True
         deficit = self._programs(demand.service, now_s).start_deficit(
             0,
             self._own_rate_per_s(demand, candidates),
--- a/rattanvalve/ratelimit.py
+++ b/rattanvalve/ratelimit.py
@@ -39,6 +39,14 @@
         """
         return self._rate_per_s
 
+    @property
+    def burst(self) -> float:
+        """Return the capacity.
+
+        :returns: largest number of tokens that the bucket holds.
+        """
+        return self._burst
+
     def take(self, now_s: float) -> bool:
         """Take one token if available.
 
--- a/rattanvalve/server_rate.py
+++ b/rattanvalve/server_rate.py
@@ -10,19 +10,15 @@
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.ratelimit import Bucket
 from rattanvalve.statedlimits import (
+    BURST_TIME_S,
     KnownLimit,
+    kept_rate_per_s,
     newest_limit,
     parse_stated_limit,
 )
 
 __all__ = ('ServerRate',)
 
-#: Time whose tokens the bucket can hold, as requests do not arrive evenly.
-BURST_TIME_S = 1.0
-#: Rate at which a server that accepts no requests gets some nevertheless, as
-#: only a response shows that its limit has changed.
-RATE_MIN_PER_S = 0.1
-
 _log = part_logger(LogPart.ENDPOINT)
 
 
@@ -97,7 +93,7 @@
             self._metrics.count(Counter.ENDPOINT_LIMIT_ENDED)
             _log.info('server limit ended')
             return
-        kept_per_s = max(rate_per_s, RATE_MIN_PER_S)
+        kept_per_s = kept_rate_per_s(rate_per_s)
         burst = max(kept_per_s * BURST_TIME_S, 1)
         if self._bucket is None:
             self._bucket = Bucket(kept_per_s, burst, now_s)
--- a/rattanvalve/statedlimits.py
+++ b/rattanvalve/statedlimits.py
@@ -4,8 +4,20 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-__all__ = ('KnownLimit', 'StatedLimit', 'newest_limit', 'parse_stated_limit')
-
+__all__ = (
+    'BURST_TIME_S',
+    'KnownLimit',
+    'StatedLimit',
+    'kept_rate_per_s',
+    'newest_limit',
+    'parse_stated_limit',
+)
+
+#: Time whose tokens a bucket can hold, as requests do not arrive evenly.
+BURST_TIME_S = 1.0
+#: Rate at which a server that accepts no requests gets some nevertheless, as
+#: only a response shows that its limit has changed.
+RATE_MIN_PER_S = 0.1
 #: ASCII digits only, as ``\d`` also matches the digits of other scripts. More
 #: digits than this are no rate that a server could mean.
 _RATE_PATTERN = re.compile(r'[0-9]{1,9}(?:\.[0-9]{1,9})?')
@@ -51,6 +63,15 @@
     return StatedLimit(rate_per_s=float(text))
 
 
+def kept_rate_per_s(rate_per_s: float) -> float:
+    """Return the rate that is kept for a stated limit.
+
+    :param rate_per_s: limit in requests per second; 0 if none are accepted.
+    :returns: the limit, at least ``RATE_MIN_PER_S``.
+    """
+    return max(rate_per_s, RATE_MIN_PER_S)
+
+
 def newest_limit(
     known: KnownLimit | None,
     stated: StatedLimit,
--- a/rattanvalve/turnstore/endpointrates.py
+++ b/rattanvalve/turnstore/endpointrates.py
@@ -12,21 +12,21 @@
 from rattanvalve.ratelimit import Bucket
 from rattanvalve.sharedstate.endpoint_limits import LIMIT_TTL_S, LimitTable
 from rattanvalve.sharedstate.members import StoreMember, replica_group
+from rattanvalve.statedlimits import BURST_TIME_S, kept_rate_per_s
 from rattanvalve.turn_messages import RateGrant, TakeEndpointRate
-from rattanvalve.turnstore.rateshares import RATE_LOST_STORES_MAX, split_rate
+from rattanvalve.turnstore.rateshares import (
+    RATE_LOST_STORES_MAX,
+    refused_grant,
+    split_rate,
+)
 
 __all__ = ('EndpointRates',)
 
-#: Time whose tokens a bucket can hold, as requests do not arrive evenly.
-BURST_TIME_S = 1.0
 #: Smallest burst; with one token, starts could not leave it to others.
 BURST_MIN = 2.0
 #: Smallest burst that is divided, as the primary must keep ``BURST_MIN`` beside
 #: one token for each standby. A smaller one stays whole at the primary.
 BURST_DIVIDED_MIN = BURST_MIN + 2 * RATE_LOST_STORES_MAX
-#: Rate at which an endpoint that accepts no requests gets some nevertheless, as
-#: only a response shows that its limit has changed.
-RATE_MIN_PER_S = 0.1
 #: Tokens that must stay for more urgent requests when a program starts, for
 #: each priority rank below the highest.
 START_HEADROOM = 0.5
@@ -40,7 +40,6 @@
 @dataclass(slots=True)
 class _Share:
     bucket: Bucket
-    burst: float
     used_s: float
 
 
@@ -99,7 +98,7 @@
         self, endpoint: str, rate_per_s: float, now_s: float
     ) -> _Share | None:
         """Return this store's share; ``None`` if it has none."""
-        rate_per_s = max(rate_per_s, RATE_MIN_PER_S)
+        rate_per_s = kept_rate_per_s(rate_per_s)
         group = replica_group(endpoint, self._members, RATE_LOST_STORES_MAX)
         names = [member.name for member in group]
         if self._own_name not in names:
@@ -114,9 +113,8 @@
         share = self._shares.get(endpoint)
         if share is None:
             bucket = Bucket(rate_per_s * fraction, burst, now_s)
-            share = self._shares[endpoint] = _Share(bucket, burst, now_s)
+            share = self._shares[endpoint] = _Share(bucket, now_s)
         share.bucket.configure(rate_per_s * fraction, burst, now_s)
-        share.burst = burst
         share.used_s = now_s
         return share
 
@@ -129,12 +127,14 @@
 def _grant_start(share: _Share, priority: int, now_s: float) -> RateGrant:
     """Grant the start of a program if enough tokens stay for others."""
     share.bucket.refill(now_s)
-    reserved = START_SHARE * (share.burst - 1) + START_HEADROOM * priority
+    reserved = (
+        START_SHARE * (share.bucket.burst - 1) + START_HEADROOM * priority
+    )
     # A standby whose share holds one token leaves it to others.
-    needed = min(1 + reserved, max(share.burst, BURST_MIN))
+    needed = min(1 + reserved, max(share.bucket.burst, BURST_MIN))
     missing = needed - share.bucket.level
     if missing > 0 or not share.bucket.take(now_s):
-        return _refusal(max(missing, 0) / share.bucket.rate_per_s)
+        return refused_grant(max(missing, 0) / share.bucket.rate_per_s)
     return RateGrant(is_known=True, is_granted=True)
 
 
@@ -146,10 +146,6 @@
     wait_max_s = min(message.wait_max_ms / 1000, advance_max_s)
     wait_s = share.bucket.reserve(wait_max_s, now_s)
     if wait_s is None:
-        return _refusal(share.bucket.wait_s(now_s))
+        return refused_grant(share.bucket.wait_s(now_s))
     wait_ms = math.ceil(wait_s * 1000)
     return RateGrant(is_known=True, is_granted=True, wait_ms=wait_ms)
-
-
-def _refusal(wait_s: float) -> RateGrant:
-    return RateGrant(is_known=True, wait_ms=int(wait_s * 1000) + 1)
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -17,7 +17,12 @@
 from rattanvalve.sharedstate.rules import TrafficRules, Workspace
 from rattanvalve.turn_messages import RateGrant, TakeRate
 
-__all__ = ('RATE_LOST_STORES_MAX', 'RateShares', 'split_rate')
+__all__ = (
+    'RATE_LOST_STORES_MAX',
+    'RateShares',
+    'refused_grant',
+    'split_rate',
+)
 
 #: A group of three: one primary and two standbys.
 RATE_LOST_STORES_MAX = 1
@@ -155,7 +160,7 @@
     )
     wait_s = max(wait_s, deficit / share.bucket.rate_per_s)
     if wait_s > 0 or not share.bucket.take(now_s):
-        return _refusal(wait_s)
+        return refused_grant(wait_s)
     share.demand.record_start(now_s)
     return RateGrant(is_known=True, is_granted=True)
 
@@ -170,11 +175,16 @@
     wait_s = share.bucket.reserve(min(wait_max_s, advance_max_s), now_s)
     if wait_s is None:
         share.demand.record_shortage(now_s)
-        return _refusal(share.bucket.wait_s(now_s))
+        return refused_grant(share.bucket.wait_s(now_s))
     share.demand.record_continuation(now_s)
     wait_ms = math.ceil(wait_s * 1000)
     return RateGrant(is_known=True, is_granted=True, wait_ms=wait_ms)
 
 
-def _refusal(wait_s: float) -> RateGrant:
+def refused_grant(wait_s: float) -> RateGrant:
+    """Build the answer to a request that gets no token.
+
+    :param wait_s: time until a token is available in seconds.
+    :returns: refusal with that time, rounded up.
+    """
     return RateGrant(is_known=True, wait_ms=int(wait_s * 1000) + 1)
