Give each test run loopback addresses of its own

Two test runs on one machine used the same addresses.

A test run now holds a loopback network of its own until it exits, and a fleet whose process ended with an exception raises it.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -15,6 +15,7 @@
 from rattanvalve.gateway.process import GatewayProcess
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.turnstore.process import TurnStoreProcess
+from tests.loopback import network
 from tests.platform_servers import PlatformServer
 from tests.platform_store import PlatformStore
 
@@ -147,7 +148,7 @@
         """Return the loopback address of a process, unique in the test run."""
         offset = 0 if role == 'store' else 5
         number = self.first_host_number + index + offset
-        return f'127.0.{number // 250 + 1}.{number % 250 + 1}'
+        return f'{network()}.{number // 250 + 1}.{number % 250 + 1}'
 
     def start_turn_store(self, index, is_first_start=True):
         """Start a turn store on its own data folder."""
@@ -198,7 +199,8 @@
         """Wait until the readiness probe of a gateway gives this result."""
         url = f'http://{self.host("gateway", index)}:{self.ready_port}/ready'
         async with asyncio.timeout(WAIT_S):
-            while not await self._has_readiness(url, is_ready):  # noqa: ASYNC110
+            while not await self._has_readiness(url, is_ready):
+                self._raise_failures()
                 await asyncio.sleep(0.05)
 
     async def request(self, path, index=0, method='POST', body=b'', **headers):
@@ -242,6 +244,12 @@
         writer.write('\r\n'.join((*lines, '', '')).encode())
         return await asyncio.wait_for(reader.read(), WAIT_S)
 
+    def _raise_failures(self):
+        """Raise the exception of a process that ended with one."""
+        for task in self.tasks.values():
+            if task.done() and not task.cancelled():
+                task.result()
+
     async def _has_readiness(self, url, is_ready):
         try:
             async with self.session.get(url) as response:
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -15,6 +15,7 @@
 from rattanvalve.fault_proxy import FaultProxy
 from rattanvalve.fleet_settings import Address
 from rattanvalve.platform.nodefile import ENVIRONMENT_VARIABLE
+from tests.loopback import network
 from tests.platform_fleet import configuration, free_port
 from tests.platform_soak.callers import Caller
 from tests.platform_soak.evidence import Evidence
@@ -39,9 +40,9 @@
     'gateway': 'rattanvalve.gateway.main',
     'store': 'rattanvalve.turnstore.main',
 }
-#: Third octets of loopback addresses. The seed selects one, so that concurrent
-#: soaks with different seeds rarely share addresses.
-NETWORK_OCTETS = range(20, 250)
+#: Third octets of loopback addresses. The seed selects one, so that a soak does
+#: not get the addresses of the soak before it.
+SUBNET_OCTETS = range(20, 250)
 NODE_FILE = """
 nodeName = "{name}"
 ip = "{host}"
@@ -87,7 +88,7 @@
         self.server_proxies = {}
         self.store_proxies = {}
         self._break_name = break_name
-        self._network = self.rng.choice(NETWORK_OCTETS)
+        self._subnet = self.rng.choice(SUBNET_OCTETS)
         self._ports = {
             name: free_port() for name in ('internal', 'front', 'ready')
         }
@@ -220,7 +221,7 @@
 
     def _host(self, name):
         order = (*self.stores, *self.gateways).index(name)
-        return f'127.1.{self._network}.{order + 1}'
+        return f'{network()}.{self._subnet}.{order + 1}'
 
     def _write_node_file(self, name, *, is_first_start):
         is_gateway = name in self.gateways
