Start programs at limited endpoints that nobody uses

Callers saw: after many programs had been given up, a service whose endpoints state limits refused every new program with 1307, also when it got nothing at all and when the limits had ended.

Cause: a gateway refuses starts while it expects running programs to need the capacity. That expectation fades slowly (a time constant of 5 s) and knows nothing of programs that do not go on; but only a request shows that a limit has ended. Class: a refusal whose reason can only be found outdated by what it refuses.

A start without room may now go to an endpoint from which no gateway has had a response for 5 s, if the turn store's bucket is full, so within the limit and behind everybody else. The new scenario failed before (refused after 6 s without any request).

--- a/rattanvalve/gateway/endpoint_choice.py
+++ b/rattanvalve/gateway/endpoint_choice.py
@@ -41,6 +41,13 @@
 TOKEN_REQUESTS_MAX = 4
 #: Time until an endpoint is tried again after no turn store knew its tokens.
 UNKNOWN_TOKENS_WAIT_S = 0.2
+#: Priority of a program that starts although running ones may need all tokens.
+#: It gets one only while the bucket is full, that is while nobody takes them.
+SURPLUS_PRIORITY = 1000
+#: Time without a response from an endpoint after which such a program may start
+#: there, as only a response shows that the limit has ended.
+SILENCE_MIN_S = 5.0
+SURPLUS_RANK = CONTINUATION_RANK + 1 + SURPLUS_PRIORITY
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +62,33 @@
     grant_expires_s: float = float('inf')
 
 
+@dataclass(frozen=True, slots=True)
+class _Claim:
+    """Request for an endpoint and its rank for tokens; lower ranks go first."""
+
+    call: Call
+    demand: Demand
+    rank: int
+
+    @property
+    def is_start(self) -> bool:
+        """Return whether others that continue a program go first.
+
+        :returns: whether the request does not continue a program.
+        """
+        return self.rank != CONTINUATION_RANK
+
+    @property
+    def priority(self) -> int:
+        """Return the priority for tokens; 0 is the most urgent.
+
+        :returns: priority of the call, or ``SURPLUS_PRIORITY``.
+        """
+        if self.rank == SURPLUS_RANK:
+            return SURPLUS_PRIORITY
+        return self.call.priority
+
+
 class EndpointChooser:
     """Places requests and takes the tokens that they need.
 
@@ -93,7 +127,8 @@
         while len(refused) < TOKEN_REQUESTS_MAX:
             now_s = time.monotonic()
             candidates = self._candidates(demand, tried, now_s)
-            with_room = self._with_room(call, demand, candidates, now_s)
+            claim = self._claim(call, demand, candidates, now_s)
+            with_room = self._with_room(claim, candidates, now_s)
             endpoint = choose_endpoint(
                 demand,
                 with_room,
@@ -101,13 +136,11 @@
                 self._zone,
                 now_s,
                 refused,
-                partial(self._token_cost_ms, demand, call.rank, now_s),
+                partial(self._token_cost_ms, claim, now_s),
             )
             if endpoint is None:
                 break
-            chosen = await self._admit(
-                call, demand, endpoint, with_room, now_s, trace
-            )
+            chosen = await self._admit(claim, endpoint, with_room, now_s, trace)
             if chosen is not None:
                 self._capacity.record(
                     call, demand.service, trace.limit_wait_ms, now_s
@@ -125,34 +158,54 @@
         usable = self._tables.directory.usable(demand.service, now_s)
         return [endpoint for endpoint in usable if endpoint.name not in tried]
 
-    def _with_room(
+    def _claim(
         self,
         call: Call,
         demand: Demand,
         candidates: Sequence[EndpointEntry],
         now_s: float,
+    ) -> _Claim:
+        """Rank a request; starts without room for them go last."""
+        has_room = (
+            not call.is_program_start
+            or not self._capacity.is_short(candidates)
+            or self._capacity.has_room_for_start(
+                call, demand, candidates, now_s
+            )
+        )
+        return _Claim(call, demand, call.rank if has_room else SURPLUS_RANK)
+
+    def _with_room(
+        self,
+        claim: _Claim,
+        candidates: Sequence[EndpointEntry],
+        now_s: float,
     ) -> list[EndpointEntry]:
         """List the candidates that may take a request now."""
         capacity = self._capacity
         if not capacity.is_short(candidates):
             return list(candidates)
-        if call.is_program_start and not capacity.has_room_for_start(
-            call, demand, candidates, now_s
-        ):
-            return []
         limits = self._tables.limits
-        latest_s = now_s
-        if call.rank == CONTINUATION_RANK:
-            latest_s += LIMIT_WAIT_MAX_S
+        latest_s = now_s if claim.is_start else now_s + LIMIT_WAIT_MAX_S
         return [
             endpoint
             for endpoint in candidates
-            if limits.exhausted_until_s(endpoint, call.rank) <= latest_s
-            and not capacity.is_queue_full(endpoint, call.rank, now_s)
+            if limits.exhausted_until_s(endpoint, claim.rank) <= latest_s
+            and not capacity.is_queue_full(endpoint, claim.rank, now_s)
+            and not self._is_kept_free(claim, endpoint, now_s)
         ]
 
+    def _is_kept_free(
+        self, claim: _Claim, endpoint: EndpointEntry, now_s: float
+    ) -> bool:
+        """Check whether an endpoint is left to running programs."""
+        if claim.rank != SURPLUS_RANK:
+            return False
+        silence_s = self._tables.limits.silence_s(endpoint, now_s)
+        return silence_s < SILENCE_MIN_S
+
     def _token_cost_ms(
-        self, demand: Demand, rank: int, now_s: float, endpoint: EndpointEntry
+        self, claim: _Claim, now_s: float, endpoint: EndpointEntry
     ) -> float:
         """Estimate what a token of an endpoint costs, in milliseconds.
 
@@ -164,15 +217,14 @@
         rate_per_s = limits.rate_per_s(endpoint)
         if rate_per_s is None:
             return 0
-        wait_s = max(limits.exhausted_until_s(endpoint, rank) - now_s, 0)
-        if not demand.is_mostly_cached(self._tables.loads.get(endpoint)):
+        wait_s = max(limits.exhausted_until_s(endpoint, claim.rank) - now_s, 0)
+        if not claim.demand.is_mostly_cached(self._tables.loads.get(endpoint)):
             wait_s += 1 / kept_rate_per_s(rate_per_s)
         return wait_s * 1000
 
     async def _admit(
         self,
-        call: Call,
-        demand: Demand,
+        claim: _Claim,
         endpoint: EndpointEntry,
         with_room: Sequence[EndpointEntry],
         now_s: float,
@@ -181,13 +233,12 @@
         """Admit a request; return ``None`` if a needed token is not granted."""
         if self._tables.limits.rate_per_s(endpoint) is None:
             return ChosenEndpoint(endpoint)
-        wait_max_s = self._wait_max_s(call, demand, endpoint, with_room, now_s)
-        return await self._take(call, endpoint, wait_max_s, trace)
+        wait_max_s = self._wait_max_s(claim, endpoint, with_room, now_s)
+        return await self._take(claim, endpoint, wait_max_s, trace)
 
     def _wait_max_s(
         self,
-        call: Call,
-        demand: Demand,
+        claim: _Claim,
         endpoint: EndpointEntry,
         with_room: Sequence[EndpointEntry],
         now_s: float,
@@ -197,15 +248,15 @@
         Only one that continues a program waits, and no longer than another
         endpoint without a limit would take.
         """
-        if call.rank != CONTINUATION_RANK:
+        if claim.is_start:
             return 0
 
         def latency_ms(candidate: EndpointEntry) -> float:
             return expected_ms(
-                demand, candidate, self._tables.loads, self._zone, now_s
+                claim.demand, candidate, self._tables.loads, self._zone, now_s
             )
 
-        remaining_s = call.deadline_s - now_s
+        remaining_s = claim.call.deadline_s - now_s
         wait_max_s = min(
             LIMIT_WAIT_MAX_S, remaining_s * LIMIT_WAIT_DEADLINE_SHARE
         )
@@ -220,7 +271,7 @@
 
     async def _take(
         self,
-        call: Call,
+        claim: _Claim,
         endpoint: EndpointEntry,
         wait_max_s: float,
         trace: Trace,
@@ -229,8 +280,8 @@
         limits = self._tables.limits
         message = TakeEndpointRate(
             limit=limits.report(endpoint, time.monotonic()),
-            is_start=call.rank != CONTINUATION_RANK,
-            priority=call.priority,
+            is_start=claim.is_start,
+            priority=claim.priority,
             wait_max_ms=int(wait_max_s * 1000),
         )
         requested_s = boot_time_s()
@@ -238,7 +289,7 @@
         wait_s = grant.wait_ms / 1000
         if not grant.is_granted:
             free_s = time.monotonic() + wait_s
-            limits.exhaust(endpoint, call.rank, free_s)
+            limits.exhaust(endpoint, claim.rank, free_s)
             return None
         if wait_s:
             trace.limit_wait_ms += grant.wait_ms
--- a/rattanvalve/gateway/endpoint_limits.py
+++ b/rattanvalve/gateway/endpoint_limits.py
@@ -45,6 +45,17 @@
         known = self._table.get(endpoint.key)
         return None if known is None else known.rate_per_s
 
+    def silence_s(self, endpoint: EndpointEntry, now_s: float) -> float:
+        """Return the time since a response stated the limit of an endpoint.
+
+        :param endpoint: the endpoint.
+        :param now_s: monotonic time in seconds.
+        :returns: seconds, over all gateways; 0 if it states no limit.
+        """
+        if self.rate_per_s(endpoint) is None:
+            return 0
+        return now_s - self._table.get(endpoint.key).heard_s
+
     def report(self, endpoint: EndpointEntry, now_s: float) -> EndpointLimit:
         """Build the message about an endpoint with a limit.
 
--- a/tests/gateway/endpoint_limits.feature
+++ b/tests/gateway/endpoint_limits.feature
@@ -73,6 +73,13 @@
     Given a gateway with 50 endpoints that have no token left
     Then a request is refused after it has asked for tokens of 4
 
+  Scenario: starts stay refused while nobody uses the tokens of a limit
+    Given a gateway that began 20 programs before a limit of 1 a second
+    When it got requests until now
+    Then another program is refused
+    When it got no request for 6 s
+    Then another program begins
+
   Scenario: refused callers return at once and are refused again
     When 50 starts are refused in one second at a capacity of 5 a second
     Then their delays spread over the next 10 s at 5 a second
--- a/tests/steps/endpoint_limits_steps.py
+++ b/tests/steps/endpoint_limits_steps.py
@@ -11,9 +11,12 @@
 from rattanvalve.channels import Address
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.errors import PeerError
-from rattanvalve.gateway import endpoint_limits
+from rattanvalve.gateway import endpoint_choice, endpoint_limits
 from rattanvalve.gateway.calls import Call, Refusal, TurnHeaders
-from rattanvalve.gateway.endpoint_choice import EndpointChooser
+from rattanvalve.gateway.endpoint_choice import (
+    ChosenEndpoint,
+    EndpointChooser,
+)
 from rattanvalve.gateway.endpoint_limits import EndpointLimits
 from rattanvalve.gateway.endpoint_tables import EndpointTables
 from rattanvalve.gateway.placement import Demand
@@ -321,7 +324,7 @@
     assert context.metrics.counts[Counter.ENDPOINT_LIMIT_MALFORMED] == 2
 
 
-def build_call(priority=0, program='p', previous='t'):
+def build_call(priority=0, program='p', previous='t', kind='safe'):
     """Create a request that continues a program unless told otherwise."""
     now_s = time.monotonic()
     return Call(
@@ -334,7 +337,7 @@
             name='r',
             host='h',
             path_prefix='/',
-            kind='safe',
+            kind=kind,
             timeout_ms=3000,
             target_ms=500,
             priority=1,
@@ -365,8 +368,8 @@
     open_gateway(context, count)
 
 
-def open_gateway(context, count):
-    """Create a gateway whose endpoints state a limit of 0.2 a second."""
+def open_gateway(context, count, limit_per_s=0.2):
+    """Create a gateway whose endpoints state limits."""
     now_s = time.monotonic()
     tables = EndpointTables(Metrics())
     listed = {
@@ -375,7 +378,8 @@
     }
     tables.directory.update(listed.items(), now_s, is_store_stale=False)
     for entry in listed.values():
-        tables.limits.apply_response(entry, ('0.2',), now_s - 1, now_s)
+        texts = (f'{limit_per_s:g}',)
+        tables.limits.apply_response(entry, texts, now_s - 1, now_s)
     context.stores = Stores(('a', 'b', 'c'))
     context.stores.relays = mock.Mock(known_count=mock.Mock(return_value=0))
     context.tables = tables
@@ -421,6 +425,57 @@
     assert len(asked) == count, asked
 
 
+@given('a gateway that began {count:d} programs before a limit of 1 a second')
+def step_began(context, count):
+    open_gateway(context, 1, limit_per_s=1)
+    context.began_s = time.monotonic()
+    for _ in range(count):
+        context.chooser._capacity.record(
+            build_start(), 'app', 0, context.began_s
+        )
+
+
+def build_start():
+    """Create the first turn of a program."""
+    return build_call(previous='', kind='stream')
+
+
+def choose_at_simulated_time(context, call):
+    """Choose an endpoint at the simulated time of the turn stores."""
+    clock = mock.Mock()
+    clock.monotonic.return_value = context.began_s + context.stores.now_s
+    with mock.patch.object(endpoint_choice, 'time', clock):
+        return choose(context, call)
+
+
+@when('it got requests until now')
+def step_taken(context):
+    for _ in range(5):
+        context.stores.now_s += 1
+        ask(context, 1, wait_max_ms=300)
+        now_s = context.began_s + context.stores.now_s
+        context.tables.limits.apply_response(
+            endpoint(), ('1',), now_s - 1, now_s
+        )
+
+
+@when('it got no request for {pause:d} s')
+def step_unused(context, pause):
+    context.stores.now_s += pause
+
+
+@then('another program is refused')
+def step_start_refused(context):
+    refusal = choose_at_simulated_time(context, build_start())
+    assert refusal.code is ResultCode.ENDPOINTS_LIMITED, refusal
+
+
+@then('another program begins')
+def step_start(context):
+    chosen = choose_at_simulated_time(context, build_start())
+    assert isinstance(chosen, ChosenEndpoint), chosen
+
+
 @when('50 starts are refused in one second at a capacity of 5 a second')
 def step_refused(context):
     schedule = ReturnSchedule()
