Let the stand-in notice a connection that the gateway resets

Cause: a close with unread bytes is a reset, and uvloop then raises RuntimeError from write() instead of ConnectionResetError from drain(). The stand-in caught only OSError, so its handler ended uncounted. Whether a byte is unread at the close depends on the moment, which load shifts.

Evidence: two of about 200 runs beside other load ended so; the kept one shows the head of the stream at the caller after 0.85 s, the request at the server, no end counted, and "Unhandled exception in client_connected_cb" from the stand-in on a closed transport. A server of ten lines under uvloop gets ConnectionResetError if the peer closes after reading everything, and RuntimeError if it closes with unread bytes.

The stand-in counts both; the check and its bounds are unchanged.

--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -11,6 +11,9 @@
     b'id: 2\ndata: two\n\n',
     b'id: 3\ndata: three\n\n',
 )
+#: Errors of a write after the gateway has closed the connection. uvloop raises
+#: RuntimeError if the close was a reset.
+CONNECTION_ERRORS = (OSError, RuntimeError)
 #: Data of one chunk of an endless response.
 FILLER = b'a' * 0x1000
 OUTPUT = b'one\ntwo\nthree\n'
@@ -162,7 +165,7 @@
             while True:
                 writer.write(chunk * 16)
                 await writer.drain()
-        except OSError:
+        except CONNECTION_ERRORS:
             self.endless_ended += 1
 
     async def _do_drip(self, request_id, reader, writer):
@@ -173,7 +176,7 @@
                 writer.write(b'1\r\na\r\n')
                 await writer.drain()
                 await asyncio.sleep(0.05)
-        except OSError:
+        except CONNECTION_ERRORS:
             self.endless_ended += 1
 
     async def _do_slow(self, request_id, reader, writer):
