Count result codes that a newer process sent

Cause: count_code() accepted known numbers only; the relay had its own guard. It counts unknown numbers as internal errors now, as they are presented.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -5,7 +5,7 @@
 
 from statsd import StatsClient
 
-from rattanvalve.resultcodes import ResultCode
+from rattanvalve.resultcodes import ResultCode, result_code_info
 
 __all__ = ('Counter', 'Metrics', 'refusal_counter_name')
 
@@ -94,7 +94,7 @@
     def count_code(self, code: int) -> None:
         """Increment the counter of a result code by one.
 
-        :param code: number of a result code.
-        :raises ValueError: if the number is unknown.
+        :param code: number of a result code; one that is unknown, since a
+            newer process sent it, counts as an internal error.
         """
-        self.count(refusal_counter_name(ResultCode(code)))
+        self.count(refusal_counter_name(result_code_info(code).code))
--- a/rattanvalve/relay.py
+++ b/rattanvalve/relay.py
@@ -114,7 +114,7 @@
             refusal.code,
             may_have_run=entry.may_have_run,
         )
-        self._metrics.count_code(result_code_info(refusal.code).code)
+        self._metrics.count_code(refusal.code)
         self._metrics.count(f'outcome.{outcome}')
         await responder.fail(refusal, outcome)
 
