--- a/rattanvalve/standins/cache.py
+++ b/rattanvalve/standins/cache.py
@@ -152,7 +152,8 @@
     ) -> None:
         """Unpin an entry and replace its content.
 
-        An entry that was released while pinned is freed instead.
+        An entry that was released while pinned is freed instead, once no
+        request pins it.
 
         :param cache_key: key of the entry.
         :param messages: messages of the request and its response.
@@ -162,7 +163,8 @@
         if self._pins[cache_key] <= 0:
             self._pins.pop(cache_key)
         if cache_key in self._pending_releases:
-            self._free(cache_key, 'released', now_s)
+            if cache_key not in self._pins:
+                self._free(cache_key, 'released', now_s)
             return
         entry = _Entry(
             _digests(messages),
@@ -174,7 +176,7 @@
         self._evict(now_s)
 
     def release(self, cache_key: str, now_s: float) -> None:
-        """Free an entry; a pinned one is freed by the next :meth:`store`.
+        """Free an entry; a pinned one is freed by the last :meth:`store`.
 
         :param cache_key: key of the entry.
         :param now_s: monotonic time in seconds.
@@ -210,8 +212,7 @@
                 self._free(cache_key, 'evicted', now_s)
 
     def _free(self, cache_key: str, reason: str, now_s: float) -> None:
-        if self._pins[cache_key] <= 0:
-            self._pending_releases.discard(cache_key)
+        self._pending_releases.discard(cache_key)
         entry = self._entries.pop(cache_key, None)
         tokens = entry.tokens if entry else 0
         self._feed.add(reason, cache_key, tokens, now_s)
