Let programs run in the soak, and excuse what a common restart forgets

Seeds with an even number have a rate of 200 a second now. At 25 a second nearly all programs were refused before their second turn (seed 7: 14 turns answered), so promises about turns, budgets and contexts were hardly tested. Trace of seed 1002: the gateways still kept the limits of 0.3 a second, which had ended with the last fault, as their buckets had given no token yet. A gateway cannot know the end before it sends something. Seed 1011: 7 requests in 4 s at a limit of 0.3 a second, 6.8 allowed. Trace: all processes had been killed together; two gateways that had just started sent seven requests within 0.15 s, before an answer with the limit had come back (limits_per_s None in each line). The rule counts machines that have passed on such an answer and excuses restarts, so the grace period begins again when all processes are restarted together. What came before is checked at that moment.

--- a/rattanvalve/standins/limits.py
+++ b/rattanvalve/standins/limits.py
@@ -60,6 +60,13 @@
         :param now_s: monotonic time in seconds.
         """
         self.text = '' if limit_per_s is None else f'{limit_per_s:g}'
+        self.restart_grace(now_s)
+
+    def restart_grace(self, now_s: float) -> None:
+        """Begin the grace period of the limit again.
+
+        :param now_s: monotonic time in seconds.
+        """
         self.since_s = now_s
         self.arrivals_s.clear()
 
--- a/tests/platform_soak/limits.py
+++ b/tests/platform_soak/limits.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-__all__ = ('state_limits',)
+__all__ = ('have_limits', 'restart_grace', 'state_limits')
 
 #: Limits in requests per second, of which one is drawn.
 LIMITS_PER_S = (0.3, 0.5, 1)
@@ -45,6 +45,27 @@
     try:
         await asyncio.sleep(hold_s)
     finally:
-        if rate.excess():
-            world.evidence.limit_excesses.append(f'{name}: {rate.excess()}')
+        _record_excess(world, name)
         rate.state(None, time.monotonic())
+
+
+def have_limits(world):
+    """Return whether any server states a limit now."""
+    return any(server.rate.text for server in world.servers.values())
+
+
+def restart_grace(world):
+    """Begin the grace period of all limits again.
+
+    To be called when all processes were restarted together: none of them knows
+    the limits, and no other process can tell it.
+    """
+    for name, server in world.servers.items():
+        _record_excess(world, name)
+        server.rate.restart_grace(time.monotonic())
+
+
+def _record_excess(world, name):
+    excess = world.servers[name].rate.excess()
+    if excess:
+        world.evidence.limit_excesses.append(f'{name}: {excess}')
--- a/tests/platform_soak/run.py
+++ b/tests/platform_soak/run.py
@@ -13,7 +13,11 @@
     inject_fault,
     kill_all,
 )
-from tests.platform_soak.limits import state_limits
+from tests.platform_soak.limits import (
+    have_limits,
+    restart_grace,
+    state_limits,
+)
 from tests.platform_soak.world import SoakWorld
 
 __all__ = ('SoakReport', 'soak')
@@ -23,7 +27,8 @@
 CHECK_INTERVAL_S = 2.0
 #: Time from the last fault in which all gateways must become ready.
 RECOVERY_S = 12.0
-#: Longest wait before the final check of responses, and the interval it covers.
+#: Longest wait before the final check of responses if no limit stood, and the
+#: interval that it covers.
 FINAL_CHECK_S = 2.0
 SERVED_SHARE_MIN = 0.5
 #: Statuses of requests that were not served; 0 is no response.
@@ -84,10 +89,16 @@
                 f'{time.monotonic():.2f} all processes are killed'
             )
             await kill_all(world, random.Random(seed))
+            restart_grace(world)
             await _inject_faults(world, report, length_s)
+        had_limits = have_limits(world)
         for limiter in limiters:
             limiter.cancel()
-        await _check_recovery(world, report)
+        # The promise of a run with a break is checked before the recovery.
+        pause_max_s = (
+            RECOVERY_S if had_limits and not break_name else FINAL_CHECK_S
+        )
+        await _check_recovery(world, report, pause_max_s)
         checker.cancel()
     except (TimeoutError, OSError) as error:
         report.broken_promises['the soak runs to its end'] = [repr(error)]
@@ -155,7 +166,12 @@
     return not is_recovering and faulty_count < (len(world.stores) - 1) // 2
 
 
-async def _check_recovery(world, report):
+async def _check_recovery(world, report, pause_max_s):
+    """Check that requests are served after the last fault.
+
+    Until a gateway sends a request, which a low limit delays, it cannot know
+    that the limit has ended; ``pause_max_s`` is then the whole recovery time.
+    """
     started_s = time.monotonic()
     waits = (world.wait_ready(name, RECOVERY_S) for name in world.gateways)
     try:
@@ -164,7 +180,7 @@
         report.broken_promises['all gateways are ready again'] = [str(error)]
         return
     remaining_s = max(started_s + RECOVERY_S - time.monotonic(), 0)
-    await asyncio.sleep(min(remaining_s, FINAL_CHECK_S))
+    await asyncio.sleep(min(remaining_s, pause_max_s))
     since_s = time.monotonic()
     await asyncio.sleep(FINAL_CHECK_S)
     final_responses = [
--- a/tests/platform_soak/soak.feature
+++ b/tests/platform_soak/soak.feature
@@ -27,9 +27,10 @@
     # Seed 313: requests were not served again 4 s after the last fault, because
     # the event loop of one turn store was blocked for 3.2 s. The cause is not
     # known (docs/incidents/README.md).
-    Examples: a short run, and seeds that failed before
+    Examples: short runs, and a seed that failed before
       | seed | seconds |
       | 7    | 6       |
+      | 8    | 6       |
       | 313  | 6       |
 
   Scenario Outline: the soak notices a broken mechanism in real processes
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -25,11 +25,11 @@
 __all__ = ('SoakWorld',)
 
 SECRET = 'secret-of-the-soak-' * 2
-RATE_PER_S = 25
+#: The low rate refuses most programs before their second turn, which would
+#: hide broken promises about turns; the high one refuses hardly any request.
+LOW_RATE_PER_S = 25
+HIGH_RATE_PER_S = 200
 BURST = 10
-#: Rate of runs with a break that a lower rate would hide, because it refuses
-#: most programs before their second turn.
-BREAK_RATE_PER_S = 200
 #: This break is detected only if callers exceed the rate.
 RATE_DETECTED_BREAK = 'rates are not counted'
 START_TIMEOUT_S = 20.0
@@ -79,7 +79,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix='soak-'))
         self.children = Children(self.folder)
         self.evidence = Evidence(
-            rate_per_s=_rate_per_s(break_name),
+            rate_per_s=_rate_per_s(seed, break_name),
             burst=BURST,
         )
         self.store = PlatformStore()
@@ -246,7 +246,8 @@
         (self.folder / f'{name}.toml').write_text(text)
 
 
-def _rate_per_s(break_name):
-    if not break_name or break_name == RATE_DETECTED_BREAK:
-        return RATE_PER_S
-    return BREAK_RATE_PER_S
+def _rate_per_s(seed, break_name):
+    """Return the rate of the workspace; odd seeds have the low one."""
+    if break_name == RATE_DETECTED_BREAK:
+        return LOW_RATE_PER_S
+    return HIGH_RATE_PER_S if break_name or seed % 2 == 0 else LOW_RATE_PER_S
