--- a/rattanvalve/gateway/endpoint_choice.py
+++ b/rattanvalve/gateway/endpoint_choice.py
@@ -44,10 +44,10 @@
 #: Priority of a program that starts although running ones may need all tokens.
 #: It gets one only while the bucket is full, that is while nobody takes them.
 SURPLUS_PRIORITY = 1000
+SURPLUS_RANK = CONTINUATION_RANK + 1 + SURPLUS_PRIORITY
 #: Time without a response from an endpoint after which such a program may start
 #: there, as only a response shows that the limit has ended.
 SILENCE_MIN_S = 5.0
-SURPLUS_RANK = CONTINUATION_RANK + 1 + SURPLUS_PRIORITY
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,9 +72,9 @@
 
     @property
     def is_start(self) -> bool:
-        """Return whether others that continue a program go first.
+        """Return whether the request does not continue a program.
 
-        :returns: whether the request does not continue a program.
+        :returns: whether requests that do go first.
         """
         return self.rank != CONTINUATION_RANK
 
