Promise tokens of both kinds of rates by one function

The reservation of a token and its answer stood in rateshares.py and endpointrates.py. Both call reserved_grant() now; no behaviour changed.

--- a/rattanvalve/turnstore/endpointrates.py
+++ b/rattanvalve/turnstore/endpointrates.py
@@ -5,7 +5,6 @@
 between the stores. A gateway without a grant sends nothing to the endpoint.
 """
 
-import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -17,6 +16,7 @@
 from rattanvalve.turnstore.rateshares import (
     RATE_LOST_STORES_MAX,
     refused_grant,
+    reserved_grant,
     split_rate,
 )
 
@@ -144,8 +144,4 @@
     """Grant a token, also in advance, to a request of a running program."""
     advance_max_s = ADVANCE_MAX_S / (1 + message.priority)
     wait_max_s = min(message.wait_max_ms / 1000, advance_max_s)
-    wait_s = share.bucket.reserve(wait_max_s, now_s)
-    if wait_s is None:
-        return refused_grant(share.bucket.wait_s(now_s))
-    wait_ms = math.ceil(wait_s * 1000)
-    return RateGrant(is_known=True, is_granted=True, wait_ms=wait_ms)
+    return reserved_grant(share.bucket, wait_max_s, now_s)
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -21,6 +21,7 @@
     'RATE_LOST_STORES_MAX',
     'RateShares',
     'refused_grant',
+    'reserved_grant',
     'split_rate',
 )
 
@@ -172,11 +173,27 @@
 ) -> RateGrant:
     """Grant a token in advance to a request of a running program."""
     advance_max_s = max(ADVANCE_TIME_S, ADVANCE_COUNT / share.bucket.rate_per_s)
-    wait_s = share.bucket.reserve(min(wait_max_s, advance_max_s), now_s)
-    if wait_s is None:
+    grant = reserved_grant(share.bucket, min(wait_max_s, advance_max_s), now_s)
+    if grant.is_granted:
+        share.demand.record_continuation(now_s)
+    else:
         share.demand.record_shortage(now_s)
-        return refused_grant(share.bucket.wait_s(now_s))
-    share.demand.record_continuation(now_s)
+    return grant
+
+
+def reserved_grant(
+    bucket: Bucket, wait_max_s: float, now_s: float
+) -> RateGrant:
+    """Grant a token, also one that becomes available later.
+
+    :param bucket: tokens of this store.
+    :param wait_max_s: longest wait for the token in seconds.
+    :param now_s: monotonic time in seconds.
+    :returns: grant with the time to wait before the request, or a refusal.
+    """
+    wait_s = bucket.reserve(wait_max_s, now_s)
+    if wait_s is None:
+        return refused_grant(bucket.wait_s(now_s))
     wait_ms = math.ceil(wait_s * 1000)
     return RateGrant(is_known=True, is_granted=True, wait_ms=wait_ms)
 
