Tests: one builder of endpoints, of fleets and of granting breaks

Entries of endpoints were built by two step files, the start of a fleet by three, the granting lambda of the soak's breaks stood twice. No scenario, step text or assertion changed.

--- a/tests/limited_endpoints.py
+++ b/tests/limited_endpoints.py
@@ -5,15 +5,14 @@
 from rattanvalve.channels import Address
 from rattanvalve.errors import PeerError
 from rattanvalve.gateway.rate_client import RateClient
-from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.reachability import ReachTable
 from rattanvalve.turn_messages import EndpointLimit, TakeEndpointRate
 from rattanvalve.turnstore.endpointrates import EndpointRates
 
-__all__ = ('KEY', 'Stores', 'ask', 'endpoint')
+__all__ = ('KEY', 'Stores', 'ask')
 
-#: Key of the endpoint that :func:`endpoint` creates.
+#: Key of the endpoint that ``endpoint_entries.endpoint`` creates.
 KEY = 'app-1/127.0.0.1:1/1'
 
 
@@ -84,15 +83,3 @@
         wait_max_ms=wait_max_ms,
     )
     return context.run(RateClient(context.stores).take_endpoint(message))
-
-
-def endpoint(born_ms=1, name='app-1'):
-    """Create an endpoint of a plain service."""
-    return EndpointEntry(
-        name=name,
-        service='app',
-        address=Address('127.0.0.1', 1),
-        zone='z',
-        slots=4,
-        born_ms=born_ms,
-    )
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -85,6 +85,13 @@
     }
 
 
+def open_fleet(context, **options):
+    """Start a fleet, which is stopped at the end of the scenario."""
+    context.fleet = PlatformFleet()
+    context.run(context.fleet.start(**options))
+    context.closers.append(context.fleet.stop)
+
+
 class PlatformFleet:
     """An object store, servers, three turn stores and two gateways.
 
--- a/tests/platform_soak/broken_program.py
+++ b/tests/platform_soak/broken_program.py
@@ -12,6 +12,11 @@
 from rattanvalve.turnstore.rateshares import RateShares
 from tests.run_broken import run_broken
 
+
+def _grant(shares, message, now_s):
+    return RateGrant(is_known=True, is_granted=True)
+
+
 BREAKS = {
     'turns are repeated': (
         (forwarding, '_may_retry', lambda call, error, trace: True),
@@ -24,20 +29,14 @@
         (
             EndpointRates,
             'take',
-            lambda rates, message, now_s: RateGrant(
-                is_known=True,
-                is_granted=True,
-            ),
+            _grant,
         ),
     ),
     'rates are not counted': (
         (
             RateShares,
             'take',
-            lambda shares, message, now_s: RateGrant(
-                is_known=True,
-                is_granted=True,
-            ),
+            _grant,
         ),
     ),
 }
--- a/tests/steps/endpoint_choice_steps.py
+++ b/tests/steps/endpoint_choice_steps.py
@@ -18,7 +18,8 @@
 from rattanvalve.gateway.trace import Trace
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.rules import Route
-from tests.limited_endpoints import Stores, ask, endpoint
+from tests.endpoint_entries import endpoint
+from tests.limited_endpoints import Stores, ask
 
 
 def build_call(priority=0, program='p', previous='t', kind='safe'):
--- a/tests/steps/endpoint_limits_steps.py
+++ b/tests/steps/endpoint_limits_steps.py
@@ -11,7 +11,8 @@
 from rattanvalve.gateway.endpoint_limits import EndpointLimits
 from rattanvalve.sharedstate.endpoint_limits import LimitTable
 from rattanvalve.statedlimits import KnownLimit
-from tests.limited_endpoints import KEY, endpoint
+from tests.endpoint_entries import endpoint
+from tests.limited_endpoints import KEY
 
 SEED = 11
 
--- a/tests/steps/gateway_decisions_steps.py
+++ b/tests/steps/gateway_decisions_steps.py
@@ -1,6 +1,7 @@
 """Steps of gateway/decisions.feature."""
 
 import time
+from functools import partial
 from unittest import mock
 
 import msgspec
@@ -27,7 +28,6 @@
 from rattanvalve.platform.objects import StoredEntry
 from rattanvalve.platform.turnstores import encode_members, member_spec
 from rattanvalve.sharedstate.documents import DocumentKind
-from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.reachability import ReachTable
 from rattanvalve.sharedstate.rules import Route
@@ -38,9 +38,11 @@
     TurnChain,
     TurnRecord,
 )
+from tests import endpoint_entries
 
 PROMPT = (PromptPart('shared', 3000), PromptPart('own', 1000))
 ENGINE_DEMAND = Demand('models', is_generation=True, parts=PROMPT)
+endpoint = partial(endpoint_entries.endpoint, service='models')
 STREAM = (
     b'id: 1\r\ndata: a\r\n\r\n'
     b': comment\n\n'
@@ -54,18 +56,6 @@
 )
 
 
-def endpoint(name, born_ms=1):
-    """Create an endpoint of an engine service with 4 slots."""
-    return EndpointEntry(
-        name=name,
-        service='models',
-        address=Address('127.0.0.1', 1),
-        zone='z',
-        slots=4,
-        born_ms=born_ms,
-    )
-
-
 def choose(context, demand, now_s=0, tried=()):
     """Return the name of the chosen endpoint, or ``None``."""
     chosen = choose_endpoint(
--- a/tests/steps/gateway_whole_path_steps.py
+++ b/tests/steps/gateway_whole_path_steps.py
@@ -12,20 +12,15 @@
 from tests.platform_fleet import (
     KEY,
     SECRET,
-    PlatformFleet,
     configuration,
+    open_fleet,
     wait_until,
 )
 
 
 @given('a fleet on the platform')
 def step_fleet(context):
-    async def start():
-        context.fleet = PlatformFleet()
-        await context.fleet.start()
-
-    context.run(start())
-    context.closers.append(context.fleet.stop)
+    open_fleet(context)
     context.turn_ids = {}
     context.program_id = 'program-1'
 
--- a/tests/steps/server_limits_steps.py
+++ b/tests/steps/server_limits_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from tests.platform_fleet import PlatformFleet
+from tests.platform_fleet import open_fleet
 
 #: Requests per second and caller, refused ones included.
 CALLER_RATE_PER_S = 10
@@ -14,12 +14,7 @@
 
 @given('a fleet on the platform with {count:d} gateways')
 def step_fleet(context, count):
-    async def start():
-        context.fleet = PlatformFleet()
-        await context.fleet.start(gateway_count=count)
-
-    context.run(start())
-    context.closers.append(context.fleet.stop)
+    open_fleet(context, gateway_count=count)
     context.gateway_count = count
 
 
--- a/tests/steps/watchers_steps.py
+++ b/tests/steps/watchers_steps.py
@@ -9,7 +9,7 @@
 from rattanvalve.channels import Address
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.watchers import watchers_of
-from tests.platform_fleet import PlatformFleet, configuration, wait_until
+from tests.platform_fleet import configuration, open_fleet, wait_until
 
 #: Calls per second of one watcher that watches four kinds of objects.
 WATCH_CALLS_PER_S = 6
@@ -65,9 +65,7 @@
     context.closers.append(patcher.stop)
     context.closers.remove(context.fleet.stop)
     context.run(context.fleet.stop())
-    context.fleet = PlatformFleet()
-    context.closers.append(context.fleet.stop)
-    context.run(context.fleet.start())
+    open_fleet(context)
 
 
 @when('a turn store that does not watch is retired and is done')
