Log crashes of servers with the fingerprints of what they ran

Callers' repeats of the request that crashes servers could not be told from other requests, nor a crash from a reset connection. A gateway whose connection breaks during a request now opens another one; if it is refused although the server's entry announces no shutdown, it logs 'endpoint crashed' with the fingerprints (path, workspace, body) of the requests there, and counts endpoint.crashed. Only requests that may be sent again wait for it, 0.1 s at most (resumable ones as before). Nothing is decided by it yet.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -41,6 +41,7 @@
     STORE_READ_BACK = 'store.read_back'
     SEALED = 'seal.done'
     REBUILT_RECORDS = 'seal.records'
+    ENDPOINT_CRASHED = 'endpoint.crashed'
     ENDPOINT_EJECTED = 'endpoint.ejected'
     ENDPOINT_LIMIT_STATED = 'endpoint.limit_stated'
     ENDPOINT_LIMIT_ENDED = 'endpoint.limit_ended'
--- a/rattanvalve/errors.py
+++ b/rattanvalve/errors.py
@@ -48,6 +48,10 @@
     """A server did not accept the connection, so nothing was sent."""
 
 
+class ServerRefusedError(ServerUnreachableError):
+    """The VM of a server is up, but no process listens at the address."""
+
+
 class ServerExchangeError(RattanvalveError):
     """The exchange with a server failed; the sent request may have run."""
 
--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -35,6 +35,8 @@
 UNREACHABLE_AVOID_S = 1.0
 #: The same after a connection that broke during a request.
 BROKEN_AVOID_S = 0.3
+#: Longest wait for the check of an endpoint before a request goes to the next.
+CRASH_CHECK_WAIT_S = 0.1
 #: Largest response body that is buffered until it is complete.
 BODY_BYTES_MAX = 8 * 1024 * 1024
 SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
@@ -89,6 +91,7 @@
         self._pool = tables.pool
         self._turns = turns
         self._health = HealthRecorder()
+        self._crash_watch = tables.crash_watch
 
     async def make(
         self,
@@ -138,8 +141,7 @@
             raise AttemptFailedError(
                 'broken',
                 may_have_run=True,
-                is_endpoint_down=call.route.is_resumable
-                and await self._is_unreachable(endpoint),
+                is_endpoint_down=await self._is_down(call, sent, endpoint),
             ) from error
         except AttemptFailedError:
             raise
@@ -147,6 +149,9 @@
             # The caller disconnected or the deadline passed. Closing the
             # connection cancels the request at the endpoint.
             connection.close()
+            self._crash_watch.abandon(
+                call, endpoint, sent.sent_s, time.monotonic()
+            )
             if call.has_stream_started:
                 sink.abort()
             raise
@@ -183,13 +188,23 @@
                 'unreachable', may_have_run=False
             ) from error
 
-    async def _is_unreachable(self, endpoint: EndpointEntry) -> bool:
-        """Check whether a new connection to an endpoint fails."""
-        try:
-            connection = await self._pool.open(endpoint)
-        except ServerUnreachableError:
-            return True
-        self._pool.release(endpoint, connection)
+    async def _is_down(
+        self, call: Call, sent: SentRequest, endpoint: EndpointEntry
+    ) -> bool:
+        """Check an endpoint after a broken connection.
+
+        Only requests that may be sent again wait for the result.
+
+        :returns: whether it is down; false if the request does not wait.
+        """
+        check = self._crash_watch.check(
+            call, endpoint, sent.sent_s, time.monotonic()
+        )
+        if not call.route.is_repeatable:
+            return False
+        if call.route.is_resumable:
+            return await asyncio.shield(check)
+        await asyncio.wait((check,), timeout=CRASH_CHECK_WAIT_S)
         return False
 
     async def _exchange(
--- a/rattanvalve/gateway/calls.py
+++ b/rattanvalve/gateway/calls.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from rattanvalve.gateway.events import EventParser
 from rattanvalve.gateway.loads import PromptPart
@@ -17,11 +18,14 @@
     'TurnHeaders',
     'parse_header_number',
     'parse_turn_headers',
+    'request_fingerprint',
 )
 
 
 #: Rank of requests that continue a program. Others rank behind by priority.
 CONTINUATION_RANK = 0
+#: Size of the digest that identifies a repeated request.
+FINGERPRINT_BYTES = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +82,26 @@
     event_parser: EventParser | None = None
     #: Whether other turns of the program have generated tokens.
     has_program_begun: bool = False
+    #: Text of :attr:`fingerprint`; empty until it is needed.
+    known_fingerprint: str = ''
     #: Whether the generated tokens were sent to the turn store.
     is_settled: bool = False
 
+    @property
+    def fingerprint(self) -> str:
+        """Return a digest that all repetitions of this request share.
+
+        Ids, the program and its earlier turns do not count, as they change
+        with each repetition.
+
+        :returns: hexadecimal digest of path, workspace and body.
+        """
+        if not self.known_fingerprint:
+            self.known_fingerprint = request_fingerprint(
+                self.target, self.workspace_name, self.body
+            )
+        return self.known_fingerprint
+
     @property
     def payload_bytes(self) -> int:
         """Return the content length of the forwarded request.
@@ -136,6 +157,21 @@
         return self.workspace.name if self.workspace else ''
 
 
+def request_fingerprint(target: str, workspace: str, body: bytes) -> str:
+    """Compute the digest that identifies a request when it is repeated.
+
+    :param target: path and query as received.
+    :param workspace: name of the caller's workspace.
+    :param body: body as received.
+    :returns: hexadecimal digest.
+    """
+    digest = blake2b(body, digest_size=FINGERPRINT_BYTES)
+    # No name contains a zero byte, so different parts give different inputs.
+    parts = f'\0{workspace}\0{target}'
+    digest.update(parts.encode('utf-8', 'surrogateescape'))
+    return digest.hexdigest()
+
+
 def parse_header_number(text: str | None) -> float | None:
     """Parse a header that holds a finite, non-negative number.
 
--- a/rattanvalve/gateway/directory.py
+++ b/rattanvalve/gateway/directory.py
@@ -107,6 +107,15 @@
         lapsed_entries = (lapsed.entry for lapsed in self._lapsed.values())
         return [*self._entries.values(), *lapsed_entries]
 
+    def is_expected_to_run(self, endpoint: EndpointEntry) -> bool:
+        """Return whether an endpoint should accept connections.
+
+        :param endpoint: the endpoint.
+        :returns: whether this incarnation is listed and announces no shutdown.
+        """
+        entry = self._entries.get(endpoint.name)
+        return _is_same(entry, endpoint) and self._takes_requests(entry)
+
     def mark_leaving(self, endpoint: EndpointEntry) -> None:
         """Stop sending requests to an endpoint that announced its shutdown.
 
--- a/rattanvalve/gateway/endpoint_tables.py
+++ b/rattanvalve/gateway/endpoint_tables.py
@@ -4,6 +4,7 @@
 
 from rattanvalve.counters import Metrics
 from rattanvalve.gateway.connection_pool import ConnectionPool
+from rattanvalve.gateway.crash_watch import CrashWatch
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.endpoint_limits import EndpointLimits
 from rattanvalve.gateway.loads import LoadTable
@@ -26,12 +27,17 @@
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     limits: EndpointLimits = field(init=False)
     directory: EndpointDirectory = field(init=False)
+    crash_watch: CrashWatch = field(init=False)
 
     def __post_init__(self) -> None:
         self.limits = EndpointLimits(self.metrics)
         self.directory = EndpointDirectory(self._forget)
+        self.crash_watch = CrashWatch(
+            self.pool, self.directory, self.metrics, lambda endpoint, runs: None
+        )
 
     def _forget(self, endpoint: EndpointEntry) -> None:
         self.pool.forget(endpoint)
         self.loads.forget(endpoint)
         self.limits.forget(endpoint)
+        self.crash_watch.forget(endpoint)
--- a/rattanvalve/gateway/server_connection.py
+++ b/rattanvalve/gateway/server_connection.py
@@ -4,7 +4,11 @@
 import socket
 
 from rattanvalve.channels import Address
-from rattanvalve.errors import ServerExchangeError, ServerUnreachableError
+from rattanvalve.errors import (
+    ServerExchangeError,
+    ServerRefusedError,
+    ServerUnreachableError,
+)
 from rattanvalve.gateway.response_parser import ResponseHead, ResponseParser
 
 __all__ = ('ServerConnection', 'open_connection')
@@ -147,6 +151,7 @@
     :returns: an open connection.
     :raises ServerUnreachableError: if the connection fails or times out; no
         request was sent.
+    :raises ServerRefusedError: the same, if nothing listens at the address.
     """
     loop = asyncio.get_running_loop()
     try:
@@ -156,6 +161,10 @@
                 address.host,
                 address.port,
             )
+    except ConnectionRefusedError as error:
+        raise ServerRefusedError(
+            f'{address.host}:{address.port} refuses connections',
+        ) from error
     except (OSError, TimeoutError) as error:
         raise ServerUnreachableError(
             f'cannot connect to {address.host}:{address.port}',
