--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -5,6 +5,7 @@
 import shutil
 import socket
 import tempfile
+import time
 from contextlib import suppress
 from pathlib import Path
 
@@ -14,6 +15,7 @@
 from rattanvalve.errors import PeerError
 from rattanvalve.gateway.process import GatewayProcess
 from rattanvalve.platform.nodefile import NodeSettings
+from rattanvalve.standins.crashes import DeadlyRequests
 from rattanvalve.turnstore.process import TurnStoreProcess
 from tests.loopback import network
 from tests.platform_servers import PlatformServer
@@ -23,6 +25,8 @@
 KEY = 'key-of-farm'
 OTHER_KEY = 'key-of-shop'
 WAIT_S = 10.0
+#: Longest time until a crashed server is back.
+SERVER_DOWN_S = 1.0
 KEY_REVOCATION_S = 1.0
 _numbers = itertools.count(1)
 
@@ -109,6 +113,8 @@
         self.gateways = {}
         self.first_host_number = next(_numbers) * 10
         self.session = None
+        self.deadly = DeadlyRequests()
+        self._restart_task = None
 
     async def start(
         self,
@@ -127,9 +133,12 @@
         self.session = aiohttp.ClientSession(auto_decompress=False)
         for index in range(gateway_count):
             await self.wait_ready(index)
+        self._restart_task = asyncio.ensure_future(self._restart_servers())
 
     async def stop(self):
         """Stop all processes and remove the data folders."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
         await asyncio.gather(*map(self.stop_process, tuple(self.tasks)))
         await self.session.close()
         for server in self.servers.values():
@@ -140,16 +149,30 @@
     async def add_server(self, name):
         """Start a server and register it in the object store."""
         server = self.servers[name] = PlatformServer(name)
+        server.deadly = self.deadly
+        await server.start()
+        self._register(server, born_ms=1)
+        return server
+
+    def _register(self, server, born_ms):
         spec = {
-            'service': name.partition('-')[0],
-            'address': await server.start(),
+            'service': server.name.partition('-')[0],
+            'address': server.address,
             'zone': 'z',
             'slots': 4,
             'state': 'ready',
-            'born': 1,
+            'born': born_ms,
         }
-        self.store.put('servers', name, spec)
-        return server
+        self.store.put('servers', server.name, spec)
+
+    async def _restart_servers(self):
+        """Start crashed servers again after ``SERVER_DOWN_S``."""
+        while True:
+            await asyncio.sleep(SERVER_DOWN_S)
+            for server in self.servers.values():
+                if server.is_down:
+                    await server.start_again()
+                    self._register(server, time.time_ns() // 1_000_000)
 
     def host(self, role, index):
         """Return the loopback address of a process, unique in the test run."""
--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -4,6 +4,7 @@
 import time
 from urllib.parse import urlsplit
 
+from rattanvalve.standins.crashes import DeadlyRequests
 from rattanvalve.standins.limits import StatedRate
 
 EVENTS = (
@@ -24,6 +25,9 @@
 
     def __init__(self, name):
         self.name = name
+        self.deadly = DeadlyRequests()
+        self.is_down = False
+        self._writers = set()
         self.requests = []
         self.left = asyncio.Event()
         self.release = asyncio.Event()
@@ -36,11 +40,28 @@
 
     async def start(self):
         """Listen; return the address as ``HOST:PORT``."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
+        await self._listen(0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{self.port}'
         return self.address
 
+    async def start_again(self):
+        """Listen at the former address after a crash."""
+        await self._listen(self.port)
+        self.is_down = False
+
+    async def _listen(self, port):
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
+
+    def crash(self):
+        """Stop listening and reset all connections."""
+        self.is_down = True
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def stop(self):
         """Stop listening; open connections stay."""
         self._server.close()
@@ -51,11 +72,13 @@
 
     async def _serve(self, reader, writer):
         self.connection_count += 1
+        self._writers.add(writer)
         try:
             await self._serve_requests(reader, writer)
         except (asyncio.IncompleteReadError, OSError) as error:
             self.last_error = error
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_requests(self, reader, writer):
@@ -74,6 +97,10 @@
         if self.refuses:
             writer.write(self._whole(request_id, b'', 503, 'Not-Executed: 1'))
             return
+        if self.deadly.is_deadly(body):
+            self.deadly.record_crash(body, time.monotonic())
+            self.crash()
+            return
         action = urlsplit(target).path.rpartition('/')[2]
         handler = getattr(self, f'_do_{action}', self._do_whole)
         await handler(request_id, reader, writer)
