Block requests that crash servers, in the whole fleet

Cause: a crash was charged to the server alone, and no process remembered the request; each gateway saw too few of the crashes to know.

Change: a gateway that sees a crash records (fingerprint, incarnation) of each request there. The records spread through the exchange that so far carried limits; they are only added and cleared, so all processes agree without an owner, and a digest keeps lists from being sent again. Turn stores answer as soon as they hear of a crash and keep the records on disk. A request at three crashes that no other explains is refused at once with 501 (1506) before budget, context and rate are touched; where two explain them, both wait (503, 1308). A whole response clears. Suspects run apart, repetitions of one at the same endpoint, and never at the last half of a service. Crashed incarnations get nothing.

tests/gateway/deadly_requests.feature failed before (18 late crashes) and leaves the list of known failures.

--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -357,8 +357,21 @@
   4: i64 age_ms
 }
 
-struct EndpointLimitList {
+struct RequestCrash {
+  1: string fingerprint
+  2: string endpoint
+  3: string workspace
+  4: string path
+  5: i64 run_ms
+  6: i64 crash_age_ms
+  7: bool is_cleared
+}
+
+struct Observations {
   1: list<EndpointLimit> limits
+  2: list<RequestCrash> crashes
+  3: i64 crash_digest
+  4: i64 wait_ms
 }
 
 struct TakeEndpointRate {
--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -52,6 +52,8 @@
     RUN_PAUSED = 'run.paused'
     RUN_RESUMED = 'run.resumed'
     PAUSE_REFUSED = 'run.pause_refused'
+    REQUEST_BLOCKED = 'request.blocked'
+    REQUEST_UNBLOCKED = 'request.unblocked'
     FRAME_REJECTED = 'frame.rejected'
     RELOADED = 'settings.reloaded'
     RELOAD_FAILED = 'settings.reload_failed'
--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -117,10 +117,7 @@
         connection = await self._connect(call, chosen)
         load = self._loads.get(endpoint)
         sent = SentRequest.now(demand, endpoint, load, time.monotonic())
-        self._record_limit(endpoint, trace)
-        self._loads.record_start(endpoint)
-        if demand.is_generation:
-            load.record_prompt(demand.parts, demand.cache_tokens)
+        self._record_start(endpoint, demand, trace)
         try:
             with self._health.track(call, sent, load.health, trace):
                 async with asyncio.timeout_at(
@@ -135,6 +132,7 @@
                             sink,
                             trace,
                         )
+                self._tables.crashes.record_served(call)
         except ServerExchangeError as error:
             connection.close()
             self._avoid(endpoint, BROKEN_AVOID_S)
@@ -149,17 +147,31 @@
             # The caller disconnected or the deadline passed. Closing the
             # connection cancels the request at the endpoint.
             connection.close()
-            self._crash_watch.abandon(
-                call, endpoint, sent.sent_s, time.monotonic()
-            )
-            if call.has_stream_started:
-                sink.abort()
+            self._abandon(call, sent, endpoint, sink)
             raise
         finally:
             self._loads.record_end(endpoint)
             self._pool.release(endpoint, connection)
 
-    def _record_limit(self, endpoint: EndpointEntry, trace: Trace) -> None:
+    def _abandon(
+        self,
+        call: Call,
+        sent: SentRequest,
+        endpoint: EndpointEntry,
+        sink: Sink,
+    ) -> None:
+        """End a request whose caller left or whose deadline passed."""
+        self._crash_watch.abandon(call, endpoint, sent.sent_s, time.monotonic())
+        if call.has_stream_started:
+            sink.abort()
+
+    def _record_start(
+        self, endpoint: EndpointEntry, demand: Demand, trace: Trace
+    ) -> None:
+        self._loads.record_start(endpoint)
+        if demand.is_generation:
+            load = self._loads.get(endpoint)
+            load.record_prompt(demand.parts, demand.cache_tokens)
         limit_per_s = self._tables.limits.rate_per_s(endpoint)
         trace.limits_per_s.append(limit_per_s)
         if limit_per_s is not None:
--- a/rattanvalve/gateway/endpoint_choice.py
+++ b/rattanvalve/gateway/endpoint_choice.py
@@ -23,7 +23,9 @@
 )
 from rattanvalve.gateway.rate_client import RateClient
 from rattanvalve.gateway.service_capacity import ServiceCapacity
+from rattanvalve.gateway.suspects import place_suspect
 from rattanvalve.gateway.trace import Trace
+from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.statedlimits import kept_rate_per_s
 from rattanvalve.turn_messages import RateGrant, TakeEndpointRate
@@ -48,6 +50,11 @@
 #: Time without a response from an endpoint after which such a program may start
 #: there, as only a response shows that the limit has ended.
 SILENCE_MIN_S = 5.0
+#: Share of the endpoints of a service that must run before a request gets one
+#: that was at several crashes.
+RUNNING_SHARE_MIN = 0.5
+#: Delay after which such a request may return.
+SUSPECT_RETRY_AFTER_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,9 +134,14 @@
         while len(refused) < TOKEN_REQUESTS_MAX:
             now_s = time.monotonic()
             candidates = self._candidates(demand, tried, now_s)
+            refusal = self._protect(call, demand, candidates, now_s)
+            if refusal is not None:
+                return refusal
             claim = self._claim(call, demand, candidates, now_s)
             with_room = self._with_room(claim, candidates, now_s)
-            endpoint = choose_endpoint(
+            endpoint = self._place_suspect(
+                call, with_room, refused, now_s
+            ) or choose_endpoint(
                 demand,
                 with_room,
                 self._tables.loads,
@@ -152,11 +164,58 @@
         now_s = time.monotonic()
         return self._capacity.refuse(call, demand, candidates, now_s)
 
+    def _protect(
+        self,
+        call: Call,
+        demand: Demand,
+        candidates: Sequence[EndpointEntry],
+        now_s: float,
+    ) -> Refusal | None:
+        """Keep the last endpoints of a service from a suspect."""
+        table = self._tables.crashes.table
+        if not table.isolated or call.fingerprint not in table.isolated:
+            return None
+        known_count = len(self._tables.directory.usable(demand.service, now_s))
+        if len(candidates) >= known_count * RUNNING_SHARE_MIN:
+            return None
+        return Refusal(ResultCode.REQUEST_SUSPECTED, SUSPECT_RETRY_AFTER_S)
+
+    def _place_suspect(
+        self,
+        call: Call,
+        endpoints: Sequence[EndpointEntry],
+        refused: Collection[str],
+        now_s: float,
+    ) -> EndpointEntry | None:
+        """Choose the endpoint of a request that may crash it."""
+        crashes = self._tables.crashes
+        if not crashes.is_suspect(call):
+            return None
+        available = {
+            endpoint.name: endpoint
+            for endpoint in endpoints
+            if endpoint.name not in refused
+            and self._tables.loads.get(endpoint).avoided_until_s <= now_s
+        }
+        name = place_suspect(crashes.table, call.fingerprint, available)
+        return available.get(name)
+
     def _candidates(
         self, demand: Demand, tried: Collection[str], now_s: float
     ) -> list[EndpointEntry]:
         usable = self._tables.directory.usable(demand.service, now_s)
-        return [endpoint for endpoint in usable if endpoint.name not in tried]
+        candidates = [
+            endpoint for endpoint in usable if endpoint.name not in tried
+        ]
+        crashes = self._tables.crashes.table
+        if crashes.is_empty():
+            return candidates
+        running = [
+            endpoint
+            for endpoint in candidates
+            if not crashes.has_crashed(endpoint.key, now_s)
+        ]
+        return running or candidates
 
     def _claim(
         self,
--- a/rattanvalve/gateway/endpoint_tables.py
+++ b/rattanvalve/gateway/endpoint_tables.py
@@ -8,6 +8,7 @@
 from rattanvalve.gateway.directory import EndpointDirectory
 from rattanvalve.gateway.endpoint_limits import EndpointLimits
 from rattanvalve.gateway.loads import LoadTable
+from rattanvalve.gateway.request_crashes import RequestCrashes
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 
 __all__ = ('EndpointTables',)
@@ -15,7 +16,7 @@
 
 @dataclass(slots=True)
 class EndpointTables:
-    """Entries, loads, limits and connections of all known endpoints.
+    """Entries, loads, limits, crashes and connections of all endpoints.
 
     An endpoint that the directory drops is removed from all tables.
 
@@ -26,14 +27,16 @@
     loads: LoadTable = field(default_factory=LoadTable)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     limits: EndpointLimits = field(init=False)
+    crashes: RequestCrashes = field(init=False)
     directory: EndpointDirectory = field(init=False)
     crash_watch: CrashWatch = field(init=False)
 
     def __post_init__(self) -> None:
         self.limits = EndpointLimits(self.metrics)
+        self.crashes = RequestCrashes(self.metrics, self.limits.news)
         self.directory = EndpointDirectory(self._forget)
         self.crash_watch = CrashWatch(
-            self.pool, self.directory, self.metrics, lambda endpoint, runs: None
+            self.pool, self.directory, self.metrics, self.crashes.record_crash
         )
 
     def _forget(self, endpoint: EndpointEntry) -> None:
--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -108,6 +108,7 @@
         trace: Trace,
     ) -> ChosenEndpoint | Refusal:
         refusal = self._check(call, trace)
+        refusal = refusal or await self._decide_crashes(call, trace)
         if refusal is not None:
             return refusal
         chosen = None
@@ -126,13 +127,19 @@
         trace.expected_count = load.expected_count(time.monotonic())
         return chosen
 
+    async def _decide_crashes(self, call: Call, trace: Trace) -> Refusal | None:
+        """Return a refusal if the request crashes endpoints."""
+        refusal = await self._tables.crashes.decide(call)
+        return refusal and _unless_run(trace, refusal)
+
     def _check(self, call: Call, trace: Trace) -> Refusal | None:
         """Return a refusal if the request must not be sent any more."""
         if not self._state.rules.allows(call.key, call.workspace):
             return Refusal(ResultCode.KEY_WITHDRAWN)
         if call.deadline_s - time.monotonic() < REMAINING_TIME_MIN_S:
             return _deadline_refusal(trace)
-        return None
+        refusal = self._tables.crashes.refuse(call)
+        return refusal and _unless_run(trace, refusal)
 
     def _timeout_refusal(self, call: Call, trace: Trace) -> Refusal:
         """Return the refusal for a request whose timeout expired.
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -16,6 +16,7 @@
 from rattanvalve.gateway.member_calls import MemberCalls
 from rattanvalve.gateway.rate_client import RateClient
 from rattanvalve.gateway.reading import RequestReader
+from rattanvalve.gateway.request_crashes import RequestCrashes
 from rattanvalve.gateway.start_wait import StartWait
 from rattanvalve.gateway.trace import Trace
 from rattanvalve.gateway.turns import TurnManager
@@ -50,8 +51,9 @@
     :param turns: prepares and settles turns.
     :param calls: client of the turn store members.
     :param page: metrics of this process.
-    :param has_read_limits: whether the limits of endpoints were read since the
-        start.
+    :param crashes: requests that are refused, as they crash servers.
+    :param has_read_observations: whether limits and crashes of endpoints were
+        read since the start.
     """
 
     def __init__(
@@ -61,7 +63,8 @@
         turns: TurnManager,
         calls: MemberCalls,
         page: MetricsPage,
-        has_read_limits: Callable[[], bool],
+        crashes: RequestCrashes,
+        has_read_observations: Callable[[], bool],
     ) -> None:
         self._page = page
         self.is_stopping = False
@@ -72,8 +75,9 @@
         self._turns = turns
         self._calls = calls
         self._rates = RateClient(calls)
+        self._crashes = crashes
         self._start_wait = StartWait(
-            lambda: self.can_serve_programs() and has_read_limits(),
+            lambda: self.can_serve_programs() and has_read_observations(),
             time.monotonic(),
         )
 
@@ -135,6 +139,9 @@
             return call
         trace.workspace = call.workspace_name
         trace.route = call.route.name
+        refusal = await self._crashes.decide(call)
+        if refusal is not None:
+            return refusal
         if self._calls.is_cut_off():
             return self._refuse_cut_off(sink)
         try:
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -12,13 +12,13 @@
 from rattanvalve.gateway.endpoint_tables import EndpointTables
 from rattanvalve.gateway.forwarding import Forwarder
 from rattanvalve.gateway.ingress import Ingress
-from rattanvalve.gateway.limit_exchange import LimitExchange
 from rattanvalve.gateway.listening import (
     caller_server,
     listen,
     readiness_server,
 )
 from rattanvalve.gateway.member_calls import MemberCalls
+from rattanvalve.gateway.observation_exchange import ObservationExchange
 from rattanvalve.gateway.relays import RelayService
 from rattanvalve.gateway.turn_cache import TurnCache
 from rattanvalve.gateway.turn_client import TurnClient
@@ -107,8 +107,11 @@
             EndpointChooser(self._tables, self._calls, node.zone),
             self._attempts,
         )
-        self._limit_exchange = LimitExchange(
-            self._calls, self._tables.limits, self._tables.directory.known
+        self._exchange = ObservationExchange(
+            self._calls,
+            self._tables.limits,
+            self._tables.crashes,
+            self._tables.directory.known,
         )
         self._page = MetricsPage(self._state.metrics)
         self._ingress = Ingress(
@@ -117,7 +120,8 @@
             turns,
             self._calls,
             self._page,
-            lambda: self._limit_exchange.has_read_limits,
+            self._tables.crashes,
+            lambda: self._exchange.has_read,
         )
         self._state.board.subscribe(DocumentKind.SERVERS, self._apply_servers)
         self._state.board.subscribe(DocumentKind.RULES, self._apply_rules)
@@ -193,7 +197,7 @@
             *(follower.run for follower in followers),
             self._state.exchange(self._peers).run,
             self._calls.relays.run,
-            self._limit_exchange.run,
+            self._exchange.run,
             self._tables.pool.run,
         ]
 
--- a/rattanvalve/gateway/relays.py
+++ b/rattanvalve/gateway/relays.py
@@ -18,10 +18,10 @@
 from rattanvalve.peers import PeerPool
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.turn_messages import (
-    EndpointLimitList,
     FetchTurn,
     GatewayList,
     Introduce,
+    Observations,
     ProbeRelay,
     Relayed,
     RelayState,
@@ -55,7 +55,7 @@
     FetchTurn,
     TakeRate,
     TakeEndpointRate,
-    EndpointLimitList,
+    Observations,
 )
 
 _log = part_logger(LogPart.PEER)
--- a/rattanvalve/resultcodes.py
+++ b/rattanvalve/resultcodes.py
@@ -43,6 +43,7 @@
     STARTING = 1305
     TURN_STORE_UNAVAILABLE = 1306
     ENDPOINTS_LIMITED = 1307
+    REQUEST_SUSPECTED = 1308
     STALE_EPOCH = 1401
     STALE_TICKET = 1402
     DUPLICATE_TICKET = 1403
@@ -55,6 +56,7 @@
     OUTCOME_UNKNOWN = 1503
     CALLER_GONE = 1504
     RESPONSE_EVICTED = 1505
+    REQUEST_CRASHES_SERVERS = 1506
     BAD_CONFIGURATION = 1601
     CONFLICT = 1602
     STORE_UNAVAILABLE = 1603
@@ -203,6 +205,13 @@
         True,
         'all endpoints of the service are at the rate that they accept',
     ),
+    (
+        ResultCode.REQUEST_SUSPECTED,
+        503,
+        _SERVER,
+        True,
+        'servers have crashed while they ran this request and others',
+    ),
     (
         ResultCode.STARTING,
         503,
@@ -282,6 +291,13 @@
         False,
         'the request ran, but its recorded response is no longer kept',
     ),
+    (
+        ResultCode.REQUEST_CRASHES_SERVERS,
+        501,
+        _SERVER,
+        False,
+        'servers have crashed while they ran this request',
+    ),
     (
         ResultCode.BAD_CONFIGURATION,
         422,
--- a/rattanvalve/turn_messages.py
+++ b/rattanvalve/turn_messages.py
@@ -8,7 +8,6 @@
 
 __all__ = (
     'EndpointLimit',
-    'EndpointLimitList',
     'FetchRecords',
     'FetchTurn',
     'GatewayList',
@@ -16,6 +15,7 @@
     'Ledger',
     'LedgerEntry',
     'ListRecords',
+    'Observations',
     'ProbeRelay',
     'RateGrant',
     'RecordBatch',
@@ -23,6 +23,7 @@
     'RecordList',
     'RelayState',
     'Relayed',
+    'RequestCrash',
     'Reserve',
     'SettleTurn',
     'Stored',
@@ -241,10 +242,37 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class EndpointLimitList:
-    """Limits that a gateway knows; the answer has those of the store."""
+class RequestCrash:
+    """Crash of one incarnation of an endpoint while it ran a request.
+
+    ``run_ms`` is the time from sending the request to the crash, and
+    ``crash_age_ms`` the time since then. ``is_cleared`` means that the request
+    was served as a whole afterwards, or that an operator lifted its block.
+    """
+
+    fingerprint: str = ''
+    endpoint: str = ''
+    workspace: str = ''
+    path: str = ''
+    run_ms: int = 0
+    crash_age_ms: int = 0
+    is_cleared: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Observations:
+    """What a process knows of limits and crashes of endpoints.
+
+    ``crash_digest`` is the digest of all crashes that the sender knows.
+    ``crashes`` holds only those that the receiver may lack. A turn store that
+    knows no more of them than the sender waits up to ``wait_ms`` for news
+    before it answers.
+    """
 
     limits: tuple[EndpointLimit, ...] = ()
+    crashes: tuple[RequestCrash, ...] = ()
+    crash_digest: int = 0
+    wait_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/rattanvalve/turnstore/documentfiles.py
+++ b/rattanvalve/turnstore/documentfiles.py
@@ -18,7 +18,7 @@
 from rattanvalve.sharedstate.exchange import EXCHANGED_KINDS
 from rattanvalve.turnstore.durablefiles import replace_file
 
-__all__ = ('DocumentFiles',)
+__all__ = ('DocumentFiles', 'decode_document', 'encode_document')
 
 #: Servers that register within this interval cause a single write.
 SAVE_INTERVAL_S = 0.5
@@ -49,7 +49,7 @@
         for kind in EXCHANGED_KINDS:
             try:
                 body = self._file_path(kind).read_bytes()
-                document = _decode(body)
+                document = decode_document(body)
             except FileNotFoundError:
                 # No document of this kind was saved yet.
                 continue
@@ -81,7 +81,7 @@
                 await asyncio.to_thread(
                     replace_file,
                     self._file_path(kind),
-                    _encode(document),
+                    encode_document(document),
                 )
             except OSError as error:
                 _log.warning(
@@ -95,16 +95,25 @@
         return self._folder / f'{kind}{_SUFFIX}'
 
 
-def _encode(document: Document) -> bytes:
+def encode_document(document: Document) -> bytes:
+    """Encode a document for a file.
+
+    :param document: the document.
+    :returns: checksum and encoded document.
+    """
     payload = wire.encode_struct(document)
     return _CHECKSUM.pack(crc32(payload)) + payload
 
 
-def _decode(body: bytes) -> Document:
+def decode_document(body: bytes) -> Document:
     """Decode a saved document.
 
     The checksum guards the version: a corrupted one that is too high would
     block the adoption of newer documents.
+
+    :param body: content of the file.
+    :returns: the document.
+    :raises FrameError: if the content is damaged.
     """
     payload = body[_CHECKSUM.size :]
     if body[: _CHECKSUM.size] != _CHECKSUM.pack(crc32(payload)):
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -20,8 +20,10 @@
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.members import MembersView, StoreMember
 from rattanvalve.sharedstate.object_follower import offer_document
+from rattanvalve.sharedstate.request_crashes import CrashTable
 from rattanvalve.sharedstate.shared_state import SharedState
 from rattanvalve.sharedstate.tasks import run_tasks
+from rattanvalve.turnstore.crashfile import CrashFile
 from rattanvalve.turnstore.disklog import DiskLog
 from rattanvalve.turnstore.documentfiles import DocumentFiles
 from rattanvalve.turnstore.durablefiles import replace_file
@@ -58,12 +60,16 @@
         self._turn_log = TurnLog(DiskLog(node.data_folder / 'turns'))
         self._shares = RateShares(node.name)
         self._endpoint_rates = EndpointRates(node.name)
+        self._crashes = CrashTable()
         self._pool = PeerPool(peer_secret)
         self._peer_secret = peer_secret
         self._document_files = DocumentFiles(
             node.data_folder / 'documents',
             self._state.board,
         )
+        self._crash_file = CrashFile(
+            node.data_folder / 'documents' / 'crashes', self._crashes
+        )
         self._complete_marker = node.data_folder / _COMPLETE_MARKER_NAME
         self._is_complete = self._complete_marker.exists()
         # Assumed until the first list of members arrives.
@@ -73,6 +79,7 @@
             self._turn_log,
             self._shares,
             self._endpoint_rates,
+            self._crashes,
             lambda: self._is_complete,
             placement,
         )
@@ -99,6 +106,7 @@
                 'disk',
                 self._state.metrics,
             )
+        self._crash_file.load(time.time(), time.monotonic())
         handlers = self._service.handlers() | document_handlers(
             self._state.board,
             self._state.metrics,
@@ -157,6 +165,7 @@
             self._state.exchange(self._pool, tuple(DocumentKind)).run,
             self._replicator.run,
             self._document_files.run,
+            self._crash_file.run,
             self._sweep,
         ]
 
@@ -203,3 +212,4 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._turn_log.sweep(time.time())
             self._endpoint_rates.expire(time.monotonic())
+            self._crashes.expire(time.monotonic())
--- a/rattanvalve/turnstore/service.py
+++ b/rattanvalve/turnstore/service.py
@@ -1,18 +1,21 @@
 """Handlers of the messages that a turn store receives."""
 
+import asyncio
 import secrets
 import time
 from collections.abc import Callable
+from contextlib import suppress
 
 from rattanvalve.channels import Handler, Send
+from rattanvalve.sharedstate.request_crashes import CrashTable
 from rattanvalve.turn_messages import (
-    EndpointLimitList,
     FetchRecords,
     FetchTurn,
     GatewayList,
     Introduce,
     Ledger,
     ListRecords,
+    Observations,
     RecordBatch,
     RecordList,
     Reserve,
@@ -35,6 +38,8 @@
 #: Lifetime of a gateway's entry; each gateway announces itself to one of the
 #: stores every second.
 GATEWAY_TTL_S = 30.0
+#: Longest time for which the answer to a gateway waits for a crash.
+CRASH_WAIT_MAX_S = 5.0
 
 
 class TurnService:
@@ -43,6 +48,7 @@
     :param turn_log: records of this store.
     :param shares: this store's shares of the workspaces' rates.
     :param endpoint_rates: its shares of the limits that endpoints state.
+    :param crashes: crashes of endpoints and the requests that they ran.
     :param is_complete: returns whether the answers of this store are
         authoritative for records that it does not find.
     :param placement: determines which members store a program's records.
@@ -53,6 +59,7 @@
         turn_log: TurnLog,
         shares: RateShares,
         endpoint_rates: EndpointRates,
+        crashes: CrashTable,
         is_complete: Callable[[], bool],
         placement: RecordPlacement,
     ) -> None:
@@ -62,6 +69,9 @@
         self._turn_log = turn_log
         self._shares = shares
         self._endpoint_rates = endpoint_rates
+        self._crashes = crashes
+        #: Set when a record is new; each record gets a new event.
+        self._crash_news = asyncio.Event()
         self._is_complete = is_complete
         self._placement = placement
         self._incarnation = secrets.token_hex(8)
@@ -82,7 +92,7 @@
             FetchRecords: self._fetch_records,
             TakeRate: self._take_rate,
             TakeEndpointRate: self._take_endpoint_rate,
-            EndpointLimitList: self._exchange_limits,
+            Observations: self._exchange_observations,
             Introduce: self._introduce,
         }
 
@@ -135,13 +145,32 @@
     ) -> None:
         await send(self._endpoint_rates.take(message, time.monotonic()))
 
-    async def _exchange_limits(
-        self, message: EndpointLimitList, send: Send
+    async def _exchange_observations(
+        self, message: Observations, send: Send
     ) -> None:
         now_s = time.monotonic()
         limits = self._endpoint_rates.limits
         limits.merge_reports(message.limits, now_s)
-        await send(EndpointLimitList(limits=limits.reports(now_s)))
+        if self._crashes.merge(message.crashes, now_s):
+            self._crash_news.set()
+            self._crash_news = asyncio.Event()
+        if message.wait_ms and self._crashes.digest == message.crash_digest:
+            await self._wait_for_crashes(message.wait_ms / 1000)
+            now_s = time.monotonic()
+        digest = self._crashes.digest
+        is_same = digest == message.crash_digest
+        await send(
+            Observations(
+                limits=limits.reports(now_s),
+                crashes=() if is_same else self._crashes.reports(now_s),
+                crash_digest=digest,
+            )
+        )
+
+    async def _wait_for_crashes(self, duration_s: float) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(min(duration_s, CRASH_WAIT_MAX_S)):
+                await self._crash_news.wait()
 
     async def _introduce(self, message: Introduce, send: Send) -> None:
         now_s = time.monotonic()
--- a/rattanvalve/wire.py
+++ b/rattanvalve/wire.py
@@ -86,7 +86,7 @@
     39: turn_messages.ProbeRelay,
     40: turn_messages.RelayState,
     41: turn_messages.Relayed,
-    42: turn_messages.EndpointLimitList,
+    42: turn_messages.Observations,
     43: turn_messages.TakeEndpointRate,
 }
 _KIND_NUMBERS = {
--- a/rattanvalve/wire_gen/ttypes.py
+++ b/rattanvalve/wire_gen/ttypes.py
@@ -4639,16 +4639,145 @@
         return not (self == other)
 
 
-class EndpointLimitList(object):
+class RequestCrash(object):
+    """
+    Attributes:
+     - fingerprint
+     - endpoint
+     - workspace
+     - path
+     - run_ms
+     - crash_age_ms
+     - is_cleared
+
+    """
+
+
+    def __init__(self, fingerprint=None, endpoint=None, workspace=None, path=None, run_ms=None, crash_age_ms=None, is_cleared=None,):
+        self.fingerprint = fingerprint
+        self.endpoint = endpoint
+        self.workspace = workspace
+        self.path = path
+        self.run_ms = run_ms
+        self.crash_age_ms = crash_age_ms
+        self.is_cleared = is_cleared
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.workspace = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.run_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.crash_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_cleared = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RequestCrash')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 2)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.STRING, 3)
+            oprot.writeString(self.workspace.encode('utf-8') if sys.version_info[0] == 2 else self.workspace)
+            oprot.writeFieldEnd()
+        if self.path is not None:
+            oprot.writeFieldBegin('path', TType.STRING, 4)
+            oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
+            oprot.writeFieldEnd()
+        if self.run_ms is not None:
+            oprot.writeFieldBegin('run_ms', TType.I64, 5)
+            oprot.writeI64(self.run_ms)
+            oprot.writeFieldEnd()
+        if self.crash_age_ms is not None:
+            oprot.writeFieldBegin('crash_age_ms', TType.I64, 6)
+            oprot.writeI64(self.crash_age_ms)
+            oprot.writeFieldEnd()
+        if self.is_cleared is not None:
+            oprot.writeFieldBegin('is_cleared', TType.BOOL, 7)
+            oprot.writeBool(self.is_cleared)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Observations(object):
     """
     Attributes:
      - limits
+     - crashes
+     - crash_digest
+     - wait_ms
 
     """
 
 
-    def __init__(self, limits=None,):
+    def __init__(self, limits=None, crashes=None, crash_digest=None, wait_ms=None,):
         self.limits = limits
+        self.crashes = crashes
+        self.crash_digest = crash_digest
+        self.wait_ms = wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4670,6 +4799,27 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = RequestCrash()
+                        _elem102.read(iprot)
+                        self.crashes.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.crash_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.wait_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4679,14 +4829,29 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('EndpointLimitList')
+        oprot.writeStructBegin('Observations')
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter97 in self.limits:
-                iter97.write(oprot)
+            for iter103 in self.limits:
+                iter103.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter104 in self.crashes:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.crash_digest is not None:
+            oprot.writeFieldBegin('crash_digest', TType.I64, 3)
+            oprot.writeI64(self.crash_digest)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I64, 4)
+            oprot.writeI64(self.wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5194,10 +5359,24 @@
     (3, TType.DOUBLE, 'rate_per_s', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
 )
-all_structs.append(EndpointLimitList)
-EndpointLimitList.thrift_spec = (
+all_structs.append(RequestCrash)
+RequestCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'endpoint', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'workspace', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'path', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'run_ms', None, None, ),  # 5
+    (6, TType.I64, 'crash_age_ms', None, None, ),  # 6
+    (7, TType.BOOL, 'is_cleared', None, None, ),  # 7
+)
+all_structs.append(Observations)
+Observations.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [RequestCrash, None], False), None, ),  # 2
+    (3, TType.I64, 'crash_digest', None, None, ),  # 3
+    (4, TType.I64, 'wait_ms', None, None, ),  # 4
 )
 all_structs.append(TakeEndpointRate)
 TakeEndpointRate.thrift_spec = (
--- a/tests/gateway/deadly_requests.feature
+++ b/tests/gateway/deadly_requests.feature
@@ -1,6 +1,5 @@
 Feature: requests that crash the servers that run them
 
-  @known_red
   Scenario: a request that crashed three servers is sent to more of them
     Given a fleet on the platform with 4 gateways and 6 plain servers
     When a request that crashes servers comes through all gateways for 9 s
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -154,26 +154,6 @@
         self._register(server, born_ms=1)
         return server
 
-    def _register(self, server, born_ms):
-        spec = {
-            'service': server.name.partition('-')[0],
-            'address': server.address,
-            'zone': 'z',
-            'slots': 4,
-            'state': 'ready',
-            'born': born_ms,
-        }
-        self.store.put('servers', server.name, spec)
-
-    async def _restart_servers(self):
-        """Start crashed servers again after ``SERVER_DOWN_S``."""
-        while True:
-            await asyncio.sleep(SERVER_DOWN_S)
-            for server in self.servers.values():
-                if server.is_down:
-                    await server.start_again()
-                    self._register(server, time.time_ns() // 1_000_000)
-
     def host(self, role, index):
         """Return the loopback address of a process, unique in the test run."""
         offset = 0 if role == 'store' else 5
@@ -274,6 +254,26 @@
         writer.write('\r\n'.join((*lines, '', '')).encode())
         return await asyncio.wait_for(reader.read(), WAIT_S)
 
+    def _register(self, server, born_ms):
+        spec = {
+            'service': server.name.partition('-')[0],
+            'address': server.address,
+            'zone': 'z',
+            'slots': 4,
+            'state': 'ready',
+            'born': born_ms,
+        }
+        self.store.put('servers', server.name, spec)
+
+    async def _restart_servers(self):
+        """Start crashed servers again after ``SERVER_DOWN_S``."""
+        while True:
+            await asyncio.sleep(SERVER_DOWN_S)
+            for server in self.servers.values():
+                if server.is_down():
+                    await server.start_again()
+                    self._register(server, time.time_ns() // 1_000_000)
+
     def _raise_failures(self):
         """Raise the exception of a process that ended with one."""
         for task in self.tasks.values():
--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -26,7 +26,6 @@
     def __init__(self, name):
         self.name = name
         self.deadly = DeadlyRequests()
-        self.is_down = False
         self._writers = set()
         self.requests = []
         self.left = asyncio.Event()
@@ -41,23 +40,20 @@
     async def start(self):
         """Listen; return the address as ``HOST:PORT``."""
         await self._listen(0)
-        self.port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{self.port}'
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{self._port}'
         return self.address
 
     async def start_again(self):
         """Listen at the former address after a crash."""
-        await self._listen(self.port)
-        self.is_down = False
+        await self._listen(self._port)
 
-    async def _listen(self, port):
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', port
-        )
+    def is_down(self):
+        """Return whether it has crashed and not started again."""
+        return not self._server.is_serving()
 
     def crash(self):
         """Stop listening and reset all connections."""
-        self.is_down = True
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
@@ -70,6 +66,11 @@
         """Return the body of the newest request."""
         return self.requests[-1][3]
 
+    async def _listen(self, port):
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
+
     async def _serve(self, reader, writer):
         self.connection_count += 1
         self._writers.add(writer)
--- a/tests/steps/record_listing_steps.py
+++ b/tests/steps/record_listing_steps.py
@@ -13,6 +13,7 @@
     StoreMember,
     replica_group,
 )
+from rattanvalve.sharedstate.request_crashes import CrashTable
 from rattanvalve.turn_messages import ListRecords, Reserve
 from rattanvalve.turnstore.disklog import DiskLog
 from rattanvalve.turnstore.endpointrates import EndpointRates
@@ -53,6 +54,7 @@
         turn_log,
         RateShares('m0'),
         EndpointRates('m0'),
+        CrashTable(),
         lambda: True,
         RecordPlacement(lambda: view, LOST_DISKS_MAX),
     )
