Send no request again on the connection that refused its id

What callers saw (reported, and shown here): a server repeats an earlier refusal on a kept connection. If a caller sends an attempt with the same id again, the gateway took the copy for the answer of the new attempt, which then ran.

Cause: responses are matched by id alone, and the id was the same. Copies of other ids and copies without an id were dropped already.

Fix: a connection remembers the ids that were refused on it, and a request with such an id gets another connection.

Also tests for two reports that cannot happen here: no prefix of a head, framed, unframed or of a stream, on a new or a used connection, completes a response; a stream without length is whole only if it ends between events.

--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -182,7 +182,7 @@
     ) -> ServerConnection:
         """Acquire a connection and check that all grants are still valid."""
         endpoint = chosen.endpoint
-        connection = await self._acquire(endpoint)
+        connection = await self._acquire(call, endpoint)
         try:
             _check_grants(call, chosen)
         except (GrantExpiredError, AttemptFailedError):
@@ -190,9 +190,11 @@
             raise
         return connection
 
-    async def _acquire(self, endpoint: EndpointEntry) -> ServerConnection:
+    async def _acquire(
+        self, call: Call, endpoint: EndpointEntry
+    ) -> ServerConnection:
         try:
-            return await self._pool.acquire(endpoint)
+            return await self._pool.acquire(endpoint, call.request_id)
         except ServerUnreachableError as error:
             self._loads.get(endpoint).health.record_failure(time.monotonic())
             self._avoid(endpoint, UNREACHABLE_AVOID_S)
@@ -246,6 +248,7 @@
         trace.status = head.status
         if _is_refusal(head):
             await _read_body(connection)
+            connection.record_refusal()
             raise AttemptFailedError(
                 f'refused {head.status}', may_have_run=False
             )
--- a/rattanvalve/gateway/connection_pool.py
+++ b/rattanvalve/gateway/connection_pool.py
@@ -23,10 +23,13 @@
     def __init__(self) -> None:
         self._idle: dict[Hashable, list[ServerConnection]] = defaultdict(list)
 
-    async def acquire(self, endpoint: EndpointEntry) -> ServerConnection:
+    async def acquire(
+        self, endpoint: EndpointEntry, request_id: str
+    ) -> ServerConnection:
         """Take an idle connection out of the pool or open a new one.
 
         :param endpoint: server to connect to.
+        :param request_id: id of the request that will be sent.
         :returns: an open connection, which the caller must release.
         :raises ServerUnreachableError: if a new connection fails.
         """
@@ -34,7 +37,8 @@
         now_s = time.monotonic()
         while idle:
             connection = idle.pop()
-            if connection.is_reusable(now_s):
+            is_reusable = connection.is_reusable(now_s)
+            if is_reusable and not connection.has_refused(request_id):
                 return connection
             connection.close()
         return await self.open(endpoint)
--- a/rattanvalve/gateway/server_connection.py
+++ b/rattanvalve/gateway/server_connection.py
@@ -32,6 +32,9 @@
         self._parser = ResponseParser()
         self._is_broken = False
         self._waiter: asyncio.Future | None = None
+        self._request_id = ''
+        #: Ids of the requests that were refused on this connection.
+        self._refused_ids: set[str] = set()
 
     def send(self, request_id: str, payload: bytes) -> None:
         """Send a request; the response to the previous one must be complete.
@@ -42,6 +45,7 @@
         """
         if not self.is_open():
             raise ServerExchangeError('connection closed before sending')
+        self._request_id = request_id
         self._parser.expect(request_id)
         self._transport.write(payload)
 
@@ -68,6 +72,21 @@
             self._transport.resume_reading()
         return chunk
 
+    def record_refusal(self) -> None:
+        """Record that the response refused the request."""
+        self._refused_ids.add(self._request_id)
+
+    def has_refused(self, request_id: str) -> bool:
+        """Return whether a request with this id was refused here.
+
+        The server may send that refusal again, which could not be told from
+        the response to another attempt with the same id.
+
+        :param request_id: id of a request.
+        :returns: whether the request needs another connection.
+        """
+        return request_id in self._refused_ids
+
     def is_open(self) -> bool:
         """Return whether the connection can carry data.
 
--- /dev/null
+++ b/tests/gateway/reported_faults.feature
@@ -0,0 +1,16 @@
+Feature: faults that other operators reported
+
+  Scenario: a second copy of a refusal is taken for the answer of a later attempt
+    Given a fleet on the platform with 1 gateways and 1 plain servers
+    When a server refuses an unsafe call and repeats that when its id comes again
+    Then the second attempt with that id gets the answer of its run
+
+  Scenario: a head that ends in its middle makes an answer look whole
+    Then no prefix of a head completes a framed answer
+    And no prefix of a head completes an answer that ends with its connection
+    And no prefix of a head completes a stream
+
+  Scenario: a stream without length that ends inside an event looks whole
+    Given a fleet on the platform with 1 gateways and 1 plain servers
+    When streams without length end after each byte of their events
+    Then only those that end between events are whole
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -67,6 +67,7 @@
         'routes': [
             route('chat', 'stream', 'models', **turns),
             route('plan', 'stream', 'models', resumable=True, maxAttempts=1),
+            route('stream', 'stream', 'app'),
             route('look', 'safe', 'app'),
             route('book', 'unsafe', 'app'),
             route('open', 'safe', 'app', authExempt=True),
--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -27,6 +27,7 @@
         self.name = name
         self.deadly = DeadlyRequests()
         self._writers = set()
+        self._refused_ids = {}
         self.requests = []
         self.left = asyncio.Event()
         self.release = asyncio.Event()
@@ -160,6 +161,27 @@
         for event in EVENTS[last:]:
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
 
+    async def _do_unframed(self, request_id, reader, writer):
+        """Send the events up to the byte in the query, then close."""
+        head = self._stream_head(request_id).replace(
+            b'Transfer-Encoding: chunked\r\n', b''
+        )
+        end = int(urlsplit(self.requests[-1][1]).query)
+        writer.write(head + b''.join(EVENTS)[:end])
+        await writer.drain()
+        writer.close()
+
+    async def _do_refusedtwice(self, request_id, reader, writer):
+        """Refuse a request; if it comes again there, repeat that and run it."""
+        refusal = self._whole(request_id, b'', 503, 'Not-Executed: 1')
+        if request_id not in self._refused_ids:
+            self._refused_ids[request_id] = writer
+            writer.write(refusal)
+            return
+        if self._refused_ids[request_id] is writer:
+            writer.write(refusal)
+        writer.write(self._whole(request_id, self.name.encode()))
+
     async def _do_cut(self, request_id, reader, writer):
         writer.write(self._stream_head(request_id))
         writer.write(b'%x\r\n%b\r\n' % (len(EVENTS[0]), EVENTS[0]))
