Refuse requests late in a stop that might be cut at its end

What callers saw (reported, and shown here): a request that came on an open connection late in the grace of a planned stop was passed on, and cut without an answer when the process ended, also one that may not be repeated.

Cause: the drain took requests from open connections until the grace was over, whatever time they needed; and the answer of a request that came before the stop did not say that its connection closes.

Fix: once the listener is closed, so that the balancer sends callers elsewhere, a request whose deadline lies beyond the end of the grace is refused at once with 503 (1304) and its connection closed. Earlier ones are served: in a zone with one gateway a refusal would come back here. Every answer of a stopping process closes its connection.

--- a/rattanvalve/gateway/caller_sink.py
+++ b/rattanvalve/gateway/caller_sink.py
@@ -1,5 +1,6 @@
 """Sends the response to one request to its caller over HTTP."""
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -23,13 +24,17 @@
     ``response`` is ``None`` until a response is prepared for sending.
 
     :param request: request of the caller.
-    :param is_last: whether to close the connection after this response.
+    :param is_stopping: returns whether the process stops, so that the
+        connection has to close after the response.
     """
 
-    def __init__(self, request: web.BaseRequest, *, is_last: bool) -> None:
+    def __init__(
+        self, request: web.BaseRequest, is_stopping: Callable[[], bool]
+    ) -> None:
         self.response: web.StreamResponse | None = None
         self._request = request
-        self._is_last = is_last
+        self._is_stopping = is_stopping
+        self._is_last = False
 
     async def send_response(self, head: ResponseHead, body: bytes) -> None:
         """Send a complete response.
@@ -99,7 +104,7 @@
 
     async def _prepare(self, response: web.StreamResponse) -> None:
         self.response = response
-        if self._is_last:
+        if self._is_last or self._is_stopping():
             response.force_close()
         await response.prepare(self._request)
 
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -1,6 +1,7 @@
 """Request handler for callers: admission, rate limits and responses."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from http import HTTPStatus
@@ -31,6 +32,7 @@
 
 #: Short, as another gateway can serve the request at once.
 CUT_OFF_RETRY_AFTER_S = 0.1
+STOPPING_RETRY_AFTER_S = 0.1
 #: Longest wait for the rate limit of a request that continues a program.
 #: Callers abandon a stream that has no event for two seconds.
 RATE_WAIT_MAX_S = 1.6
@@ -68,6 +70,9 @@
     ) -> None:
         self._page = page
         self.is_stopping = False
+        #: Monotonic time in seconds at which open connections are cut; set once
+        #: the load balancer sends no more requests.
+        self.cut_s = math.inf
         self.busy = BusyConnections()
         self._state = state
         self._forwarder = forwarder
@@ -100,7 +105,7 @@
             # The gateway closed the connection while the request arrived, so
             # the request must not run; this response is not sent.
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
-        sink = CallerSink(request, is_last=self.is_stopping)
+        sink = CallerSink(request, lambda: self.is_stopping)
         with self.busy.answering(transport):
             await self._answer(request, sink, received_s)
         return sink.response
@@ -139,6 +144,9 @@
             return call
         trace.workspace = call.workspace_name
         trace.route = call.route.name
+        if call.deadline_s > self.cut_s:
+            # The response might not end before the connection is cut.
+            return Refusal(ResultCode.STOPPING, STOPPING_RETRY_AFTER_S)
         refusal = await self._crashes.decide(call)
         if refusal is not None:
             return refusal
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -179,6 +179,7 @@
         await asyncio.sleep(min(UNREADY_GRACE_S, grace_s * UNREADY_GRACE_SHARE))
         self._listener.close()
         deadline_s = started_s + grace_s - CLOSE_GRACE_S
+        self._ingress.cut_s = deadline_s
         while callers.connections and time.monotonic() < deadline_s:
             await self._ingress.busy.close_idle((callers,))
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
--- a/tests/gateway/reported_faults.feature
+++ b/tests/gateway/reported_faults.feature
@@ -14,3 +14,9 @@
     Given a fleet on the platform with 1 gateways and 1 plain servers
     When streams without length end after each byte of their events
     Then only those that end between events are whole
+
+  Scenario: a request that comes late in a stop is cut without an answer
+    Given a fleet on the platform with 2 gateways and 1 plain servers
+    When a call that needs more time than the stop has left comes on an open connection
+    Then it is refused as not run and reached no server
+    And a call that ends in time is answered in the stop
--- a/tests/steps/reported_faults_steps.py
+++ b/tests/steps/reported_faults_steps.py
@@ -1,9 +1,12 @@
 """Steps of gateway/reported_faults.feature."""
 
+import asyncio
+
 from behave import then, when
 
 from rattanvalve.errors import ServerExchangeError
 from rattanvalve.gateway.response_parser import ResponseParser
+from tests.platform_fleet import KEY
 from tests.platform_servers import EVENTS
 
 HEAD_LINES = (
@@ -14,6 +17,8 @@
 )
 STREAM = b''.join(EVENTS)
 REFUSED_ID = 'attempt-that-is-refused'
+#: Seconds after the signal at which the listener of a fleet's gateway closes.
+LISTENER_CLOSED_S = 0.7
 
 
 @when(
@@ -99,3 +104,79 @@
         is_whole = not sent or sent.endswith(b'\n\n')
         assert (status == 200) == is_whole, (end, status, body)
         assert not is_whole or body == sent, (end, status, body)
+
+
+async def send_call(writer, path):
+    """Send an unsafe call of a caller on an open connection."""
+    lines = (
+        f'POST {path} HTTP/1.1',
+        'Host: farm.example',
+        f'X-Api-Key: {KEY}',
+        f'Request-Id: late{path.replace("/", "-")}',
+        'Deadline-Ms: 2500',
+        'Content-Length: 0',
+    )
+    writer.write('\r\n'.join((*lines, '', '')).encode())
+    await writer.drain()
+
+
+async def call_in_stop(fleet, path):
+    """Send a call behind one that was open when the gateway stopped.
+
+    Return the bytes that come after the answer of the first call.
+    """
+    reader, writer = await asyncio.open_connection(
+        fleet.host('gateway', 0), fleet.callers_port
+    )
+    await send_call(writer, '/book/held')
+    await asyncio.sleep(0.1)
+    stopping = asyncio.ensure_future(fleet.stop_process('gateway-0'))
+    await asyncio.sleep(LISTENER_CLOSED_S)
+    # The next request is on its way when the first answer is written.
+    await send_call(writer, path)
+    for server in fleet.servers.values():
+        server.release.set()
+        server.release = asyncio.Event()
+    received = await asyncio.wait_for(reader.read(), 5)
+    await stopping
+    writer.close()
+    return received
+
+
+@when(
+    'a call that needs more time than the stop has left comes on an open '
+    'connection'
+)
+def step_late_call(context):
+    context.received = context.run(
+        call_in_stop(context.fleet, '/book/late/held')
+    )
+    context.late_arrivals = context.fleet.arrivals('/book/late/held')
+
+
+@then('it is refused as not run and reached no server')
+def step_refused(context):
+    heads = [
+        line
+        for line in context.received.decode('latin-1').split('\r\n')
+        if line.startswith('HTTP/1.1')
+    ]
+    assert context.late_arrivals == 0, (heads, context.late_arrivals)
+    assert [head.split()[1] for head in heads] in (['200'], ['200', '503']), (
+        context.received
+    )
+
+
+@then('a call that ends in time is answered in the stop')
+def step_in_time(context):
+    async def call():
+        stopping = asyncio.ensure_future(
+            context.fleet.stop_process('gateway-1')
+        )
+        await asyncio.sleep(0.1)
+        answer = await context.fleet.request('/book/whole', 1)
+        await stopping
+        return answer
+
+    status, _, _ = context.run(call())
+    assert status == 200, status
