--- a/rattanvalve/platform/programs.py
+++ b/rattanvalve/platform/programs.py
@@ -17,7 +17,7 @@
 from rattanvalve.settings import SETTINGS_EXIT_CODE
 from rattanvalve.termination import block_signals, unblock_signals
 
-__all__ = ('SECRET_VARIABLE', 'Program', 'run_program')
+__all__ = ('SECRET_VARIABLE', 'Program', 'read_peer_secret', 'run_program')
 
 #: Environment variable with the secret that authenticates frames of peers.
 SECRET_VARIABLE = 'RATTANVALVE_PEER_SECRET'
@@ -44,7 +44,7 @@
     block_signals()
     try:
         node = read_node()
-        secret = _read_secret()
+        secret = read_peer_secret()
         level = os.environ.get(LOG_LEVEL_VARIABLE, 'INFO')
         configure_logging(level, node.name, PipeHandler())
         program = factory(node, secret)
@@ -70,7 +70,12 @@
         _log.info('stopping')
 
 
-def _read_secret() -> bytes:
+def read_peer_secret() -> bytes:
+    """Read the secret that authenticates frames of peers.
+
+    :returns: the secret.
+    :raises SettingsError: if the variable is missing or too short.
+    """
     secret = os.environ.get(SECRET_VARIABLE, '').encode()
     if len(secret) < _SECRET_BYTES_MIN:
         raise SettingsError(
