Show that the own interface has no bound on crashes by one request

Six runs of the same request crash the server of an endpoint process six times. Listed as known red: its records would have to reach all endpoint processes.

--- a/tests/endpoint_service.feature
+++ b/tests/endpoint_service.feature
@@ -96,3 +96,9 @@
     And refused runs learned at once when to return and the others ended
     When the server states no limit any more and a run ends
     Then 8 runs that follow at once are all answered
+
+  @known_red
+  Scenario: a server crashes more than three times by the same run
+    Given an endpoint process beside a plain service
+    When a run of PUT /crash comes 6 times, and the server starts again each time
+    Then the server has crashed 3 times at most
--- a/tests/fakeserver.py
+++ b/tests/fakeserver.py
@@ -34,6 +34,10 @@
         if request.path == '/break':
             await request.read()
             request.transport.abort()
+        if request.path == '/crash':
+            await request.read()
+            await self.site.stop()
+            request.transport.abort()
         if request.path == '/held':
             await self._wait()
         if request.path != '/v1/chat/completions':
@@ -53,9 +57,16 @@
         app.router.add_route('*', '/{path:.*}', self.handle)
         self.runner = web.AppRunner(app, handler_cancellation=True)
         await self.runner.setup()
-        site = web.TCPSite(self.runner, '127.0.0.1', 0, shutdown_timeout=0)
-        await site.start()
-        return f'http://127.0.0.1:{self.runner.addresses[0][1]}'
+        await self.listen(0)
+        self.port = self.runner.addresses[0][1]
+        return f'http://127.0.0.1:{self.port}'
+
+    async def listen(self, port):
+        """Listen on a port, also again after a crash."""
+        self.site = web.TCPSite(
+            self.runner, '127.0.0.1', port, shutdown_timeout=0
+        )
+        await self.site.start()
 
     async def _wait(self):
         try:
--- a/tests/steps/endpoint_service_steps.py
+++ b/tests/steps/endpoint_service_steps.py
@@ -151,6 +151,24 @@
     context.received = context.run(read(context, build_run(method, path)))
 
 
+@when(
+    'a run of {method:w} {path} comes {count:d} times, and the server starts '
+    'again each time'
+)
+def step_crashing_runs(context, method, path, count):
+    for number in range(count):
+        run = build_run(method, path)
+        ticket = replace(run.ticket, number=f'entry-a/x/{number + 1}')
+        context.run(read(context, replace(run, ticket=ticket)))
+        if len(context.server.journal) > number:
+            context.run(context.server.listen(context.server.port))
+
+
+@then('the server has crashed {most:d} times at most')
+def step_crash_count(context, most):
+    assert len(context.server.journal) <= most, context.server.journal
+
+
 @when('a run that continues "{text}" is read to its end')
 @when('a run that continues "" is read to its end')
 def step_continue(context, text=''):
