Let a request crash servers in the soak, with two promises

Four servers of the soak have no proxy and crash when a request with the model's body reaches them; a caller sends it through all gateways, programs call them, too. Promises: it comes back to servers three times at most later than 3 s after its third crash, and no other request is denied.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -70,11 +70,13 @@
             route('stream', 'stream', 'app'),
             route('look', 'safe', 'app'),
             route('book', 'unsafe', 'app'),
+            route('frail', 'unsafe', 'frail'),
             route('open', 'safe', 'app', authExempt=True),
         ],
         'services': [
             {'name': 'models', 'engine': {'slots': 4, 'tokensPerEvent': 9}},
             {'name': 'app'},
+            {'name': 'frail'},
         ],
         'limits': limits,
         'tenants': [
--- a/tests/platform_soak/broken_program.py
+++ b/tests/platform_soak/broken_program.py
@@ -6,6 +6,7 @@
 
 from rattanvalve.gateway import forwarding, turns
 from rattanvalve.gateway import main as gateway_main
+from rattanvalve.sharedstate.request_crashes import CrashTable
 from rattanvalve.turn_messages import RateGrant
 from rattanvalve.turnstore import main as turnstore_main
 from rattanvalve.turnstore.endpointrates import EndpointRates
@@ -32,6 +33,9 @@
             _grant,
         ),
     ),
+    'crashes are not remembered': (
+        (CrashTable, 'block', lambda table, fingerprint, now_s: None),
+    ),
     'rates are not counted': (
         (
             RateShares,
--- a/tests/platform_soak/callers.py
+++ b/tests/platform_soak/callers.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from tests.platform_fleet import KEY
+from tests.platform_soak.crashes import CRASHING_SERVICE
 from tests.platform_soak.evidence import Evidence, ResponseRecord
 
 __all__ = ('Caller',)
@@ -16,6 +17,8 @@
 TURNS_MAX = 6
 #: Mean time between two turns.
 TURN_INTERVAL_MEAN_S = 0.05
+#: Share of the calls of programs that go to servers that crash.
+FRAIL_PROBABILITY = 0.2
 #: Numbers of turns that a token budget allows; one is drawn per program.
 BUDGET_TURNS = (1, 3, 6)
 #: Delay after a program or a failed connection, which limits the request rate
@@ -44,6 +47,11 @@
             while True:
                 await self._run_program(session)
 
+    async def send_once(self, path, body):
+        """Send one unsafe request with this body on a new connection."""
+        async with aiohttp.ClientSession(auto_decompress=False) as session:
+            await self._send_request(session, 'deadly', path, '', body=body)
+
     async def _run_program(self, session):
         program = f'p-{next(self._ids)}'
         turns = self._rng.choice(BUDGET_TURNS)
@@ -52,6 +60,8 @@
         previous = ''
         for _ in range(self._rng.randint(1, TURNS_MAX)):
             tool = self._rng.choice(('look', 'book'))
+            if self._rng.random() < FRAIL_PROBABILITY:
+                tool = CRASHING_SERVICE
             await self._send_request(session, tool, f'/{tool}/x', program)
             turn = await self._send_turn(session, program, previous, budget)
             if turn.status != 200:
@@ -72,11 +82,19 @@
         )
 
     async def _send_request(
-        self, session, kind, path, program, previous='', extra_headers=()
+        self,
+        session,
+        kind,
+        path,
+        program,
+        previous='',
+        extra_headers=(),
+        body=b'',
     ):
         request_id = next(self._ids)
         self._evidence.sent.add(request_id)
         prompt = f'[{request_id}]'.encode() if kind != 'look' else b''
+        prompt = body or prompt
         headers = {
             'Host': 'farm.example',
             'Request-Id': request_id,
@@ -85,7 +103,7 @@
             'Program-Id': program,
             **dict(extra_headers),
         }
-        status, body = 0, b''
+        status, received = 0, b''
         method = 'GET' if kind == 'look' else 'POST'
         try:
             async with asyncio.timeout(DEADLINE_S + 1):
@@ -95,7 +113,7 @@
                     data=prompt,
                     headers=headers,
                 ) as response:
-                    body = await response.read()
+                    received = await response.read()
                     status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError):
             await asyncio.sleep(RETRY_DELAY_S)
@@ -104,7 +122,7 @@
             kind=kind,
             ended_s=time.monotonic(),
             status=status,
-            body=body,
+            body=received,
             previous_id=previous,
             prompt=prompt,
             program_id=program,
--- a/tests/platform_soak/evidence.py
+++ b/tests/platform_soak/evidence.py
@@ -7,6 +7,8 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from rattanvalve.standins.crashes import DeadlyRequests
+
 __all__ = ('CHECKS', 'Evidence', 'ResponseRecord', 'Run', 'violations')
 
 #: Statuses which state that the request has not run and will not run.
@@ -15,6 +17,11 @@
 #: Tolerance of the rate check: 10 percent plus ``RATE_SLACK`` requests.
 RATE_TOLERANCE = 1.1
 RATE_SLACK = 20
+#: Number of times that a request may come back to servers after its third
+#: crash.
+LATE_CRASHES_MAX = 3
+#: Status of requests that are blocked because they crash servers.
+BLOCKED_STATUS = 501
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +64,8 @@
     responses: list[ResponseRecord] = field(default_factory=list)
     sent: set[str] = field(default_factory=set)
     budgets: dict[str, int] = field(default_factory=dict)
+    #: Crashes of servers by the request that causes them.
+    deadly: DeadlyRequests = field(default_factory=DeadlyRequests)
     #: One line for each limit of a server that was exceeded.
     limit_excesses: list[str] = field(default_factory=list)
     turn_tokens_max: int = 27
@@ -173,6 +182,21 @@
     return list(evidence.limit_excesses)
 
 
+def late_crashes(evidence):
+    """Find requests that were sent on long after they had crashed servers."""
+    late_count = evidence.deadly.late_count()
+    return [f'{late_count} crashes'] if late_count > LATE_CRASHES_MAX else []
+
+
+def denied_requests(evidence):
+    """Find requests that were blocked for crashes by another one."""
+    return [
+        record.request_id
+        for record in evidence.responses
+        if record.status == BLOCKED_STATUS and record.kind != 'deadly'
+    ]
+
+
 def unexpected_runs(evidence):
     """Find runs of requests that no caller sent, or in another workspace."""
     return [
@@ -193,6 +217,8 @@
     'no workspace exceeds its rate': over_rate,
     'no server gets more than its limit': exceeded_limits,
     'nothing runs that nobody sent': unexpected_runs,
+    'no request crashes more than three servers': late_crashes,
+    'no other request is denied': denied_requests,
 }
 
 
--- a/tests/platform_soak/servers.py
+++ b/tests/platform_soak/servers.py
@@ -39,6 +39,7 @@
         is_abort_frequent=False,
     ):
         super().__init__(name)
+        self.deadly = evidence.deadly
         self._abort_probability = (
             FREQUENT_ABORT_PROBABILITY
             if is_abort_frequent
@@ -62,6 +63,10 @@
         if self._rng.random() < REFUSAL_PROBABILITY:
             writer.write(self._whole(request_id, b'', 503, 'Not-Executed: 1'))
             return
+        if self.deadly.is_deadly(body):
+            self.deadly.record_crash(body, time.monotonic())
+            self.crash()
+            return
         kind = urlsplit(start.split(' ')[1]).path.split('/')[1]
         self._run_count += 1
         run_id = f'{self.name}.{self._run_count}.{request_id}'
--- a/tests/platform_soak/soak.feature
+++ b/tests/platform_soak/soak.feature
@@ -15,6 +15,8 @@
       | a workspace ran too much        | no workspace exceeds its rate        |
       | a server got more than it takes | no server gets more than its limit   |
       | a request ran that nobody sent  | nothing runs that nobody sent        |
+      | a request crashed on and on     | no request crashes more than three servers |
+      | a request got the answer of it  | no other request is denied           |
 
   Scenario: evidence without faults is clean
     Given evidence without faults
@@ -45,3 +47,4 @@
       | context is left out         | 7    | turns run on their whole context   |
       | rates are not counted       | 7    | no workspace exceeds its rate      |
       | limits are not counted      | 500  | no server gets more than its limit |
+      | crashes are not remembered  | 8    | no request crashes more than three servers |
--- a/tests/platform_soak/world.py
+++ b/tests/platform_soak/world.py
@@ -18,6 +18,11 @@
 from tests.loopback import network
 from tests.platform_fleet import configuration, free_port
 from tests.platform_soak.callers import Caller
+from tests.platform_soak.crashes import (
+    CRASHING_SERVICE,
+    restart_crashed,
+    send_deadly,
+)
 from tests.platform_soak.evidence import Evidence
 from tests.platform_soak.servers import SoakServer
 from tests.platform_store import PlatformStore
@@ -33,6 +38,8 @@
 #: This break is detected only if callers exceed the rate.
 RATE_DETECTED_BREAK = 'rates are not counted'
 START_TIMEOUT_S = 20.0
+#: Number of servers that a request can crash.
+FRAIL_COUNT = 4
 #: This break is detected only if servers abort responses.
 ABORT_DETECTED_BREAK = 'turns are repeated'
 GRACE_S = 3.0
@@ -101,6 +108,8 @@
         self._store_port = int(address.split(':')[1])
         for server_name in ('models-1', 'models-2', 'app-1', 'app-2'):
             await self._add_server(server_name)
+        for number in range(FRAIL_COUNT):
+            await self._add_frail_server(f'{CRASHING_SERVICE}-{number}')
         self.store.put(
             'config',
             'main',
@@ -117,6 +126,10 @@
             rng = random.Random(self.rng.random())
             caller = Caller(number, rng, urls, self.evidence)
             self._callers.append(asyncio.ensure_future(caller.run()))
+        rng = random.Random(f'{self._subnet} crashes')
+        caller = Caller('deadly', rng, urls, self.evidence)
+        for work in (send_deadly(caller, rng), restart_crashed(self, rng)):
+            self._callers.append(asyncio.ensure_future(work))
 
     async def stop(self):
         """Stop callers, processes, proxies and stand-ins; keep the folder."""
@@ -170,6 +183,26 @@
             await asyncio.sleep(0.1)
         return time.monotonic() - started_s
 
+    def register(self, server, born_ms, address=''):
+        """Write the entry of a server, at its own address unless told."""
+        spec = {
+            'service': server.name.partition('-')[0],
+            'address': address or server.address,
+            'zone': 'z0',
+            'slots': 8,
+            'state': 'ready',
+            'born': born_ms,
+        }
+        self.store.put('servers', server.name, spec)
+
+    async def _add_frail_server(self, name):
+        """Add a server that callers can crash; it has no proxy."""
+        rng = random.Random(name)
+        server = SoakServer(name, rng, self.evidence)
+        await server.start()
+        self.servers[name] = server
+        self.register(server, born_ms=1)
+
     async def _add_server(self, name):
         rng = random.Random(self.rng.random())
         server = SoakServer(
@@ -187,15 +220,7 @@
         await proxy.start()
         self.server_proxies[name] = proxy
         self.servers[name] = server
-        spec = {
-            'service': name.partition('-')[0],
-            'address': f'127.0.0.1:{proxy.listen.port}',
-            'zone': 'z0',
-            'slots': 8,
-            'state': 'ready',
-            'born': 1,
-        }
-        self.store.put('servers', name, spec)
+        self.register(server, 1, f'127.0.0.1:{proxy.listen.port}')
 
     async def _start_process(self, name):
         proxy = FaultProxy(
--- a/tests/steps/platform_soak_steps.py
+++ b/tests/steps/platform_soak_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from rattanvalve.standins.crashes import MARKER
 from tests.platform_soak.evidence import (
     Evidence,
     ResponseRecord,
@@ -92,6 +93,13 @@
     'a server got more than it takes': lambda evidence: (
         evidence.limit_excesses.append('one too many')
     ),
+    'a request crashed on and on': lambda evidence: [
+        evidence.deadly.record_crash(MARKER, crashed_s)
+        for crashed_s in (1, 2, 3, 7, 8, 9, 10)
+    ],
+    'a request got the answer of it': lambda evidence: (
+        evidence.responses.append(ResponseRecord('a9', 'book', 1, 501))
+    ),
     'a request ran that nobody sent': lambda evidence: add_run(
         evidence,
         request_id='b9',
