--- a/rattanvalve/gateway/observation_exchange.py
+++ b/rattanvalve/gateway/observation_exchange.py
@@ -25,8 +25,8 @@
 #: Range of the interval at which a gateway exchanges all observations with one
 #: turn store.
 EXCHANGE_INTERVALS_S = (0.8, 1.2)
-#: The same if the store has news of crashes or does not answer.
-EXCHANGE_INTERVAL_MIN_S = 0.05
+#: Pause after an exchange that failed, for example while stores start.
+FAILED_INTERVAL_S = 0.3
 #: The same with all stores until the first exchange has succeeded, as callers
 #: wait for it.
 FIRST_INTERVAL_S = 0.02
@@ -90,20 +90,22 @@
         The store answers early if it hears of a crash.
         """
         while True:
+            is_answered = False
             members = self._calls.members()
             now_s = time.monotonic()
             self._crashes.expire(now_s)
-            started_s = now_s
             if members:
                 known = Observations(
                     limits=self._limits.reports(now_s),
                     crash_digest=self._crashes.table.digest,
                     wait_ms=int(random.uniform(*EXCHANGE_INTERVALS_S) * 1000),
                 )
-                await self._exchange(random.choice(members), known)
-            duration_s = time.monotonic() - started_s
-            is_fast = duration_s < EXCHANGE_INTERVAL_MIN_S
-            await asyncio.sleep(EXCHANGE_INTERVAL_MIN_S if is_fast else 0)
+                is_answered = await self._exchange(
+                    random.choice(members), known
+                )
+            await asyncio.sleep(
+                NEWS_INTERVAL_S if is_answered else FAILED_INTERVAL_S
+            )
 
     async def _exchange_with_all(self, news: Observations) -> None:
         if not self._endpoints():
@@ -114,22 +116,23 @@
             *(self._exchange(member, news) for member in members)
         )
 
-    async def _exchange(self, member: StoreMember, sent: Observations) -> None:
+    async def _exchange(self, member: StoreMember, sent: Observations) -> bool:
+        """Exchange observations; return whether the member answered."""
         answer = await self._call(member, sent)
         if answer is None:
-            return
+            return False
         self.has_read = True
         now_s = time.monotonic()
         self._limits.merge_reports(answer.limits, self._endpoints(), now_s)
         table = self._crashes.table
         self._crashes.merge(answer.crashes, now_s)
-        if table.digest == answer.crash_digest:
-            return
-        # The member lacks records that this gateway knows.
-        known = Observations(
-            crashes=table.reports(now_s), crash_digest=table.digest
-        )
-        await self._call(member, known)
+        if table.digest != answer.crash_digest:
+            # The member lacks records that this gateway knows.
+            known = Observations(
+                crashes=table.reports(now_s), crash_digest=table.digest
+            )
+            await self._call(member, known)
+        return True
 
     async def _call(
         self, member: StoreMember, sent: Observations
