Log and export how long ago the store confirmed what a process decides by

Each line 'request ended' has rules_age_ms; a process logs when a document gets older than its bound (configApplyMs, drainMs, catchUpS of the settings) and when it is confirmed again; the gauge rattanvalve_document_age_seconds has the age of each kind, at gateways and turn stores.

The factories of SharedState's tasks moved to document_tasks.py, as the class had too many methods; no behaviour changed.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -36,6 +36,7 @@
     CONFIG_REJECTED_OLDER = 'config.rejected_older'
     CONFIG_DIFFERENCES = 'config.differences'
     CONFIG_MISMATCH = 'config.mismatch'
+    DOCUMENT_STALE = 'document.stale'
     EXCHANGE_FAILED = 'exchange.failed'
     STORE_ERROR = 'store.error'
     STORE_READ_BACK = 'store.read_back'
--- a/rattanvalve/gateway/ingress.py
+++ b/rattanvalve/gateway/ingress.py
@@ -248,6 +248,7 @@
                 'resumed_after': trace.resumed_after,
                 'expected_count': round(trace.expected_count, 1),
                 'rules_version': self._state.rules.version,
+                'rules_age_ms': self._state.rules_age_ms(received_s),
                 'duration_ms': round(duration_s * 1000),
             },
         )
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -29,6 +29,11 @@
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.platform.objects import ObjectStore
 from rattanvalve.platform.servers import decode_servers
+from rattanvalve.sharedstate.document_tasks import (
+    create_exchange,
+    create_monitor,
+    fallback_followers,
+)
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.shared_state import SharedState
@@ -113,7 +118,7 @@
             self._tables.crashes,
             self._tables.directory.known,
         )
-        self._page = MetricsPage(self._state.metrics)
+        self._page = MetricsPage(self._state.metrics, self._state.board)
         self._ingress = Ingress(
             self._state,
             forwarder,
@@ -193,10 +198,11 @@
         )
 
     def _background_tasks(self, store: ObjectStore) -> list:
-        followers = self._state.fallback_followers(store)
+        followers = fallback_followers(self._state, store)
         return [
             *(follower.run for follower in followers),
-            self._state.exchange(self._peers).run,
+            create_exchange(self._state, self._peers).run,
+            create_monitor(self._state).run,
             self._calls.relays.run,
             self._exchange.run,
             self._tables.pool.run,
--- a/rattanvalve/platform/nodefile.py
+++ b/rattanvalve/platform/nodefile.py
@@ -6,13 +6,14 @@
 import os
 import socket
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
 
 from rattanvalve.channels import Address
 from rattanvalve.errors import SettingsError
+from rattanvalve.sharedstate.staleness import StalenessBounds
 from rattanvalve.wholenumbers import parse_whole_number
 
 __all__ = ('ENVIRONMENT_VARIABLE', 'NodeSettings', 'parse_address', 'read_node')
@@ -37,6 +38,9 @@
 class _Bounds(msgspec.Struct, rename='camel'):
     grace_s: float = 8
     revoke_ms: float = 5000
+    config_apply_ms: float = 2000
+    drain_ms: float = 2000
+    catch_up_s: float = 4.5
 
 
 class _Platform(msgspec.Struct, rename='camel'):
@@ -77,6 +81,7 @@
     grace_s: float
     #: Time in seconds within which a withdrawn key must be rejected everywhere.
     key_revocation_s: float
+    staleness: StalenessBounds = field(default_factory=StalenessBounds)
 
     @property
     def peer_address(self) -> Address:
@@ -147,6 +152,12 @@
         memory_mb=node.limits.memory_mb,
         grace_s=node.bounds.grace_s,
         key_revocation_s=node.bounds.revoke_ms / 1000,
+        staleness=StalenessBounds(
+            rules_s=node.bounds.config_apply_ms / 1000,
+            endpoints_s=node.bounds.drain_ms / 1000,
+            # Records of a removed member are placed on its successor by then.
+            members_s=node.bounds.catch_up_s,
+        ),
     )
 
 
--- /dev/null
+++ b/rattanvalve/sharedstate/document_tasks.py
@@ -0,0 +1,207 @@
+"""Tasks that keep the documents of a process current."""
+
+from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
+
+import msgspec
+
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import Document
+from rattanvalve.peers import PeerPool
+from rattanvalve.platform.malformed import MALFORMED_JSON
+from rattanvalve.platform.names import (
+    KIND_CONFIG,
+    KIND_MEMBERS,
+    KIND_RETIREMENTS,
+    KIND_SERVERS,
+)
+from rattanvalve.platform.objects import ObjectStore, StoredEntry
+from rattanvalve.platform.servers import encode_servers
+from rattanvalve.platform.turnstores import encode_members, encode_retirements
+from rattanvalve.sharedstate.documents import DocumentKind
+from rattanvalve.sharedstate.exchange import EXCHANGED_KINDS, PeerExchange
+from rattanvalve.sharedstate.object_follower import (
+    DocumentBuilder,
+    ObjectFollower,
+)
+from rattanvalve.sharedstate.shared_state import SharedState
+from rattanvalve.sharedstate.staleness_monitor import StalenessMonitor
+
+__all__ = (
+    'create_exchange',
+    'create_follower',
+    'create_monitor',
+    'fallback_followers',
+    'turn_store_followers',
+)
+
+#: Name of the object that holds the newest configuration.
+_MAIN_CONFIG = 'main'
+
+_log = part_logger(LogPart.PROCESS)
+
+
+class _Versioned(msgspec.Struct):
+    version: int
+
+
+def create_follower(
+    state: SharedState,
+    store: ObjectStore,
+    kind: str,
+    is_watcher: Callable[[], bool],
+) -> ObjectFollower:
+    """Create the follower of one document.
+
+    :param state: state of this process.
+    :param store: client of the platform's store.
+    :param kind: kind of the objects.
+    :param is_watcher: returns whether this process watches the store; others
+        call it only while peers do not confirm the document.
+    :returns: follower; the caller runs it.
+    """
+    document_kind, build_document = _DOCUMENTS[kind]
+    return ObjectFollower(
+        store,
+        kind,
+        document_kind,
+        build_document,
+        state.board,
+        state.metrics,
+        is_watcher,
+    )
+
+
+def fallback_followers(
+    state: SharedState, store: ObjectStore
+) -> list[ObjectFollower]:
+    """Create the followers of a process that is never a watcher.
+
+    They call the store only while peers do not confirm a document.
+
+    :param state: state of this process.
+    :param store: client of the platform's store.
+    :returns: followers; the caller runs them.
+    """
+    kinds = (KIND_CONFIG, KIND_SERVERS, KIND_MEMBERS)
+    return [
+        create_follower(state, store, kind, _never_watches) for kind in kinds
+    ]
+
+
+def turn_store_followers(
+    state: SharedState,
+    store: ObjectStore,
+    needs_member_objects: Callable[[], bool],
+) -> tuple[ObjectFollower, list[ObjectFollower]]:
+    """Create the followers of a turn store, which may be a watcher.
+
+    :param state: state of this process.
+    :param store: client of the platform's store.
+    :param needs_member_objects: returns whether the process needs the objects
+        of the members even if it is no watcher.
+    :returns: follower of the members, and those of the other kinds; the caller
+        runs them.
+    """
+    members = create_follower(
+        state,
+        store,
+        KIND_MEMBERS,
+        lambda: needs_member_objects() or state.is_watcher(),
+    )
+    kinds = (KIND_CONFIG, KIND_SERVERS, KIND_RETIREMENTS)
+    others = [
+        create_follower(state, store, kind, state.is_watcher) for kind in kinds
+    ]
+    return members, others
+
+
+def create_exchange(
+    state: SharedState,
+    pool: PeerPool,
+    kinds: Sequence[DocumentKind] = EXCHANGED_KINDS,
+) -> PeerExchange:
+    """Create the exchange of documents with the turn stores.
+
+    :param state: state of this process.
+    :param pool: connections to peers.
+    :param kinds: kinds of documents to exchange.
+    :returns: exchange; the caller runs it.
+    """
+    return PeerExchange(
+        pool,
+        state.peer_addresses,
+        state.board,
+        state.metrics,
+        state.reach,
+        state.other_watcher_addresses,
+        kinds,
+    )
+
+
+def create_monitor(
+    state: SharedState, kinds: Sequence[DocumentKind] = EXCHANGED_KINDS
+) -> StalenessMonitor:
+    """Create the monitor that logs documents that get out of date.
+
+    :param state: state of this process.
+    :param kinds: kinds of documents to check.
+    :returns: monitor; the caller runs it.
+    """
+    return StalenessMonitor(
+        state.board, state.node.staleness, state.metrics, kinds
+    )
+
+
+def _rules_document(
+    entries: Iterable[StoredEntry],
+    revision: int,
+) -> Document | None:
+    for entry in entries:
+        if entry.name == _MAIN_CONFIG:
+            # The version is the one that operators set, not the store's
+            # revision.
+            with suppress(*MALFORMED_JSON):
+                stored = msgspec.json.decode(entry.spec, type=_Versioned)
+                return Document(
+                    kind=DocumentKind.RULES,
+                    version=stored.version,
+                    body=entry.spec,
+                )
+            _log.warning('configuration without a version ignored')
+    return None
+
+
+def _list_builder(
+    kind: DocumentKind,
+    encode: Callable[[Iterable[StoredEntry]], bytes],
+) -> DocumentBuilder:
+    """Create the builder of a document that lists all objects of a kind."""
+
+    def build_document(
+        entries: Iterable[StoredEntry], revision: int
+    ) -> Document:
+        return Document(kind=kind, version=revision, body=encode(entries))
+
+    return build_document
+
+
+_DOCUMENTS = {
+    KIND_CONFIG: (DocumentKind.RULES, _rules_document),
+    KIND_SERVERS: (
+        DocumentKind.SERVERS,
+        _list_builder(DocumentKind.SERVERS, encode_servers),
+    ),
+    KIND_MEMBERS: (
+        DocumentKind.MEMBERS,
+        _list_builder(DocumentKind.MEMBERS, encode_members),
+    ),
+    KIND_RETIREMENTS: (
+        DocumentKind.RETIREMENTS,
+        _list_builder(DocumentKind.RETIREMENTS, encode_retirements),
+    ),
+}
+
+
+def _never_watches() -> bool:
+    return False
--- a/rattanvalve/sharedstate/documents.py
+++ b/rattanvalve/sharedstate/documents.py
@@ -48,6 +48,15 @@
         """
         self._confirmed_s[kind] = float('-inf')
 
+    def confirmed_s(self, kind: str) -> float:
+        """Return when the store last confirmed the newest version.
+
+        :param kind: kind of document.
+        :returns: monotonic time in seconds; minus infinity without a
+            confirmation.
+        """
+        return self._confirmed_s[kind]
+
     def confirmation_age_s(self, kind: str, now_s: float) -> float:
         """Compute the age of the last confirmation by the store.
 
--- a/rattanvalve/sharedstate/exposition.py
+++ b/rattanvalve/sharedstate/exposition.py
@@ -1,15 +1,21 @@
 """HTTP server for counters and latency histograms in Prometheus format."""
 
 import asyncio
+import time
 from collections.abc import Iterator
 
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
-from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
 
 from rattanvalve.counters import Metrics
 from rattanvalve.http_errors import hide_malformed_http
 from rattanvalve.platform.nodefile import NodeSettings
+from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
 
 __all__ = ('METRICS_PORT', 'MetricsPage', 'serve_metrics')
 
@@ -35,10 +41,12 @@
     """Renders the metrics of one process.
 
     :param metrics: counters.
+    :param board: documents of the process.
     """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Metrics, board: DocumentBoard) -> None:
         self._metrics = metrics
+        self._board = board
         self._registry = CollectorRegistry()
         self._registry.register(self)
         self._durations = Histogram(
@@ -58,9 +66,9 @@
         self._durations.labels(outcome).observe(duration_s)
 
     def collect(self) -> Iterator[Metric]:
-        """Export the counters; called by the Prometheus client library.
+        """Export counters and ages; called by the Prometheus client library.
 
-        :returns: one metric family, labelled with the name of the counter.
+        :returns: the counters by name, and the age of each document.
         """
         family = CounterMetricFamily(
             'rattanvalve_events',
@@ -70,6 +78,16 @@
         for name, count in self._metrics.counts.items():
             family.add_metric((name,), count)
         yield family
+        ages = GaugeMetricFamily(
+            'rattanvalve_document_age_seconds',
+            'Time since the store last confirmed a document.',
+            labels=('kind',),
+        )
+        now_s = time.monotonic()
+        for kind in DocumentKind:
+            age_s = self._board.confirmation_age_s(kind, now_s)
+            ages.add_metric((str(kind),), age_s)
+        yield ages
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer an HTTP request with the current metrics.
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -7,14 +7,13 @@
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.peer_server import PeerServer
 from rattanvalve.peers import PeerPool
-from rattanvalve.platform.names import (
-    KIND_CONFIG,
-    KIND_MEMBERS,
-    KIND_RETIREMENTS,
-    KIND_SERVERS,
-)
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.platform.objects import ObjectStore
+from rattanvalve.sharedstate.document_tasks import (
+    create_exchange,
+    create_monitor,
+    turn_store_followers,
+)
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.exchange import document_handlers
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
@@ -113,7 +112,7 @@
         )
         server = PeerServer(self._peer_secret, handlers, self._state.metrics)
         await server.start(self._node.peer_address)
-        page = MetricsPage(self._state.metrics)
+        page = MetricsPage(self._state.metrics, self._state.board)
         metrics_server = await serve_metrics(page, self._node)
         _log.info(
             'turn store started',
@@ -136,19 +135,10 @@
             address=self._node.peer_address,
             zone=self._node.zone,
         )
-        members = self._state.follower(
+        members, others = turn_store_followers(
+            self._state,
             store,
-            KIND_MEMBERS,
-            lambda: (
-                membership.needs_member_objects() or self._state.is_watcher()
-            ),
-        )
-        followers = (
-            members,
-            *(
-                self._state.follower(store, kind, self._state.is_watcher)
-                for kind in (KIND_CONFIG, KIND_SERVERS, KIND_RETIREMENTS)
-            ),
+            lambda: membership.needs_member_objects(),
         )
         membership = Membership(
             own,
@@ -159,10 +149,13 @@
             lambda: self._replicator.pulled,
             self._service.pulled_versions,
         )
+        kinds = tuple(DocumentKind)
         return [
-            *(follower.run for follower in followers),
+            members.run,
+            *(follower.run for follower in others),
             membership.run,
-            self._state.exchange(self._pool, tuple(DocumentKind)).run,
+            create_exchange(self._state, self._pool, kinds).run,
+            create_monitor(self._state, kinds).run,
             self._replicator.run,
             self._document_files.run,
             self._crash_file.run,
