Keep rules, servers and members within their bound, or refuse truthfully

What callers saw: 401 and 404 by rules 4 s old while all turn stores were away and the platform's store was well.

Cause: the age up to which a process relied on its peers (5 s) followed from the length of a watch, not from the time in which a change must be in force (2 s, configApplyMs). Class: a time for which a belief is good that has no bound behind it. Evidence: rules_age_ms 2449 to 4160 at the false refusals, no call of the store before 17.2 s, none failed.

Fix: one budget per kind of document; the last step, a process's own call, ends within the bound whatever failed before it. Gateways exchange documents with each other while turn stores confirm none, and three of them watch the store. Confirmations carry the time at which a call began. What unconfirmed rules do not allow gets 503 (1309), not run. Why it works: a confirmation within the bound proves that each change due is known, and without one nothing is refused for good. Servers missing from a list count as lapsed from drainMs on (4.5 s before, also longer than a watch).

Ruled out: confirming once a second by each gateway (calls grow with the fleet).

--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -10,6 +10,7 @@
 )
 from rattanvalve.gateway.calls import Call, Refusal
 from rattanvalve.gateway.costs import CostTable
+from rattanvalve.gateway.current_rules import CurrentRules
 from rattanvalve.gateway.endpoint_choice import (
     ChosenEndpoint,
     EndpointChooser,
@@ -58,6 +59,7 @@
         self._chooser = chooser
         self._attempts = attempts
         self._costs = CostTable()
+        self._current_rules = CurrentRules(state)
 
     async def forward(
         self,
@@ -134,9 +136,14 @@
 
     def _check(self, call: Call, trace: Trace) -> Refusal | None:
         """Return a refusal if the request must not be sent any more."""
+        now_s = time.monotonic()
         if not self._state.rules.allows(call.key, call.workspace):
-            return Refusal(ResultCode.KEY_WITHDRAWN)
-        if call.deadline_s - time.monotonic() < REMAINING_TIME_MIN_S:
+            refusal = self._current_rules.refuse(
+                ResultCode.KEY_WITHDRAWN, now_s
+            )
+            is_final = refusal.retry_after_s is None
+            return refusal if is_final else _unless_run(trace, refusal)
+        if call.deadline_s - now_s < REMAINING_TIME_MIN_S:
             return _deadline_refusal(trace)
         refusal = self._tables.crashes.refuse(call)
         return refusal and _unless_run(trace, refusal)
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -30,9 +30,8 @@
 from rattanvalve.platform.objects import ObjectStore
 from rattanvalve.platform.servers import decode_servers
 from rattanvalve.sharedstate.document_tasks import (
-    create_exchange,
-    create_monitor,
-    fallback_followers,
+    gateway_tasks,
+    peer_handlers,
 )
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
@@ -50,9 +49,6 @@
 UNREADY_GRACE_SHARE = 0.4
 #: Part of the stop grace period that is reserved for closing.
 CLOSE_GRACE_S = 0.5
-#: The store's data counts as stale if its last confirmation is older than
-#: this, which is longer than a watch.
-STORE_STALE_S = 4.5
 STOP_CHECK_INTERVAL_S = 0.05
 
 _log = part_logger(LogPart.PROCESS)
@@ -91,7 +87,7 @@
         )
         self._peer_server = PeerServer(
             peer_secret,
-            relay_service.handlers(),
+            relay_service.handlers() | peer_handlers(self._state),
             self._state.metrics,
         )
         cache = TurnCache(int(node.memory_mb * CACHE_SHARE * 1_000_000))
@@ -198,11 +194,11 @@
         )
 
     def _background_tasks(self, store: ObjectStore) -> list:
-        followers = fallback_followers(self._state, store)
+        document_tasks = gateway_tasks(
+            self._state, store, self._peers, self._calls.relays.known
+        )
         return [
-            *(follower.run for follower in followers),
-            create_exchange(self._state, self._peers).run,
-            create_monitor(self._state).run,
+            *document_tasks,
             self._calls.relays.run,
             self._exchange.run,
             self._tables.pool.run,
@@ -227,7 +223,7 @@
         self._tables.directory.update(
             decode_servers(body),
             now_s,
-            is_store_stale=age_s > STORE_STALE_S,
+            is_store_stale=age_s > self._node.staleness.endpoints_s,
         )
 
 
--- a/rattanvalve/gateway/reading.py
+++ b/rattanvalve/gateway/reading.py
@@ -11,6 +11,7 @@
     parse_header_number,
     parse_turn_headers,
 )
+from rattanvalve.gateway.current_rules import CurrentRules
 from rattanvalve.platform import names
 from rattanvalve.platform.requests import forwarded_headers
 from rattanvalve.resultcodes import ResultCode
@@ -27,11 +28,12 @@
 class RequestReader:
     """Admits requests by the current rules, then reads their bodies.
 
-    :param state: shared state that holds the current rules.
+    :param state: shared state that holds the rules.
     """
 
     def __init__(self, state: SharedState) -> None:
         self._state = state
+        self._current_rules = CurrentRules(state)
 
     async def read(
         self,
@@ -45,14 +47,15 @@
         :returns: the parsed request, or a refusal. The body of a refused
             request may be unread, so the connection must not be reused.
         """
+        await self._current_rules.wait(received_s)
         admitted = self._admit(request)
-        if isinstance(admitted, Refusal):
-            return admitted
+        if isinstance(admitted, ResultCode):
+            return self._refuse(admitted, received_s)
         route, workspace = admitted
         try:
             body = await self._read_body(request)
         except BodyError:
-            return Refusal(ResultCode.BODY_TOO_LARGE)
+            return self._refuse(ResultCode.BODY_TOO_LARGE, received_s)
         except TimeoutError:
             return Refusal(ResultCode.REQUEST_TIMEOUT)
         call = _build_call(request, body, route, workspace, received_s)
@@ -61,27 +64,33 @@
     def _admit(
         self,
         request: web.BaseRequest,
-    ) -> tuple[Route, Workspace | None] | Refusal:
+    ) -> tuple[Route, Workspace | None] | ResultCode:
+        """Find the route and the workspace, or the reason for a refusal."""
         rules = self._state.rules
         if not rules.version:
-            return Refusal(ResultCode.STARTING, STARTING_RETRY_AFTER_S)
+            return ResultCode.STARTING
         header_bytes = sum(
             len(name) + len(content) for name, content in request.raw_headers
         )
         if header_bytes > rules.limits.header_bytes:
-            return Refusal(ResultCode.HEADER_TOO_LONG)
+            return ResultCode.HEADER_TOO_LONG
         host = request.headers.get('Host', '').partition(':')[0]
         path = request.raw_path.partition('?')[0]
         route = rules.find_route(host, path)
         if route is None:
-            return Refusal(ResultCode.UNKNOWN_PATH)
+            return ResultCode.UNKNOWN_PATH
         if not rules.needs_keys or route.is_open:
             return route, None
         workspace = _authenticate(request, rules)
-        if isinstance(workspace, Refusal):
+        if isinstance(workspace, ResultCode):
             return workspace
         return route, workspace
 
+    def _refuse(self, code: ResultCode, received_s: float) -> Refusal:
+        if code == ResultCode.STARTING:
+            return Refusal(code, STARTING_RETRY_AFTER_S)
+        return self._current_rules.refuse(code, received_s)
+
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         limits = self._state.rules.limits
         parts = []
@@ -98,11 +107,11 @@
 def _authenticate(
     request: web.BaseRequest,
     rules: TrafficRules,
-) -> Workspace | Refusal:
+) -> Workspace | ResultCode:
     key = request.headers.get(names.CALLER_KEY)
     if key is None:
-        return Refusal(ResultCode.KEY_MISSING)
-    return rules.workspace_of_key(key) or Refusal(ResultCode.KEY_UNKNOWN)
+        return ResultCode.KEY_MISSING
+    return rules.workspace_of_key(key) or ResultCode.KEY_UNKNOWN
 
 
 def _build_call(
--- a/rattanvalve/gateway/relays.py
+++ b/rattanvalve/gateway/relays.py
@@ -102,6 +102,13 @@
         """
         return len(self._known_until_s)
 
+    def known(self) -> tuple[Address, ...]:
+        """List the other gateways.
+
+        :returns: addresses of the known gateways, also of those never probed.
+        """
+        return tuple(self._known_until_s)
+
     async def call(
         self,
         member: Address,
--- a/rattanvalve/platform/objects.py
+++ b/rattanvalve/platform/objects.py
@@ -15,7 +15,7 @@
 )
 from rattanvalve.platform.malformed import MALFORMED_JSON
 
-__all__ = ('Changes', 'ObjectStore', 'StoredEntry')
+__all__ = ('CALL_TIMEOUT_S', 'Changes', 'ObjectStore', 'StoredEntry')
 
 CALL_TIMEOUT_S = 1.5
 #: The store answers a watch when the wait ends; this covers the round trip.
@@ -82,10 +82,13 @@
         self._base_url = base_url
         self._session = session
 
-    async def list_objects(self, kind: str) -> Changes:
+    async def list_objects(
+        self, kind: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> Changes:
         """Read all objects of a kind, page by page.
 
         :param kind: kind of objects.
+        :param timeout_s: timeout of the call for each page in seconds.
         :returns: the objects, and the revision from which to watch.
         :raises StoreError: if a call fails or its answer is malformed.
         """
@@ -93,7 +96,7 @@
         query: dict[str, str] = {}
         revision = 0
         while True:
-            body = await self._request('GET', kind, params=query)
+            body = await self._request('GET', kind, timeout_s, params=query)
             page = _decode(body, _Page)
             # A watch from the first page's revision includes changes that were
             # made while later pages were read.
@@ -103,19 +106,26 @@
                 return Changes(tuple(entries), (), revision)
             query = {'after': entries[-1].name}
 
-    async def watch(self, kind: str, revision: int, wait_ms: int) -> Changes:
+    async def watch(
+        self,
+        kind: str,
+        revision: int,
+        wait_ms: int,
+        grace_s: float = WATCH_GRACE_S,
+    ) -> Changes:
         """Wait for changes to objects of a kind.
 
         :param kind: kind of objects.
         :param revision: revision of the last known state.
         :param wait_ms: longest wait in milliseconds.
+        :param grace_s: time for the way of the answer in seconds.
         :returns: the changes since the revision; empty if the wait ends first.
         :raises HistoryCompactedError: if the store no longer has the history
             since the revision.
         :raises StoreError: if the call fails or its answer is malformed.
         """
         query = {'watch': str(revision), 'waitMs': str(wait_ms)}
-        timeout_s = wait_ms / 1000 + WATCH_GRACE_S
+        timeout_s = wait_ms / 1000 + grace_s
         body = await self._request('GET', kind, timeout_s, params=query)
         answer = _decode(body, _Events)
         written = []
--- a/rattanvalve/resultcodes.py
+++ b/rattanvalve/resultcodes.py
@@ -44,6 +44,7 @@
     TURN_STORE_UNAVAILABLE = 1306
     ENDPOINTS_LIMITED = 1307
     REQUEST_SUSPECTED = 1308
+    RULES_UNCONFIRMED = 1309
     STALE_EPOCH = 1401
     STALE_TICKET = 1402
     DUPLICATE_TICKET = 1403
@@ -212,6 +213,13 @@
         True,
         'servers have crashed while they ran this request and others',
     ),
+    (
+        ResultCode.RULES_UNCONFIRMED,
+        503,
+        _SERVER,
+        True,
+        'newer rules may allow the request; the store has not confirmed these',
+    ),
     (
         ResultCode.STARTING,
         503,
--- a/rattanvalve/sharedstate/document_tasks.py
+++ b/rattanvalve/sharedstate/document_tasks.py
@@ -1,10 +1,12 @@
 """Tasks that keep the documents of a process current."""
 
+import time
 from collections.abc import Callable, Iterable, Sequence
 from contextlib import suppress
 
 import msgspec
 
+from rattanvalve.channels import Address, Handler
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Document
 from rattanvalve.peers import PeerPool
@@ -18,20 +20,28 @@
 from rattanvalve.platform.objects import ObjectStore, StoredEntry
 from rattanvalve.platform.servers import encode_servers
 from rattanvalve.platform.turnstores import encode_members, encode_retirements
+from rattanvalve.sharedstate.deputies import Deputies, DeputyExchange
 from rattanvalve.sharedstate.documents import DocumentKind
-from rattanvalve.sharedstate.exchange import EXCHANGED_KINDS, PeerExchange
+from rattanvalve.sharedstate.exchange import (
+    EXCHANGED_KINDS,
+    PeerExchange,
+    document_handlers,
+)
 from rattanvalve.sharedstate.object_follower import (
     DocumentBuilder,
+    FollowedKind,
     ObjectFollower,
 )
 from rattanvalve.sharedstate.shared_state import SharedState
 from rattanvalve.sharedstate.staleness_monitor import StalenessMonitor
+from rattanvalve.sharedstate.tasks import Task
 
 __all__ = (
     'create_exchange',
     'create_follower',
     'create_monitor',
-    'fallback_followers',
+    'gateway_tasks',
+    'peer_handlers',
     'turn_store_followers',
 )
 
@@ -60,35 +70,17 @@
         call it only while peers do not confirm the document.
     :returns: follower; the caller runs it.
     """
-    document_kind, build_document = _DOCUMENTS[kind]
+    followed = _FOLLOWED[kind]
     return ObjectFollower(
         store,
-        kind,
-        document_kind,
-        build_document,
+        followed,
         state.board,
         state.metrics,
+        state.node.staleness.budget(followed.document_kind),
         is_watcher,
     )
 
 
-def fallback_followers(
-    state: SharedState, store: ObjectStore
-) -> list[ObjectFollower]:
-    """Create the followers of a process that is never a watcher.
-
-    They call the store only while peers do not confirm a document.
-
-    :param state: state of this process.
-    :param store: client of the platform's store.
-    :returns: followers; the caller runs them.
-    """
-    kinds = (KIND_CONFIG, KIND_SERVERS, KIND_MEMBERS)
-    return [
-        create_follower(state, store, kind, _never_watches) for kind in kinds
-    ]
-
-
 def turn_store_followers(
     state: SharedState,
     store: ObjectStore,
@@ -128,7 +120,7 @@
     :param kinds: kinds of documents to exchange.
     :returns: exchange; the caller runs it.
     """
-    return PeerExchange(
+    exchange = PeerExchange(
         pool,
         state.peer_addresses,
         state.board,
@@ -137,6 +129,52 @@
         state.other_watcher_addresses,
         kinds,
     )
+    exchange.interval_max_s = state.node.staleness.exchange_interval_s
+    return exchange
+
+
+def gateway_tasks(
+    state: SharedState,
+    store: ObjectStore,
+    pool: PeerPool,
+    known_gateways: Callable[[], Sequence[Address]],
+) -> list[Task]:
+    """Create the tasks that keep the documents of a gateway current.
+
+    A gateway calls the store only while turn stores do not confirm a document;
+    deputies then watch it for the other gateways.
+
+    :param state: state of this process.
+    :param store: client of the platform's store.
+    :param pool: connections to peers.
+    :param known_gateways: returns the addresses of the other gateways.
+    :returns: tasks that run until cancelled.
+    """
+    deputies = Deputies(state.node.peer_address, known_gateways)
+    followers = [
+        create_follower(
+            state, store, kind, _deputy_check(state, deputies, kind)
+        )
+        for kind in (KIND_CONFIG, KIND_SERVERS, KIND_MEMBERS)
+    ]
+    deputy_exchange = DeputyExchange(
+        deputies, pool, state.board, state.node.staleness, state.metrics
+    )
+    return [
+        *(follower.run for follower in followers),
+        create_exchange(state, pool).run,
+        deputy_exchange.run,
+        create_monitor(state).run,
+    ]
+
+
+def peer_handlers(state: SharedState) -> dict[type, Handler]:
+    """Create the handlers that answer exchanges of documents.
+
+    :param state: state of this process.
+    :returns: handlers by message class.
+    """
+    return document_handlers(state.board, state.metrics)
 
 
 def create_monitor(
@@ -153,6 +191,23 @@
     )
 
 
+def _deputy_check(
+    state: SharedState, deputies: Deputies, kind: str
+) -> Callable[[], bool]:
+    """Create the check whether a gateway watches a kind of objects."""
+    document_kind = _FOLLOWED[kind].document_kind
+    deputy_age_s = state.node.staleness.budget(document_kind).deputy_age_s
+
+    def is_watching_deputy() -> bool:
+        now_s = time.monotonic()
+        age_s = state.board.member_confirmation_age_s(document_kind, now_s)
+        # A process that has met no turn store yet may be starting.
+        is_needed = deputy_age_s <= age_s < float('inf')
+        return is_needed and deputies.is_deputy(now_s)
+
+    return is_watching_deputy
+
+
 def _rules_document(
     entries: Iterable[StoredEntry],
     revision: int,
@@ -186,22 +241,24 @@
     return build_document
 
 
-_DOCUMENTS = {
-    KIND_CONFIG: (DocumentKind.RULES, _rules_document),
-    KIND_SERVERS: (
-        DocumentKind.SERVERS,
-        _list_builder(DocumentKind.SERVERS, encode_servers),
-    ),
-    KIND_MEMBERS: (
-        DocumentKind.MEMBERS,
-        _list_builder(DocumentKind.MEMBERS, encode_members),
-    ),
-    KIND_RETIREMENTS: (
-        DocumentKind.RETIREMENTS,
-        _list_builder(DocumentKind.RETIREMENTS, encode_retirements),
-    ),
+_FOLLOWED = {
+    followed.object_kind: followed
+    for followed in (
+        FollowedKind(KIND_CONFIG, DocumentKind.RULES, _rules_document),
+        FollowedKind(
+            KIND_SERVERS,
+            DocumentKind.SERVERS,
+            _list_builder(DocumentKind.SERVERS, encode_servers),
+        ),
+        FollowedKind(
+            KIND_MEMBERS,
+            DocumentKind.MEMBERS,
+            _list_builder(DocumentKind.MEMBERS, encode_members),
+        ),
+        FollowedKind(
+            KIND_RETIREMENTS,
+            DocumentKind.RETIREMENTS,
+            _list_builder(DocumentKind.RETIREMENTS, encode_retirements),
+        ),
+    )
 }
-
-
-def _never_watches() -> bool:
-    return False
--- a/rattanvalve/sharedstate/documents.py
+++ b/rattanvalve/sharedstate/documents.py
@@ -29,24 +29,40 @@
             kind: [] for kind in DocumentKind
         }
         self._confirmed_s = dict.fromkeys(DocumentKind, float('-inf'))
+        self._member_confirmed_s = self._confirmed_s.copy()
+        self._failed_s = self._confirmed_s.copy()
 
-    def confirm(self, kind: str, confirmed_s: float) -> None:
+    def confirm(
+        self, kind: str, confirmed_s: float, *, is_from_member: bool = False
+    ) -> None:
         """Record when the store last confirmed the newest version.
 
         An earlier time than the recorded one is ignored.
 
         :param kind: kind of document.
-        :param confirmed_s: monotonic time in seconds.
+        :param confirmed_s: monotonic time in seconds, no later than the state
+            of the store that was seen.
+        :param is_from_member: whether a turn store told it.
         """
-        known_s = self._confirmed_s.get(kind, confirmed_s)
-        self._confirmed_s[kind] = max(known_s, confirmed_s)
+        _raise_time(self._confirmed_s, kind, confirmed_s)
+        if is_from_member:
+            _raise_time(self._member_confirmed_s, kind, confirmed_s)
 
-    def invalidate(self, kind: str) -> None:
-        """Discard the confirmation after a failed call of the store.
+    def record_failure(self, kind: str, now_s: float) -> None:
+        """Record a failed call of the store.
 
         :param kind: kind of document.
+        :param now_s: monotonic time in seconds.
+        """
+        self._failed_s[kind] = now_s
+
+    def is_store_failing(self, kind: str) -> bool:
+        """Return whether this process's newest call of the store failed.
+
+        :param kind: kind of document.
+        :returns: whether no confirmation is newer than a failed call.
         """
-        self._confirmed_s[kind] = float('-inf')
+        return self._failed_s[kind] > self._confirmed_s[kind]
 
     def confirmed_s(self, kind: str) -> float:
         """Return when the store last confirmed the newest version.
@@ -66,6 +82,15 @@
         """
         return now_s - self._confirmed_s[kind]
 
+    def member_confirmation_age_s(self, kind: str, now_s: float) -> float:
+        """Compute the age of the last confirmation that a turn store told.
+
+        :param kind: kind of document.
+        :param now_s: monotonic time in seconds.
+        :returns: age in seconds; infinite without one.
+        """
+        return now_s - self._member_confirmed_s[kind]
+
     def subscribe(self, kind: DocumentKind, listener: Listener) -> None:
         """Register a listener for new documents of a kind.
 
@@ -97,3 +122,7 @@
             listener(document.body)
         self._documents[document.kind] = document
         return True
+
+
+def _raise_time(times_s: dict, kind: str, time_s: float) -> None:
+    times_s[kind] = max(times_s.get(kind, time_s), time_s)
--- a/rattanvalve/sharedstate/exchange.py
+++ b/rattanvalve/sharedstate/exchange.py
@@ -1,6 +1,7 @@
 """Periodic exchange of documents between processes (anti-entropy)."""
 
 import asyncio
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable, Sequence
@@ -13,8 +14,17 @@
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
 from rattanvalve.sharedstate.object_follower import offer_document
 from rattanvalve.sharedstate.reachability import ReachTable
+from rattanvalve.sharedstate.staleness import (
+    EXCHANGE_INTERVAL_MAX_S,
+    EXCHANGE_JITTER,
+)
 
-__all__ = ('EXCHANGED_KINDS', 'PeerExchange', 'document_handlers')
+__all__ = (
+    'EXCHANGED_KINDS',
+    'PeerExchange',
+    'document_handlers',
+    'exchange_kind',
+)
 
 #: Age sent for a document that was never confirmed.
 UNCONFIRMED_AGE_MS = 1_000_000_000
@@ -24,8 +34,9 @@
 #: interval grows in proportion up to its maximum, as the number of processes
 #: that call the turn stores grows with them.
 EXCHANGE_BASE_MEMBERS = 9
-EXCHANGE_INTERVAL_MAX_S = 1.0
 EXCHANGE_PEERS = 2
+#: Factor of the shortest random interval.
+EXCHANGE_JITTER_MIN = 0.8
 EXCHANGED_KINDS = (
     DocumentKind.RULES,
     DocumentKind.SERVERS,
@@ -51,6 +62,9 @@
     :param kinds: kinds of documents to exchange.
     """
 
+    #: Longest mean interval between two exchanges in seconds.
+    interval_max_s = EXCHANGE_INTERVAL_MAX_S
+
     def __init__(
         self,
         pool: PeerPool,
@@ -77,7 +91,9 @@
 
     async def _exchange_periodically(self) -> None:
         while True:
-            pause_s = self._interval_s() * random.uniform(0.8, 1.2)
+            pause_s = self._interval_s() * random.uniform(
+                EXCHANGE_JITTER_MIN, EXCHANGE_JITTER
+            )
             await asyncio.gather(
                 asyncio.sleep(pause_s),
                 *map(self._exchange, self._choose_peers()),
@@ -88,7 +104,7 @@
         if not self._board.newest(DocumentKind.RULES).version:
             return PROBE_INTERVAL_S
         growth = max(len(self._peers()) / EXCHANGE_BASE_MEMBERS, 1)
-        return min(EXCHANGE_INTERVAL_S * growth, EXCHANGE_INTERVAL_MAX_S)
+        return min(EXCHANGE_INTERVAL_S * growth, self.interval_max_s)
 
     async def _probe_periodically(self) -> None:
         """Find peers quickly after a start or a loss of most of them."""
@@ -143,21 +159,46 @@
             await self._exchange_kind(peer, kind)
 
     async def _exchange_kind(self, peer: Address, kind: DocumentKind) -> None:
-        ours = self._board.newest(kind)
-        theirs = await self._pool.call(
-            peer,
-            Pull(kind=kind, newer_than=ours.version),
-            EXCHANGE_TIMEOUT_S,
+        await exchange_kind(
+            self._pool, self._board, self._metrics, peer, kind, is_member=True
         )
-        if not isinstance(theirs, Document):
-            raise PeerError('no document in the answer to a pull')
-        now_s = time.monotonic()
-        if theirs.version < ours.version:
-            await self._pool.call(peer, ours, EXCHANGE_TIMEOUT_S)
-            return
-        if theirs.version > ours.version:
-            offer_document(self._board, theirs, peer.host, self._metrics)
-        self._board.confirm(kind, now_s - theirs.age_ms / 1000)
+
+
+async def exchange_kind(
+    pool: PeerPool,
+    board: DocumentBoard,
+    metrics: Metrics,
+    peer: Address,
+    kind: DocumentKind,
+    *,
+    is_member: bool = False,
+) -> None:
+    """Synchronize one document with a peer, in both directions.
+
+    :param pool: connections to peers.
+    :param board: documents of this process.
+    :param metrics: counters.
+    :param peer: address of the peer.
+    :param kind: kind of document.
+    :param is_member: whether the peer is a turn store.
+    :raises PeerError: if the peer does not answer.
+    """
+    ours = board.newest(kind)
+    called_s = time.monotonic()
+    theirs = await pool.call(
+        peer,
+        Pull(kind=kind, newer_than=ours.version),
+        EXCHANGE_TIMEOUT_S,
+    )
+    if not isinstance(theirs, Document):
+        raise PeerError('no document in the answer to a pull')
+    if theirs.version < ours.version:
+        await pool.call(peer, ours, EXCHANGE_TIMEOUT_S)
+        return
+    if offer_document(board, theirs, peer.host, metrics):
+        # The answer may have been under way since the call began.
+        confirmed_s = called_s - theirs.age_ms / 1000
+        board.confirm(kind, confirmed_s, is_from_member=is_member)
 
 
 def document_handlers(board: DocumentBoard, metrics: Metrics) -> dict:
@@ -177,7 +218,7 @@
                 kind=message.kind,
                 version=newest.version,
                 body=newest.body if is_newer else b'',
-                age_ms=int(min(age_ms, UNCONFIRMED_AGE_MS)),
+                age_ms=math.ceil(min(age_ms, UNCONFIRMED_AGE_MS)),
             ),
         )
 
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -12,10 +12,10 @@
 from rattanvalve.sharedstate.document_tasks import (
     create_exchange,
     create_monitor,
+    peer_handlers,
     turn_store_followers,
 )
 from rattanvalve.sharedstate.documents import DocumentKind
-from rattanvalve.sharedstate.exchange import document_handlers
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
 from rattanvalve.sharedstate.members import MembersView, StoreMember
 from rattanvalve.sharedstate.object_follower import offer_document
@@ -106,10 +106,7 @@
                 self._state.metrics,
             )
         self._crash_file.load(time.time(), time.monotonic())
-        handlers = self._service.handlers() | document_handlers(
-            self._state.board,
-            self._state.metrics,
-        )
+        handlers = self._service.handlers() | peer_handlers(self._state)
         server = PeerServer(self._peer_secret, handlers, self._state.metrics)
         await server.start(self._node.peer_address)
         page = MetricsPage(self._state.metrics, self._state.board)
