--- a/rattanvalve/gateway/current_rules.py
+++ b/rattanvalve/gateway/current_rules.py
@@ -12,6 +12,7 @@
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.shared_state import SharedState
+from rattanvalve.sharedstate.staleness import StalenessBudget
 
 __all__ = ('CurrentRules',)
 
@@ -27,8 +28,7 @@
     """
 
     def __init__(self, state: SharedState) -> None:
-        self._board = state.board
-        self._budget = state.node.staleness.budget(DocumentKind.RULES)
+        self._state = state
 
     def are_confirmed(self, received_s: float) -> bool:
         """Return whether the rules have each change that must be in force.
@@ -36,8 +36,8 @@
         :param received_s: monotonic time in seconds of the request's arrival.
         :returns: whether the store confirmed them within the bound.
         """
-        confirmed_s = self._board.confirmed_s(DocumentKind.RULES)
-        return confirmed_s >= received_s - self._budget.bound_s
+        confirmed_s = self._state.board.confirmed_s(DocumentKind.RULES)
+        return confirmed_s >= received_s - self._budget().bound_s
 
     def must_wait(self, received_s: float, now_s: float) -> bool:
         """Return whether a request waits for a confirmation.
@@ -50,10 +50,10 @@
         """
         if self.are_confirmed(received_s):
             return False
-        age_s = self._board.confirmation_age_s(DocumentKind.RULES, now_s)
+        age_s = self._state.board.confirmation_age_s(DocumentKind.RULES, now_s)
         was_confirmed = age_s < float('inf')
-        is_failing = self._board.is_store_failing(DocumentKind.RULES)
-        is_over = now_s >= received_s + self._budget.call_timeout_s
+        is_failing = self._state.board.is_store_failing(DocumentKind.RULES)
+        is_over = now_s >= received_s + self._budget().call_timeout_s
         return was_confirmed and not (is_failing or is_over)
 
     async def wait(self, received_s: float) -> None:
@@ -77,3 +77,6 @@
         if self.are_confirmed(received_s):
             return Refusal(code)
         return Refusal(ResultCode.RULES_UNCONFIRMED, UNCONFIRMED_RETRY_AFTER_S)
+
+    def _budget(self) -> StalenessBudget:
+        return self._state.node.staleness.budget(DocumentKind.RULES)
