Watch the platform's store from three turn stores instead of five

Cause: watches that keep the bounds are shorter, and each is a call.

Five were there because the store may turn some VMs away. Since gateways exchange documents and three of them stand in, that costs calls and no bound, so three suffice.

--- a/rattanvalve/sharedstate/watchers.py
+++ b/rattanvalve/sharedstate/watchers.py
@@ -14,7 +14,7 @@
 __all__ = ('WATCHER_COUNT', 'watchers_of')
 
 #: More than one watcher, as the store may refuse calls of some VMs.
-WATCHER_COUNT = 5
+WATCHER_COUNT = 3
 _KEY = 'watchers'
 
 
