Let no odd entry of another writer hide the others

What callers would see: an entry nested 1,000 levels deep made each list and watch of its kind unreadable, for good; one of 940 to 994 levels passed the watcher and raised at its peers, whose exchange then failed and began again each second. slots of 10**25 made a server that looks empty for ever, an impossible port of a member ended the exchange of documents, and a later page without a readable entry was read for ever.

Cause: the decoder recurses also through values that it skips, and what it refuses depends on the stack at the call; numbers were not bounded.

--- a/rattanvalve/platform/nodefile.py
+++ b/rattanvalve/platform/nodefile.py
@@ -16,7 +16,13 @@
 from rattanvalve.sharedstate.staleness import StalenessBounds
 from rattanvalve.wholenumbers import parse_whole_number
 
-__all__ = ('ENVIRONMENT_VARIABLE', 'NodeSettings', 'parse_address', 'read_node')
+__all__ = (
+    'ENVIRONMENT_VARIABLE',
+    'PORT_MAX',
+    'NodeSettings',
+    'parse_address',
+    'read_node',
+)
 
 ENVIRONMENT_VARIABLE = 'RATTANVALVE_NODE_FILE'
 PORT_MAX = 65_535
--- a/rattanvalve/platform/objects.py
+++ b/rattanvalve/platform/objects.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store."""
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -13,9 +14,21 @@
     StoreConflictError,
     StoreError,
 )
+from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.platform.json_bounds import (
+    DEPTH_MAX,
+    cut_deep_values,
+    is_too_deep,
+)
 from rattanvalve.platform.malformed import MALFORMED_JSON
 
-__all__ = ('CALL_TIMEOUT_S', 'Changes', 'ObjectStore', 'StoredEntry')
+__all__ = (
+    'CALL_TIMEOUT_S',
+    'Changes',
+    'ObjectStore',
+    'StoredEntry',
+    'decode_entry',
+)
 
 CALL_TIMEOUT_S = 1.5
 #: The store answers a watch when the wait ends; this covers the round trip.
@@ -24,6 +37,11 @@
 RESPONSE_BYTES_MAX = 16 * 1024 * 1024
 _CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 _NO_SPEC = msgspec.Raw(b'null')
+#: Levels that are kept of an answer that cannot be decoded. An entry that is
+#: cut is still nested too deeply, as in an answer that can be decoded.
+CUT_DEPTH = DEPTH_MAX + 8
+
+_log = part_logger(LogPart.CONFIG)
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +67,14 @@
     revision: int = 0
 
 
+class _Name(msgspec.Struct):
+    name: str
+
+
+class _Named(msgspec.Struct):
+    metadata: _Name
+
+
 class _Object(msgspec.Struct):
     metadata: _Metadata
     spec: msgspec.Raw = _NO_SPEC
@@ -93,18 +119,22 @@
         :raises StoreError: if a call fails or its answer is malformed.
         """
         entries: list[StoredEntry] = []
-        query: dict[str, str] = {}
+        after = ''
         revision = 0
         while True:
+            query = {'after': after} if after else {}
             body = await self._request('GET', kind, timeout_s, params=query)
             page = _decode(body, _Page)
             # A watch from the first page's revision includes changes that were
             # made while later pages were read.
             revision = revision or page.store_revision
-            entries.extend(filter(None, map(_decode_entry, page.items)))
-            if not page.has_more or not entries:
+            entries.extend(filter(None, map(decode_entry, page.items)))
+            if not page.has_more:
                 return Changes(tuple(entries), (), revision)
-            query = {'after': entries[-1].name}
+            last_name = _last_name(page.items)
+            if last_name <= after:
+                raise StoreError('a page without a name to continue from')
+            after = last_name
 
     async def watch(
         self,
@@ -131,7 +161,7 @@
         written = []
         removed = []
         for event in answer.events:
-            entry = _decode_entry(event.object)
+            entry = decode_entry(event.object)
             if entry is None:
                 continue
             if event.removed:
@@ -234,15 +264,45 @@
 def _decode(body: bytes, kind: type) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
+    except RecursionError:
+        # One entry must not make the others unreadable.
+        return _decode_cut(cut_deep_values(body, CUT_DEPTH), kind)
     except MALFORMED_JSON as error:
         raise StoreError(f'malformed answer: {error}') from error
 
 
-def _decode_entry(raw: msgspec.Raw) -> StoredEntry | None:
+def _decode_cut(body: bytes, kind: type) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except MALFORMED_JSON as error:
+        raise StoreError(f'malformed answer: {error}') from error
+
+
+def decode_entry(raw: bytes) -> StoredEntry | None:
+    """Decode an object, with its content as JSON text.
+
+    :param raw: JSON text of the object.
+    :returns: the entry; ``None`` if its metadata is unreadable. Content that
+        is nested too deeply is read as ``null``.
+    """
     try:
         stored = msgspec.json.decode(raw, type=_Object)
     except MALFORMED_JSON:
         # Another writer stored an object without readable metadata.
         return None
     metadata = stored.metadata
-    return StoredEntry(metadata.name, metadata.revision, bytes(stored.spec))
+    spec = bytes(stored.spec)
+    if is_too_deep(spec):
+        _log.warning(
+            'nested too deeply, read as null', extra={'object': metadata.name}
+        )
+        spec = _NO_SPEC
+    return StoredEntry(metadata.name, metadata.revision, bytes(spec))
+
+
+def _last_name(items: list[msgspec.Raw]) -> str:
+    """Return the last readable name of a page; empty if there is none."""
+    for raw in reversed(items):
+        with suppress(*MALFORMED_JSON):
+            return msgspec.json.decode(raw, type=_Named).metadata.name
+    return ''
--- a/rattanvalve/platform/servers.py
+++ b/rattanvalve/platform/servers.py
@@ -1,6 +1,7 @@
 """Decodes the entries with which servers register in the object store."""
 
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
@@ -14,16 +15,24 @@
 _STATES = frozenset(('ready', 'draining'))
 
 
+#: More concurrent requests than any server can serve.
+SLOTS_MAX = 1_000_000
+#: One day; a server is never slow after its start for longer.
+COLD_MS_MAX = 86_400_000
+#: Largest integer that all JSON implementations represent exactly.
+BORN_MS_MAX = 2**53
+
+
 class _Server(msgspec.Struct, rename='camel'):
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=SLOTS_MAX)]
     state: str
-    cold_remaining_ms: float = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(le=COLD_MS_MAX)] = 0
     # Unix time of the start in milliseconds; distinguishes restarts that use
     # the same id.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=BORN_MS_MAX)] = 0
 
 
 class _ListedServer(msgspec.Struct):
@@ -36,15 +45,15 @@
 
     :param name: id of the server.
     :param spec: JSON content of the entry.
-    :returns: the entry; ``None`` if it is malformed, has an unknown state or
-        no slots.
+    :returns: the entry; ``None`` if it is malformed, has an unknown state, no
+        slots or a number out of range.
     """
     try:
         server = msgspec.json.decode(spec, type=_Server)
         address = parse_address(server.address)
     except MALFORMED_JSON:
         return None
-    if server.state not in _STATES or server.slots < 1:
+    if server.state not in _STATES:
         return None
     return EndpointEntry(
         name=name,
@@ -61,17 +70,23 @@
 def encode_servers(entries: Iterable[StoredEntry]) -> bytes:
     """Encode all entries as one document for peers.
 
-    :param entries: entries as stored; malformed ones are included.
+    :param entries: entries as stored; the content of unusable ones is left
+        out.
     :returns: the document.
     """
     return msgspec.json.encode(
         [
-            _ListedServer(entry.name, msgspec.Raw(entry.spec))
+            _ListedServer(entry.name, msgspec.Raw(_usable_spec(entry)))
             for entry in entries
         ],
     )
 
 
+def _usable_spec(entry: StoredEntry) -> bytes:
+    is_usable = decode_server(entry.name, entry.spec) is not None
+    return entry.spec if is_usable else b'null'
+
+
 def decode_servers(body: bytes) -> list[tuple[str, EndpointEntry | None]]:
     """Decode a document of :func:`encode_servers`.
 
--- a/rattanvalve/platform/turnstores.py
+++ b/rattanvalve/platform/turnstores.py
@@ -1,11 +1,13 @@
 """Encodes and decodes turn store members and operators' retirements."""
 
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
 from rattanvalve.channels import Address
 from rattanvalve.platform.malformed import MALFORMED_JSON
+from rattanvalve.platform.nodefile import PORT_MAX, parse_address
 from rattanvalve.platform.objects import StoredEntry
 from rattanvalve.sharedstate.members import StoreMember
 
@@ -20,7 +22,7 @@
 
 class _Member(msgspec.Struct):
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=PORT_MAX)]
     zone: str
     is_leaving: bool = False
 
@@ -54,6 +56,7 @@
     for entry in entries:
         try:
             spec = msgspec.json.decode(entry.spec, type=_Member)
+            parse_address(f'{spec.host}:{spec.port}')
         except MALFORMED_JSON:
             continue
         listed.append(_ListedMember(entry.name, spec))
--- a/rattanvalve/sharedstate/document_tasks.py
+++ b/rattanvalve/sharedstate/document_tasks.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Iterable, Sequence
 from contextlib import suppress
+from typing import Annotated
 
 import msgspec
 
@@ -51,8 +52,12 @@
 _log = part_logger(LogPart.PROCESS)
 
 
+#: Largest version that fits into the messages between processes.
+VERSION_MAX = 2**63 - 1
+
+
 class _Versioned(msgspec.Struct):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=VERSION_MAX)]
 
 
 def create_follower(
--- a/rattanvalve/sharedstate/object_follower.py
+++ b/rattanvalve/sharedstate/object_follower.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-import msgspec
-
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.errors import (
     ConfigurationError,
@@ -17,6 +15,7 @@
 )
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.messages import Document
+from rattanvalve.platform.malformed import MALFORMED_JSON
 from rattanvalve.platform.objects import (
     CALL_TIMEOUT_S,
     Changes,
@@ -53,6 +52,8 @@
 #: It is longer, as calls beyond those of the watchers only add load while the
 #: store is down.
 FALLBACK_RETRY_SHARE = 0.5
+_UNREADABLE = (ConfigurationError, *MALFORMED_JSON)
+
 _log = part_logger(LogPart.CONFIG)
 
 DocumentBuilder = Callable[[Iterable[StoredEntry], int], Document | None]
@@ -270,7 +271,7 @@
     known_version = board.newest(document.kind).version
     try:
         is_adopted = board.offer(document)
-    except (ConfigurationError, msgspec.DecodeError) as error:
+    except _UNREADABLE as error:
         _log.warning(
             'document refused',
             extra={'kind': document.kind, 'error': str(error)},
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -18,6 +18,8 @@
         self.revision = 5
         #: IP addresses of clients that get status 503.
         self.refused_hosts = set()
+        #: JSON text by the string that stands for it in a stored object.
+        self.raw_texts = {}
         #: Number of upcoming writes that take effect without a response.
         self.lost_answers = 0
         self.call_count = 0
@@ -35,6 +37,12 @@
         self.stored[kind, name] = stored
         self._record_event(kind, stored, is_removed=False)
 
+    def put_text(self, kind, name, text):
+        """Write an object whose content is JSON text that is sent as it is."""
+        mark = f'raw text {len(self.raw_texts)}'
+        self.raw_texts[f'"{mark}"'] = text
+        self.put(kind, name, mark)
+
     def remove(self, kind, name):
         """Remove an object that exists, whatever its revision."""
         self.revision += 1
@@ -97,7 +105,7 @@
         names = sorted(name for known, name in self.stored if known == kind)
         rest = [name for name in names if name > after]
         page = [self.stored[kind, name] for name in rest[:PAGE_COUNT]]
-        return web.json_response(
+        return self._json_response(
             {
                 'items': page,
                 'hasMore': len(rest) > PAGE_COUNT,
@@ -105,6 +113,12 @@
             },
         )
 
+    def _json_response(self, content):
+        text = json.dumps(content)
+        for mark, raw_text in self.raw_texts.items():
+            text = text.replace(mark, raw_text)
+        return web.Response(text=text, content_type='application/json')
+
     async def _watch(self, request, kind):
         since = int(request.query['watch'])
         with suppress(TimeoutError):
@@ -114,7 +128,7 @@
                         return web.Response(status=410)
                     await self._changed.wait()
         events = self._events(kind, since)
-        return web.json_response(
+        return self._json_response(
             {'events': events, 'storeRevision': self.revision},
         )
 
--- a/tests/staleness_simulation.py
+++ b/tests/staleness_simulation.py
@@ -129,11 +129,11 @@
 
     def turn_store_hosts(self):
         """List the hosts of the turn stores."""
-        return [f's{index}' for index in range(self.store_count)]
+        return [f'10.0.0.{index + 1}' for index in range(self.store_count)]
 
     def gateway_hosts(self):
         """List the hosts of the gateways."""
-        return [f'g{index}' for index in range(self.gateway_count)]
+        return [f'10.0.1.{index + 1}' for index in range(self.gateway_count)]
 
     async def play(self, duration_s, faults):
         """Start all processes, let a script of faults run and check."""
