Keep a request refused when another one is blamed for its three crashes

Cause: a block younger than 0.5 s was dropped as soon as another request explained its crashes, and later crashes were then counted from zero, so that three more were needed. Fix: a request whose blame was certain and is no longer stays refused for 3 s after its newest crash (503, not for good), and one more crash that nobody blocked explains blocks it.

--- a/rattanvalve/sharedstate/request_crashes.py
+++ b/rattanvalve/sharedstate/request_crashes.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 
+from rattanvalve.sharedstate.blame_doubts import BlameDoubts
 from rattanvalve.sharedstate.crash_blame import (
     BLOCK_ROUNDS,
     BLOCK_S,
@@ -36,6 +37,7 @@
     def __init__(self) -> None:
         self._records = CrashRecords()
         self._blame = Blame({}, ())
+        self._doubts = BlameDoubts()
 
     @property
     def digest(self) -> int:
@@ -67,7 +69,9 @@
         :param now_s: monotonic time in seconds.
         :returns: the block; ``None`` if the request may be sent.
         """
-        block = self._blame.blocks.get(fingerprint)
+        block = self._blame.blocks.get(fingerprint) or self._doubts.block(
+            fingerprint
+        )
         if block is None or now_s >= block.until_s:
             return None
         return block
@@ -174,14 +178,19 @@
     def _update_blame(self, now_s: float) -> None:
         suspects = self._records.suspects()
         # Later crashes of other requests must not end a block.
-        settled = [
+        settled = {
             fingerprint
             for fingerprint, block in self._blame.blocks.items()
             if block.is_certain
             and fingerprint in suspects
             and now_s - (block.until_s - BLOCK_S) >= SETTLE_S
-        ]
-        self._blame = decide_blame(suspects, settled)
+        }
+        blame = decide_blame(suspects, settled)
+        self._doubts.update(suspects, self.blamed(), blame, now_s)
+        relapsed = self._doubts.relapsed(suspects, blame)
+        if relapsed:
+            blame = decide_blame(suspects, settled | relapsed)
+        self._blame = blame
 
 
 def _report(record: CrashRecord, now_s: float) -> RequestCrash:
--- a/tests/sharedstate/request_crashes.feature
+++ b/tests/sharedstate/request_crashes.feature
@@ -67,3 +67,10 @@
     When an endpoint crashes by itself every second
     And 60 programs and the culprits send requests for 40 s with seeds 1 to 8
     Then no request of a program was blocked
+
+  Scenario: a request blocked for three crashes is released by another one's blame
+    Given a request that is blocked for crashes of endpoints a, b and c
+    When another one turns out to have run there and at d, which crashed 0.3 s later
+    Then the request stays refused, not for good, for 3 s after them
+    When it then crashes endpoint e
+    Then it is blocked for good
--- a/tests/steps/request_crashes_steps.py
+++ b/tests/steps/request_crashes_steps.py
@@ -15,6 +15,8 @@
 #: Time between two crashes that one request causes, longer than its run.
 ROUND_S = 1.0
 START_S = 1000.0
+#: Age of the crash of each endpoint; they crashed one after the other.
+CRASH_AGES_S = {'a': 2.0, 'b': 1.0, 'c': 0.0}
 UNIX_S = 1_700_000_000.0
 
 
@@ -227,3 +229,50 @@
         if simulation.late_count() > 3
     }
     assert not late, late
+
+
+def _merge_crashes(table, fingerprint, ages_s, now_s):
+    reports = [
+        crash(fingerprint, endpoint, age_s=age_s)
+        for endpoint, age_s in ages_s.items()
+    ]
+    table.merge(reports, now_s)
+
+
+@given('a request that is blocked for crashes of endpoints a, b and c')
+def step_blocked_for_three(context):
+    context.crash_table = CrashTable()
+    _merge_crashes(context.crash_table, 'blocked', CRASH_AGES_S, START_S)
+    assert context.crash_table.block('blocked', START_S).is_certain
+
+
+@when(
+    'another one turns out to have run there and at d, which crashed '
+    '{delay_s:g} s later'
+)
+def step_other_blamed(context, delay_s):
+    ages_s = {name: age_s + delay_s for name, age_s in CRASH_AGES_S.items()}
+    _merge_crashes(
+        context.crash_table, 'other', ages_s | {'d': 0}, START_S + delay_s
+    )
+    assert context.crash_table.block('other', START_S + delay_s).is_certain
+
+
+@then(
+    'the request stays refused, not for good, for {duration_s:d} s after them'
+)
+def step_stays_refused(context, duration_s):
+    block = context.crash_table.block('blocked', START_S + 1)
+    assert not block.is_certain
+    assert block.until_s == START_S + duration_s, block
+    assert context.crash_table.block('blocked', START_S + duration_s) is None
+
+
+@when('it then crashes endpoint e')
+def step_relapse(context):
+    _merge_crashes(context.crash_table, 'blocked', {'e': 0}, START_S + 5)
+
+
+@then('it is blocked for good')
+def step_blocked_for_good(context):
+    assert context.crash_table.block('blocked', START_S + 5).is_certain
