Confirm no document that this process could not decode

An exchange confirmed its document after offering it, whether it was adopted or refused, and a follower after each call; a process would then refuse by rules that it knows to be old as if they were current.

--- a/rattanvalve/sharedstate/document_tasks.py
+++ b/rattanvalve/sharedstate/document_tasks.py
@@ -2,13 +2,12 @@
 
 import time
 from collections.abc import Callable, Iterable, Sequence
-from contextlib import suppress
 from typing import Annotated
 
 import msgspec
 
 from rattanvalve.channels import Address, Handler
-from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.errors import ConfigurationError
 from rattanvalve.messages import Document
 from rattanvalve.peers import PeerPool
 from rattanvalve.platform.malformed import MALFORMED_JSON
@@ -49,8 +48,6 @@
 #: Name of the object that holds the newest configuration.
 _MAIN_CONFIG = 'main'
 
-_log = part_logger(LogPart.PROCESS)
-
 
 #: Largest version that fits into the messages between processes.
 VERSION_MAX = 2**63 - 1
@@ -217,19 +214,15 @@
     entries: Iterable[StoredEntry],
     revision: int,
 ) -> Document | None:
-    for entry in entries:
-        if entry.name == _MAIN_CONFIG:
-            # The version is the one that operators set, not the store's
-            # revision.
-            with suppress(*MALFORMED_JSON):
-                stored = msgspec.json.decode(entry.spec, type=_Versioned)
-                return Document(
-                    kind=DocumentKind.RULES,
-                    version=stored.version,
-                    body=entry.spec,
-                )
-            _log.warning('configuration without a version ignored')
-    return None
+    stored = {entry.name: entry.spec for entry in entries}.get(_MAIN_CONFIG)
+    if stored is None:
+        return None
+    try:
+        # The version is the one that operators set, not the store's revision.
+        version = msgspec.json.decode(stored, type=_Versioned).version
+    except MALFORMED_JSON as error:
+        raise ConfigurationError(f'no version: {error}') from error
+    return Document(kind=DocumentKind.RULES, version=version, body=stored)
 
 
 def _list_builder(
--- a/rattanvalve/sharedstate/object_follower.py
+++ b/rattanvalve/sharedstate/object_follower.py
@@ -64,7 +64,8 @@
     """A kind of objects and the document that is derived from them.
 
     ``build_document`` builds the document from all objects and the revision
-    of the store; it returns ``None`` if there is no document yet.
+    of the store. It returns ``None`` if there is no document yet, and raises
+    ``ConfigurationError`` if there is one that cannot be read.
     """
 
     object_kind: str
@@ -220,18 +221,25 @@
             self.entries[entry.name] = entry
         is_full_list = not self._revision
         self._revision = max(self._revision, changes.revision)
-        document = None
         if changes.written or changes.removed or is_full_list:
-            document = self._build_document(
-                self.entries.values(), changes.revision
-            )
-        if document is not None:
-            self._is_refused = not offer_document(
-                self._board, document, 'store', self._metrics
-            )
+            self._is_refused = not self._offer(changes.revision)
         if not self._is_refused:
             self._board.confirm(self._document_kind, confirmed_s)
 
+    def _offer(self, revision: int) -> bool:
+        """Offer the document of the current entries.
+
+        :returns: whether the board has it, or there is none.
+        """
+        try:
+            document = self._build_document(self.entries.values(), revision)
+        except ConfigurationError as error:
+            _log_refused(self._document_kind, error)
+            return False
+        return document is None or offer_document(
+            self._board, document, 'store', self._metrics
+        )
+
     def _mark_synchronized(self, changes: Changes) -> None:
         if not self._is_synchronized:
             self._is_synchronized = True
@@ -272,10 +280,7 @@
     try:
         is_adopted = board.offer(document)
     except _UNREADABLE as error:
-        _log.warning(
-            'document refused',
-            extra={'kind': document.kind, 'error': str(error)},
-        )
+        _log_refused(document.kind, error)
         return False
     if is_adopted:
         metrics.count(Counter.CONFIG_ADOPTED)
@@ -289,3 +294,9 @@
             },
         )
     return True
+
+
+def _log_refused(kind: str, error: Exception) -> None:
+    _log.warning(
+        'document refused', extra={'kind': str(kind), 'error': str(error)}
+    )
--- a/tests/sharedstate/staleness.feature
+++ b/tests/sharedstate/staleness.feature
@@ -43,3 +43,24 @@
     When all 5 turn stores are lost beside 200 gateways
     Then each gateway that reaches the store has confirmed rules
     And at most 10 gateways call the store from 3 s after the loss on
+
+  Scenario Outline: open streams of a withdrawn key outlive the time for it
+    Then with rules that may be <rules> s late and <revocation> s for a key, streams end in time
+
+    Examples:
+      | rules | revocation |
+      | 2     | 5          |
+      | 4     | 5          |
+      | 6     | 5          |
+
+  Scenario: a document that cannot be decoded is confirmed all the same
+    Given a turn store whose rules cannot be decoded
+    When a process exchanges documents with it for 1 second
+    Then its rules are not confirmed
+
+  Scenario: rules that the store has and nobody can read are confirmed
+    Given a store whose rules cannot be decoded
+    When a process follows the rules for 1 second
+    Then its rules are not confirmed
+    When the operators replace them by sound ones and it follows for 1 second
+    Then its rules are confirmed
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -33,6 +33,12 @@
         return self.clock.now_s
 
 
+async def _cancel_all(tasks):
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 @contextmanager
 def virtual_time():
     """Yield a virtual loop, whose time is also the monotonic time."""
@@ -40,11 +46,6 @@
     try:
         with mock.patch.object(time, 'monotonic', loop.time):
             yield loop
-            pending = asyncio.all_tasks(loop)
-            for task in pending:
-                task.cancel()
-            loop.run_until_complete(
-                asyncio.gather(*pending, return_exceptions=True)
-            )
+            loop.run_until_complete(_cancel_all(asyncio.all_tasks(loop)))
     finally:
         loop.close()
