--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -84,7 +84,9 @@
         turns: TurnManager,
     ) -> None:
         #: Open streams, which end early if their API key is withdrawn.
-        self.streams = RevocableStreams(state.node.key_revocation_s)
+        self.streams = RevocableStreams(
+            state.node.key_revocation_s, state.node.staleness.rules_s
+        )
         self._state = state
         self._tables = tables
         self._loads = tables.loads
--- a/rattanvalve/gateway/revocable_streams.py
+++ b/rattanvalve/gateway/revocable_streams.py
@@ -19,10 +19,12 @@
 
     :param revocation_s: seconds after which a withdrawn key must have no
         effect.
+    :param rules_s: seconds within which new rules are known here.
     """
 
-    def __init__(self, revocation_s: float) -> None:
-        self._grace_s = revocation_s * GRACE_SHARE
+    def __init__(self, revocation_s: float, rules_s: float) -> None:
+        remaining_s = max(revocation_s - rules_s, 0)
+        self._grace_s = min(revocation_s * GRACE_SHARE, remaining_s)
         self._streams: dict[asyncio.Timeout, Call] = {}
 
     @contextmanager
