Let no later crash of another request end a block

Cause: within 0.5 s of its newest crash a block was decided anew with all records. A later crash makes a request that ran at two of the same crashes a candidate; both then explain them, neither is certain, and the certain block becomes a short one or none. Only records of the same crashes by other gateways can correct a block, and now only these do.

--- a/rattanvalve/sharedstate/request_crashes.py
+++ b/rattanvalve/sharedstate/request_crashes.py
@@ -11,7 +11,6 @@
 from rattanvalve.sharedstate.blame_doubts import BlameDoubts
 from rattanvalve.sharedstate.crash_blame import (
     BLOCK_ROUNDS,
-    BLOCK_S,
     Blame,
     Block,
     CrashRecord,
@@ -19,13 +18,11 @@
     decide_blame,
 )
 from rattanvalve.sharedstate.crash_records import CrashRecords
+from rattanvalve.sharedstate.settled_blame import SETTLE_S, settled_requests
 from rattanvalve.turn_messages import RequestCrash
 
 __all__ = ('CrashTable',)
 
-#: Time in which the records of one crash arrive from all gateways. Only with
-#: all of them is it clear which request is to blame.
-SETTLE_S = 0.5
 #: Time for which an incarnation that has crashed gets no requests. Its entry is
 #: gone afterwards; an endpoint that has started again is another incarnation.
 DOWN_MAX_S = 10.0
@@ -177,14 +174,7 @@
 
     def _update_blame(self, now_s: float) -> None:
         suspects = self._records.suspects()
-        # Later crashes of other requests must not end a block.
-        settled = {
-            fingerprint
-            for fingerprint, block in self._blame.blocks.items()
-            if block.is_certain
-            and fingerprint in suspects
-            and now_s - (block.until_s - BLOCK_S) >= SETTLE_S
-        }
+        settled = settled_requests(self._blame, suspects, now_s)
         blame = decide_blame(suspects, settled)
         self._doubts.update(suspects, self.blamed(), blame, now_s)
         relapsed = self._doubts.relapsed(suspects, blame)
--- a/tests/sharedstate/request_crashes.feature
+++ b/tests/sharedstate/request_crashes.feature
@@ -74,3 +74,8 @@
     Then the request stays refused, not for good, for 3 s after them
     When it then crashes endpoint e
     Then it is blocked for good
+
+  Scenario: a later crash of another request ends a block
+    Given a request that is blocked for crashes of endpoints a, b and c
+    When another one that ran at a and b crashes d 0.3 s later
+    Then the request stays blocked for good
--- a/tests/steps/request_crashes_steps.py
+++ b/tests/steps/request_crashes_steps.py
@@ -276,3 +276,18 @@
 @then('it is blocked for good')
 def step_blocked_for_good(context):
     assert context.crash_table.block('blocked', START_S + 5).is_certain
+
+
+@when('another one that ran at a and b crashes d {delay_s:g} s later')
+def step_later_crash(context, delay_s):
+    now_s = START_S + delay_s
+    ages_s = {name: CRASH_AGES_S[name] + delay_s for name in ('a', 'b')}
+    _merge_crashes(context.crash_table, 'other', ages_s, now_s)
+    _merge_crashes(context.crash_table, 'other', {'d': 0}, now_s)
+
+
+@then('the request stays blocked for good')
+def step_stays_blocked(context):
+    block = context.crash_table.block('blocked', START_S + 10)
+    assert block is not None
+    assert block.is_certain
