--- a/rattanvalve/sharedstate/deputies.py
+++ b/rattanvalve/sharedstate/backup_watchers.py
@@ -18,18 +18,18 @@
 from rattanvalve.sharedstate.exchange import EXCHANGED_KINDS, exchange_kind
 from rattanvalve.sharedstate.staleness import StalenessBounds
 
-__all__ = ('DEPUTY_COUNT', 'Deputies', 'DeputyExchange')
+__all__ = ('BACKUP_WATCHER_COUNT', 'BackupWatchers', 'GatewayExchange')
 
 #: More than one, as the store may turn some VMs away.
-DEPUTY_COUNT = 3
+BACKUP_WATCHER_COUNT = 3
 #: Time for which a gateway that did not answer is passed over.
 FAILED_TTL_S = 3.0
 EXCHANGE_INTERVAL_S = 0.15
-_KEY = 'deputies'
+_KEY = 'backup watchers'
 
 
-class Deputies:
-    """Chooses the deputies among the known gateways.
+class BackupWatchers:
+    """Chooses the backup watchers among the known gateways.
 
     :param own_address: address at which this gateway receives frames.
     :param known: returns the addresses of the other gateways.
@@ -44,8 +44,8 @@
         self._known = known
         self._failed_until_s: dict[Address, float] = {}
 
-    def is_deputy(self, now_s: float) -> bool:
-        """Return whether this gateway is a deputy.
+    def is_backup(self, now_s: float) -> bool:
+        """Return whether this gateway is a backup watcher.
 
         Gateways may briefly choose differently, which only adds calls.
 
@@ -58,15 +58,15 @@
         """Choose gateways to ask for documents.
 
         :param now_s: monotonic time in seconds.
-        :returns: one deputy, and one more gateway, as any of them may have
-            reached the store.
+        :returns: one backup watcher, and one more gateway, as any of them may
+            have reached the store.
         """
-        deputies = [
+        backups = [
             address
             for address in self._first(now_s)
             if address != self._own_address
         ]
-        chosen = random.sample(deputies, min(len(deputies), 1))
+        chosen = random.sample(backups, min(len(backups), 1))
         others = [
             address
             for address in self._answering(now_s)
@@ -87,7 +87,9 @@
             address.host: address
             for address in (*self._answering(now_s), self._own_address)
         }
-        return [by_host[host] for host in rank(_KEY, by_host)[:DEPUTY_COUNT]]
+        return [
+            by_host[host] for host in rank(_KEY, by_host)[:BACKUP_WATCHER_COUNT]
+        ]
 
     def _answering(self, now_s: float) -> list[Address]:
         return [
@@ -97,10 +99,10 @@
         ]
 
 
-class DeputyExchange:
+class GatewayExchange:
     """Gets documents from other gateways while turn stores confirm none.
 
-    :param deputies: chooses the gateways.
+    :param backups: chooses the gateways.
     :param pool: connections to peers.
     :param board: documents of this process.
     :param bounds: bounds on the age of documents.
@@ -109,13 +111,13 @@
 
     def __init__(
         self,
-        deputies: Deputies,
+        backups: BackupWatchers,
         pool: PeerPool,
         board: DocumentBoard,
         bounds: StalenessBounds,
         metrics: Metrics,
     ) -> None:
-        self._deputies = deputies
+        self._deputies = backups
         self._pool = pool
         self._board = board
         self._bounds = bounds
@@ -137,7 +139,7 @@
             kind
             for kind in EXCHANGED_KINDS
             if self._board.confirmation_age_s(kind, now_s)
-            >= self._bounds.budget(kind).deputy_age_s
+            >= self._bounds.budget(kind).backup_age_s
         ]
 
     async def _exchange(
--- a/rattanvalve/sharedstate/document_tasks.py
+++ b/rattanvalve/sharedstate/document_tasks.py
@@ -20,7 +20,10 @@
 from rattanvalve.platform.objects import ObjectStore, StoredEntry
 from rattanvalve.platform.servers import encode_servers
 from rattanvalve.platform.turnstores import encode_members, encode_retirements
-from rattanvalve.sharedstate.deputies import Deputies, DeputyExchange
+from rattanvalve.sharedstate.backup_watchers import (
+    BackupWatchers,
+    GatewayExchange,
+)
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.exchange import (
     EXCHANGED_KINDS,
@@ -144,7 +147,7 @@
     """Create the tasks that keep the documents of a gateway current.
 
     A gateway calls the store only while turn stores do not confirm a document;
-    deputies then watch it for the other gateways.
+    backup watchers then watch it for the other gateways.
 
     :param state: state of this process.
     :param store: client of the platform's store.
@@ -152,20 +155,18 @@
     :param known_gateways: returns the addresses of the other gateways.
     :returns: tasks that run until cancelled.
     """
-    deputies = Deputies(state.node.peer_address, known_gateways)
+    backups = BackupWatchers(state.node.peer_address, known_gateways)
     followers = [
-        create_follower(
-            state, store, kind, _deputy_check(state, deputies, kind)
-        )
+        create_follower(state, store, kind, _backup_check(state, backups, kind))
         for kind in (KIND_CONFIG, KIND_SERVERS, KIND_MEMBERS)
     ]
-    deputy_exchange = DeputyExchange(
-        deputies, pool, state.board, state.node.staleness, state.metrics
+    gateway_exchange = GatewayExchange(
+        backups, pool, state.board, state.node.staleness, state.metrics
     )
     return [
         *(follower.run for follower in followers),
         create_exchange(state, pool).run,
-        deputy_exchange.run,
+        gateway_exchange.run,
         create_monitor(state).run,
     ]
 
@@ -193,21 +194,21 @@
     )
 
 
-def _deputy_check(
-    state: SharedState, deputies: Deputies, kind: str
+def _backup_check(
+    state: SharedState, backups: BackupWatchers, kind: str
 ) -> Callable[[], bool]:
     """Create the check whether a gateway watches a kind of objects."""
     document_kind = _FOLLOWED[kind].document_kind
-    deputy_age_s = state.node.staleness.budget(document_kind).deputy_age_s
+    backup_age_s = state.node.staleness.budget(document_kind).backup_age_s
 
-    def is_watching_deputy() -> bool:
+    def is_watching() -> bool:
         now_s = time.monotonic()
         age_s = state.board.member_confirmation_age_s(document_kind, now_s)
         # A process that has met no turn store yet may be starting.
-        is_needed = deputy_age_s <= age_s < float('inf')
-        return is_needed and deputies.is_deputy(now_s)
+        is_needed = backup_age_s <= age_s < float('inf')
+        return is_needed and backups.is_backup(now_s)
 
-    return is_watching_deputy
+    return is_watching
 
 
 def _rules_document(
--- a/rattanvalve/sharedstate/staleness.py
+++ b/rattanvalve/sharedstate/staleness.py
@@ -14,8 +14,8 @@
 
 #: Share of a bound that is left for a process's own call of the store.
 CALL_SHARE = 0.25
-#: Share by which deputies call the store earlier than the other gateways.
-DEPUTY_SHARE = 0.15
+#: Share by which backup watchers call the store earlier than other gateways.
+BACKUP_SHARE = 0.15
 #: Largest share of a bound between two exchanges with peers.
 EXCHANGE_SHARE = 0.3
 #: Factor of the longest random interval between two exchanges.
@@ -50,9 +50,9 @@
         return self.bound_s - self.call_timeout_s
 
     @property
-    def deputy_age_s(self) -> float:
-        """Return the age from which deputies call the store."""
-        return self.call_age_s - self.bound_s * DEPUTY_SHARE
+    def backup_age_s(self) -> float:
+        """Return the age from which backup watchers call the store."""
+        return self.call_age_s - self.bound_s * BACKUP_SHARE
 
     @property
     def exchange_interval_s(self) -> float:
--- a/tests/sharedstate/staleness.feature
+++ b/tests/sharedstate/staleness.feature
@@ -10,7 +10,7 @@
   Scenario Outline: the steps of a change fit into the time in which it must be in force
     Then with a bound of <bound> s an own call of the store ends in time
     And a watch and an exchange take less time than processes rely on peers
-    And deputies call before the other gateways do
+    And backup watchers call before the other gateways do
 
     Examples:
       | bound |
--- a/tests/steps/staleness_steps.py
+++ b/tests/steps/staleness_steps.py
@@ -109,9 +109,9 @@
     assert age_s < budget.call_age_s, age_s
 
 
-@then('deputies call before the other gateways do')
+@then('backup watchers call before the other gateways do')
 def step_deputies(context):
-    assert context.budget.deputy_age_s < context.budget.call_age_s
+    assert context.budget.backup_age_s < context.budget.call_age_s
 
 
 @when('faults of seed {seed:d} strike 3 turn stores, 5 gateways and the store')
@@ -131,7 +131,7 @@
 def step_former_constants(context, age_s, wait_s):
     for name, seconds in (
         ('call_age_s', age_s),
-        ('deputy_age_s', age_s),
+        ('backup_age_s', age_s),
         ('watch_wait_s', wait_s),
     ):
         patch = mock.patch.object(StalenessBudget, name, seconds)
