--- a/rattanvalve/platform/objects.py
+++ b/rattanvalve/platform/objects.py
@@ -132,7 +132,8 @@
             if not page.has_more:
                 return Changes(tuple(entries), (), revision)
             last_name = _last_name(page.items)
-            if last_name <= after:
+            # The store defines the order of names; only progress is checked.
+            if last_name in {'', after}:
                 raise StoreError('a page without a name to continue from')
             after = last_name
 
