Decide settled blame once, name the gateways' exchange parts alike

Found on reading the diff again; no behaviour changed. A request whose blame had settled was decided anew with each record although the result could only be the same; an attribute kept the name from before the renaming; one blank line.

--- a/rattanvalve/sharedstate/backup_watchers.py
+++ b/rattanvalve/sharedstate/backup_watchers.py
@@ -117,7 +117,7 @@
         bounds: StalenessBounds,
         metrics: Metrics,
     ) -> None:
-        self._deputies = backups
+        self._backups = backups
         self._pool = pool
         self._board = board
         self._bounds = bounds
@@ -128,7 +128,7 @@
         while True:
             now_s = time.monotonic()
             kinds = self._ageing_kinds(now_s)
-            peers = self._deputies.choose_peers(now_s) if kinds else ()
+            peers = self._backups.choose_peers(now_s) if kinds else ()
             await asyncio.gather(
                 *(self._exchange(peer, kinds) for peer in peers)
             )
@@ -153,4 +153,4 @@
         except PeerError:
             # Another gateway is asked in the next round.
             self._metrics.count(Counter.EXCHANGE_FAILED)
-            self._deputies.record_failure(peer, time.monotonic())
+            self._backups.record_failure(peer, time.monotonic())
--- a/rattanvalve/sharedstate/document_tasks.py
+++ b/rattanvalve/sharedstate/document_tasks.py
@@ -50,8 +50,6 @@
 
 #: Name of the object that holds the newest configuration.
 _MAIN_CONFIG = 'main'
-
-
 #: Largest version that fits into the messages between processes.
 VERSION_MAX = 2**63 - 1
 
--- a/rattanvalve/sharedstate/settled_blame.py
+++ b/rattanvalve/sharedstate/settled_blame.py
@@ -42,6 +42,8 @@
         if now_s - newest_s >= SETTLE_S
     }
     for fingerprint, newest_s in blamed_s.items():
+        if fingerprint in settled:
+            continue
         earlier = _without_later_crashes(suspects, fingerprint, newest_s)
         block = decide_blame(earlier, settled).blocks.get(fingerprint)
         if block is not None and block.is_certain:
