--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,12 @@
 sys.path.insert(0, str(FOLDER.parent / 'standins'))
 
 from callers import Callers  # noqa: E402
-from deployment import desired_state, route, run_case  # noqa: E402
+from deployment import (  # noqa: E402
+    CannotRunError,
+    desired_state,
+    route,
+    run_case,
+)
 
 #: Input of a turn; the desired state allows bodies of 4,194,304 bytes.
 INPUT_BYTES = 172_000
@@ -51,6 +56,8 @@
 
         await asyncio.gather(*map(make_turn, range(PROGRAM_COUNT)))
         deployment.record.say(f'{len(kept)} turns were answered whole')
+        if len(kept) < PROGRAM_COUNT:
+            raise CannotRunError('not all turns were answered whole')
         await asyncio.sleep(2)
         for machine in deployment.of_class('storage'):
             if is_troubled:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,12 @@
 sys.path.insert(0, str(FOLDER.parent / 'standins'))
 
 from callers import Callers  # noqa: E402
-from deployment import desired_state, route, run_case  # noqa: E402
+from deployment import (  # noqa: E402
+    CannotRunError,
+    desired_state,
+    route,
+    run_case,
+)
 
 PROGRAM_COUNT = 30
 #: Time for which the first store machine stands still.
@@ -41,6 +46,8 @@
             deployment.signal(behind, signal.SIGSTOP)
         await asyncio.sleep(0.3)
         kept = await _make_turns(callers, fronts, rng, FREEZE_S - 0.3)
+        if len(kept) < CHECK_COUNT:
+            raise CannotRunError(f'only {len(kept)} turns')
         if is_troubled:
             deployment.kill(away)
             deployment.kill(wiped)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,13 @@
 sys.path.insert(0, str(FOLDER.parent / 'standins'))
 
 from callers import Callers  # noqa: E402
-from deployment import ZONES, desired_state, route, run_case  # noqa: E402
+from deployment import (  # noqa: E402
+    ZONES,
+    CannotRunError,
+    desired_state,
+    route,
+    run_case,
+)
 
 PROGRAM_COUNT = 40
 #: Rounds, each with a deployment of its own.
@@ -20,6 +26,8 @@
 WARM_UP_S = 2.0
 TROUBLE_S = 3.5
 ADDED_COUNT = 3
+#: Turns of a round below which it shows nothing.
+CONTINUED_MIN = 500
 #: Time between two turns of a program.
 THINK_S = 0.03
 
@@ -80,6 +88,8 @@
         f'{counts["continued"]} turns continued one that was answered whole; '
         f'members now {deployment.store.names("turnstores")}'
     )
+    if counts['continued'] < CONTINUED_MIN:
+        raise CannotRunError('too few turns were continued')
     return violations
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -53,6 +53,8 @@
         sent_s = dict(callers.sent_s)
     deployment.record.say(f'answers of each wave: {statuses}')
     if not is_troubled:
+        if any(status != 200 for wave in statuses for status in wave):
+            raise CannotRunError('a harmless request was not served')
         return []
     if len(crashes) < 3:
         raise CannotRunError(f'only {len(crashes)} crashes')
