--- a/review/1/case.py
+++ b/review/1/case.py
@@ -48,11 +48,15 @@
                 program = f'p{number}'
                 body = rng.randbytes(INPUT_BYTES // 2).hex().encode()
                 front = fronts[number % len(fronts)]
-                answer = await callers.turn(
-                    front, program, body=body, prompt_tokens=86_000
-                )
-                if answer.is_served:
-                    kept[program] = answer.request_id, front
+                # A turn that failed is sent again, at most twice.
+                for _ in range(3):
+                    answer = await callers.turn(
+                        front, program, body=body, prompt_tokens=86_000
+                    )
+                    if answer.is_served:
+                        kept[program] = answer.request_id, front
+                        break
+                    await asyncio.sleep(0.3)
 
         await asyncio.gather(*map(make_turn, range(PROGRAM_COUNT)))
         deployment.record.say(f'{len(kept)} turns were answered whole')
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,35 +19,46 @@
     route,
     run_case,
 )
+from placement import program_ids  # noqa: E402
 
-PROGRAM_COUNT = 40
+#: Programs that run at once before and after the machines have joined.
+FEW_PROGRAMS = 4
+MANY_PROGRAMS = 16
 #: Rounds, each with a deployment of its own.
-ROUND_COUNT = 4
-WARM_UP_S = 2.0
-TROUBLE_S = 3.5
+ROUND_COUNT = 12
+WARM_UP_S = 0.5
+#: Time after the first of the machines has joined.
+RUN_S = 1.5
+JOIN_TIMEOUT_S = 10.0
+POLL_S = 0.005
 ADDED_COUNT = 3
 #: Turns of a round below which it shows nothing.
-CONTINUED_MIN = 500
+CONTINUED_MIN = 150
 #: Time between two turns of a program.
-THINK_S = 0.03
+THINK_S = 0.015
 
 
 async def case(deployment, is_troubled):
     turns = {'retainContext': True, 'retentionS': 60}
     config = desired_state([route('chat', 'stream', 'models', 4000, **turns)])
+    deployment.stop_timeout_s = 0.0
     await deployment.start(config, {'models': 6})
     fronts = deployment.of_class('front')
+    present = [machine.name for machine in deployment.of_class('storage')]
+    added = [
+        deployment.add_machine('storage', ZONES[number], 10 + number)
+        for number in range(ADDED_COUNT)
+    ]
+    programs = program_ids('p', present, [machine.name for machine in added])
     rng = random.Random(1)
     counts = {'continued': 0}
     violations = []
     async with Callers(deployment) as callers:
         stopping = asyncio.Event()
 
-        async def run_programs(number):
-            program_number = 0
+        async def run_programs():
             while not stopping.is_set():
-                program_number += 1
-                program = f'p{number}-{program_number}'
+                program = next(programs)
                 front = rng.choice(fronts)
                 answer = await callers.turn(front, program)
                 for _ in range(3):
@@ -70,18 +81,19 @@
                         )
                 await asyncio.sleep(THINK_S)
 
-        tasks = [
-            asyncio.create_task(run_programs(number))
-            for number in range(PROGRAM_COUNT)
-        ]
+        def run(count):
+            return [asyncio.create_task(run_programs()) for _ in range(count)]
+
+        tasks = run(FEW_PROGRAMS)
         await asyncio.sleep(WARM_UP_S)
         if is_troubled:
-            for number in range(ADDED_COUNT):
-                machine = deployment.add_machine(
-                    'storage', ZONES[number], 10 + number
-                )
+            for machine in added:
                 deployment.launch(machine)
-        await asyncio.sleep(TROUBLE_S)
+            async with asyncio.timeout(JOIN_TIMEOUT_S):
+                while len(deployment.store.names('turnstores')) == len(present):
+                    await asyncio.sleep(POLL_S)
+        tasks += run(MANY_PROGRAMS)
+        await asyncio.sleep(RUN_S)
         stopping.set()
         await asyncio.gather(*tasks)
     deployment.record.say(
