--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,11 +1,13 @@
-"""A request that crashes servers comes from several sub-agents at once.
+"""Programs spend their budgets while store machines are added.
 
-Once it has crashed three servers, and ``contactMs`` later, it may reach servers
-three times more.
+The tokens handed out in all turns of a program must stay within its budget
+and the most of one turn.
 """
 
 import asyncio
+import random
 import sys
+from collections import defaultdict
 from pathlib import Path
 
 FOLDER = Path(__file__).parent
@@ -13,68 +15,93 @@
 
 from callers import Callers  # noqa: E402
 from deployment import (  # noqa: E402
+    ZONES,
     CannotRunError,
     desired_state,
     route,
     run_case,
 )
-from frail_servers import FrailServer  # noqa: E402
+from placement import program_ids  # noqa: E402
 
-#: The request comes again this often, each time from five sub-agents.
-WAVE_COUNT = 5
-WAVE_INTERVAL_S = 5.0
-CONTACT_S = 3.0
-LATE_COUNT_MAX = 3
+#: Four events of nine tokens; the budget holds sixteen such turns.
+TURN_TOKENS = 36
+BUDGET_TOKENS = 16 * TURN_TOKENS
+WARM_UP_S = 3.0
+TROUBLE_S = 6.0
+ADDED_COUNT = 3
+#: Rounds, each with a deployment of its own.
+ROUND_COUNT = 4
+PROGRAMS_AT_ONCE = 24
+#: Lines of turns that a program runs in parallel, as its sub-agents.
+LINE_COUNT = 4
+PAUSE_S = 0.15
 
 
 async def case(deployment, is_troubled):
-    crashes = []
-    deployment.create_server = lambda name: FrailServer(
-        name, deployment.record, deployment.store, crashes, is_troubled
-    )
-    config = desired_state(
-        [route('app', 'unsafe', 'app', 3000, maxAttempts=1)]
-    )
-    await deployment.start(config, {'app': 6})
+    turns = {'retainContext': True, 'retentionS': 60}
+    config = desired_state([route('chat', 'stream', 'models', 4000, **turns)])
+    await deployment.start(config, {'models': 6})
     fronts = deployment.of_class('front')
-    statuses = []
+    present = [machine.name for machine in deployment.of_class('storage')]
+    added = [
+        deployment.add_machine('storage', ZONES[number], 10 + number)
+        for number in range(ADDED_COUNT)
+    ]
+    programs = program_ids('p', present, [machine.name for machine in added])
+    rng = random.Random(3)
+    handed_out = defaultdict(int)
+    counts = defaultdict(int)
     async with Callers(deployment) as callers:
-        for _ in range(WAVE_COUNT):
-            answers = await asyncio.gather(
-                *(
-                    callers.send(
-                        front, 'POST', '/app/deadly', {}, b'same body', 3000
-                    )
-                    for front in fronts
+        stopping = asyncio.Event()
+
+        async def run_programs():
+            """Run programs that start sub-agents until they are stopped."""
+            while not stopping.is_set():
+                program = next(programs)
+                await asyncio.gather(
+                    *(run_line(program) for _ in range(LINE_COUNT))
                 )
-            )
-            statuses.append([answer.status for answer in answers])
-            await asyncio.sleep(WAVE_INTERVAL_S)
-        sent_s = dict(callers.sent_s)
-    deployment.record.say(f'answers of each wave: {statuses}')
-    if not is_troubled:
-        if any(status != 200 for wave in statuses for status in wave):
-            raise CannotRunError('a harmless request was not served')
-        return []
-    if len(crashes) < 3:
-        raise CannotRunError(f'only {len(crashes)} crashes')
-    late_from_s = sorted(crashes)[2] + CONTACT_S
-    reached = {
-        run.request_id
-        for server in deployment.servers.values()
-        for run in server.runs
-    }
-    late = [name for name in reached if sent_s[name] > late_from_s]
+
+        async def run_line(program):
+            refused = 0
+            # After a 402 a turn is sent twice more.
+            while refused < 3 and not stopping.is_set():
+                answer = await callers.turn(
+                    rng.choice(fronts),
+                    program,
+                    budget=BUDGET_TOKENS,
+                    max_tokens=TURN_TOKENS,
+                )
+                if answer.status == 200:
+                    handed_out[program] += answer.tokens
+                counts[answer.status] += 1
+                refused += answer.status == 402
+                await asyncio.sleep(PAUSE_S * rng.uniform(0.5, 1.5))
+
+        tasks = [
+            asyncio.create_task(run_programs())
+            for _ in range(PROGRAMS_AT_ONCE)
+        ]
+        await asyncio.sleep(WARM_UP_S)
+        if is_troubled:
+            for machine in added:
+                deployment.launch(machine)
+        await asyncio.sleep(TROUBLE_S)
+        stopping.set()
+        await asyncio.gather(*tasks)
+    if not counts[402]:
+        raise CannotRunError('no program has spent its budget')
+    limit = BUDGET_TOKENS + TURN_TOKENS
     deployment.record.say(
-        f'{len(crashes)} crashes; {len(late)} requests that were sent later '
-        f'than {CONTACT_S} s after the third reached servers'
+        f'{len(handed_out)} programs, answers {dict(counts)}; most tokens '
+        f'{max(handed_out.values())}, allowed {limit}'
     )
-    if len(late) <= LATE_COUNT_MAX:
-        return []
     return [
-        f'BUDGET: the request reached servers {len(late)} times later than '
-        f'{CONTACT_S} s after its third crash'
+        f'BUDGET: program {program} got {tokens} tokens, its budget is '
+        f'{BUDGET_TOKENS} and a turn has {TURN_TOKENS} at most'
+        for program, tokens in handed_out.items()
+        if tokens > limit
     ]
 
 
-run_case(case, FOLDER)
+run_case(case, FOLDER, ROUND_COUNT)
