--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -24,6 +24,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ('selfoss', 'hella', 'vik')
+#: Memory of a process of each class of machines; one that uses more is killed.
+MEMORY_MB = {'front': 150, 'storage': 170}
 ROLES = {'front': 'gateway', 'storage': 'turnstore'}
 START_TIMEOUT_S = 25.0
 RUN_TIME_MAX_S = 110.0
@@ -54,7 +56,7 @@
 [limits]
 cpuShare = 0.817
 cores = 1
-memoryMb = 170
+memoryMb = {memory_mb}
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 400
@@ -312,6 +314,7 @@
             name=machine.name,
             role=ROLES[machine.machine_class],
             machine_class=machine.machine_class,
+            memory_mb=MEMORY_MB[machine.machine_class],
             serves='"front"' if is_front else '"storage","control"',
             ip=machine.ip,
             zone=machine.zone,
