--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -249,11 +249,13 @@
   2: string turn_id
   3: i64 tokens
   4: i64 retention_ms
+  5: i64 epoch
 }
 
 struct Ledger {
   1: bool is_complete
   2: list<LedgerEntry> entries
+  3: i64 epoch
 }
 
 struct TurnRecord {
@@ -265,6 +267,7 @@
   6: binary output
   7: i64 tokens
   8: i64 retention_ms
+  9: i64 epoch
 }
 
 struct SettleTurn {
@@ -272,19 +275,23 @@
   2: string turn_id
   3: i64 tokens
   4: i64 retention_ms
+  5: i64 epoch
 }
 
 struct Stored {
   1: bool is_complete
+  2: i64 epoch
 }
 
 struct FetchTurn {
   1: string turn_id
+  2: i64 epoch
 }
 
 struct TurnChain {
   1: bool is_complete
   2: list<TurnRecord> turns
+  3: i64 epoch
 }
 
 struct RecordKey {
@@ -295,7 +302,8 @@
 struct ListRecords {
   1: string member
   2: i64 after
-  3: i64 members_version
+  3: i64 epoch
+  4: i64 complete_epoch
 }
 
 struct RecordList {
@@ -303,6 +311,8 @@
   2: i64 next_after
   3: bool is_end
   4: list<RecordKey> keys
+  5: i64 epoch
+  6: bool is_intact
 }
 
 struct FetchRecords {
--- a/rattanvalve/gateway/member_calls.py
+++ b/rattanvalve/gateway/member_calls.py
@@ -1,24 +1,34 @@
 """Calls to members of the turn store, direct or relayed by a gateway."""
 
+import asyncio
 import time
-from collections.abc import Callable, Sequence
 from typing import Any
 
 from rattanvalve.channels import Address
 from rattanvalve.errors import PeerError
 from rattanvalve.gateway.relays import RelayTable
+from rattanvalve.messages import Ack, Document, Pull
 from rattanvalve.peers import PeerPool
-from rattanvalve.sharedstate.members import StoreMember, quorum_size
+from rattanvalve.sharedstate.member_sync import sync_member_list
+from rattanvalve.sharedstate.members import (
+    MembersView,
+    StoreMember,
+    quorum_size,
+)
 from rattanvalve.sharedstate.reachability import ReachTable
+from rattanvalve.sharedstate.shared_state import SharedState
 
 __all__ = ('MemberCalls',)
 
+#: Answers to the messages of an exchange of documents.
+_SYNC_ANSWERS = {Pull: Document, Document: Ack}
+
 
 class MemberCalls:
     """Calls members and records which of them are reachable.
 
     :param pool: connections to peers.
-    :param members: returns all members.
+    :param state: documents of this process, with the list of members.
     :param lost_disks_max: number of disks that may be lost at once.
     :param reach: reachability of each member.
     :param own_address: address at which this gateway receives frames.
@@ -27,18 +37,28 @@
     def __init__(
         self,
         pool: PeerPool,
-        members: Callable[[], Sequence[StoreMember]],
+        state: SharedState,
         lost_disks_max: int,
         reach: ReachTable,
         own_address: Address,
     ) -> None:
-        self.members = members
+        self.members = state.known_members
         self.lost_disks_max = lost_disks_max
         self.reach = reach
         self.relays = RelayTable(
-            own_address, pool, members, self.reaches_stores
+            own_address, pool, self.members, self.reaches_stores
         )
         self._pool = pool
+        self._state = state
+        #: Exchanges of the list that are under way, by member.
+        self._syncs: dict[str, asyncio.Task] = {}
+
+    def view(self) -> MembersView:
+        """Return the list of members that this gateway has.
+
+        :returns: the list; empty before the first one.
+        """
+        return self._state.view
 
     def is_cut_off(self) -> bool:
         """Return whether the turn store is unreachable, also through relays.
@@ -101,6 +121,28 @@
             and self.relays.has_usable_relay(time.monotonic())
         )
 
+    async def sync_members(self, member: StoreMember) -> None:
+        """Exchange the list with a member that has another one.
+
+        Calls that meet the same member share one exchange.
+
+        :param member: the member.
+        """
+        sync = self._syncs.get(member.name)
+        if sync is None:
+            sync = asyncio.create_task(self._sync(member))
+            self._syncs[member.name] = sync
+            sync.add_done_callback(lambda _: self._syncs.pop(member.name))
+        await asyncio.shield(sync)
+
+    async def _sync(self, member: StoreMember) -> None:
+        async def call(message: Any, timeout_s: float) -> Any:
+            return await self.call(
+                member, message, _SYNC_ANSWERS[type(message)], timeout_s
+            )
+
+        await sync_member_list(call, self._state, member)
+
     async def _call_direct(
         self,
         member: StoreMember,
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -75,7 +75,7 @@
         self._listener: asyncio.Server | None = None
         self._calls = MemberCalls(
             self._peers,
-            self._state.known_members,
+            self._state,
             node.lost_disks_max,
             self._state.reach,
             node.peer_address,
@@ -91,11 +91,7 @@
             self._state.metrics,
         )
         cache = TurnCache(int(node.memory_mb * CACHE_SHARE * 1_000_000))
-        client = TurnClient(
-            self._calls,
-            node.zone,
-            self._state.departed_count,
-        )
+        client = TurnClient(self._calls, node.zone)
         turns = TurnManager(client, cache)
         self._attempts = Attempts(
             self._state,
--- a/rattanvalve/gateway/relays.py
+++ b/rattanvalve/gateway/relays.py
@@ -15,6 +15,7 @@
 from rattanvalve.channels import Address, Handler, Send
 from rattanvalve.errors import FrameError, PeerError
 from rattanvalve.logs import LogPart, part_logger
+from rattanvalve.messages import Document, Pull
 from rattanvalve.peers import PeerPool
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.turn_messages import (
@@ -56,6 +57,8 @@
     TakeRate,
     TakeEndpointRate,
     Observations,
+    Pull,
+    Document,
 )
 
 _log = part_logger(LogPart.PEER)
--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from rattanvalve.errors import QuorumError
@@ -23,6 +24,7 @@
     TurnChain,
     TurnRecord,
 )
+from rattanvalve.turnstore.turnrecords import LoggedMessage
 
 __all__ = ('TurnClient', 'merge_ledgers')
 
@@ -34,6 +36,34 @@
 _log = part_logger(LogPart.TURNS)
 
 
+@dataclass(slots=True)
+class _Votes:
+    """Answers that count for a quorum, and members with another list."""
+
+    epoch: int
+    answers: list[Any] = field(default_factory=list)
+    others: list[StoreMember] = field(default_factory=list)
+
+    def add_all(
+        self,
+        done: Iterable[asyncio.Task],
+        pending: dict[asyncio.Task, StoreMember],
+    ) -> int:
+        """Move finished calls here; return how many do not count."""
+        return sum(not self._add(pending.pop(task), task) for task in done)
+
+    def _add(self, member: StoreMember, call: asyncio.Task) -> bool:
+        if call.exception() is not None:
+            return False
+        answer = call.result()
+        if answer.epoch != self.epoch:
+            self.others.append(member)
+        elif answer.is_complete:
+            self.answers.append(answer)
+            return True
+        return False
+
+
 def merge_ledgers(ledgers: Sequence[Ledger]) -> dict[str, LedgerEntry]:
     """Merge the ledgers that several members hold of one program.
 
@@ -54,19 +84,10 @@
 
     :param calls: client of the turn store members.
     :param zone: zone of this process.
-    :param departed_count: returns how many members were recently removed at
-        a monotonic time in seconds.
     """
 
-    def __init__(
-        self,
-        calls: MemberCalls,
-        zone: str,
-        departed_count: Callable[[float], int],
-    ) -> None:
+    def __init__(self, calls: MemberCalls, zone: str) -> None:
         self._calls = calls
-        self._departed_count = departed_count
-        self._members = calls.members
         self._zone = zone
         self._lost_disks_max = calls.lost_disks_max
         self._reach = calls.reach
@@ -161,33 +182,38 @@
     ) -> bool:
         """Query the nearest member of the program's group, then all others.
 
-        A turn is certainly absent if all members have complete records and
-        lack it, and so few members were recently removed that one of its
-        copies would be on the others.
+        A turn is certainly absent if all members have complete records by this
+        gateway's list and lack it, and so few earlier members may still hold
+        records of their own that one of its copies would be on the others.
 
         :param turn_id: id of the turn.
         :param program_id: program of the caller.
         :param known: turns by id; the turns that are found are added.
         :returns: whether the turn certainly does not exist.
         """
-        members = self._members()
-        group = replica_group(program_id, members, self._lost_disks_max)
+        view = self._calls.view()
+        group = replica_group(program_id, view.members, self._lost_disks_max)
         nearest = self._reach.nearest_first(group, self._zone)[:1]
-        others = [member for member in members if member not in nearest]
-        denials = 0
+        others = [member for member in view.members if member not in nearest]
+        denied = set()
         for queried in (nearest, others):
-            chains = await self._fetch_from(queried, turn_id)
+            chains = await self._fetch_from(queried, turn_id, view.epoch)
             known.update(
-                (turn.turn_id, turn) for chain in chains for turn in chain.turns
+                (turn.turn_id, turn)
+                for chain in chains.values()
+                for turn in chain.turns
             )
             if turn_id in known:
                 return False
-            denials += sum(chain.is_complete for chain in chains)
-        departed = self._departed_count(time.monotonic())
+            denied.update(
+                name
+                for name, chain in chains.items()
+                if chain.is_complete and chain.epoch == view.epoch
+            )
         is_absent = (
-            bool(members)
-            and denials == len(members)
-            and departed <= self._lost_disks_max
+            bool(view.current_names)
+            and view.current_names <= denied
+            and len(view.former_names) <= self._lost_disks_max
         )
         _log.info(
             'turn not found',
@@ -195,9 +221,10 @@
                 'turn': turn_id,
                 'program': program_id,
                 'is_absent': is_absent,
-                'members': len(members),
-                'denials': denials,
-                'departed': departed,
+                'epoch': view.epoch,
+                'members': len(view.current_names),
+                'denials': len(denied),
+                'former_members': len(view.former_names),
             },
         )
         return is_absent
@@ -206,84 +233,112 @@
         self,
         members: Sequence[StoreMember],
         turn_id: str,
-    ) -> list[TurnChain]:
+        epoch: int,
+    ) -> dict[str, TurnChain]:
+        """Return the answers by the name of the member."""
+        message = FetchTurn(turn_id=turn_id, epoch=epoch)
         answers = await asyncio.gather(
             *(
-                self._calls.call(
-                    member,
-                    FetchTurn(turn_id=turn_id),
-                    TurnChain,
-                    CALL_TIMEOUT_S,
-                )
+                self._calls.call(member, message, TurnChain, CALL_TIMEOUT_S)
                 for member in members
             ),
             return_exceptions=True,
         )
-        return [answer for answer in answers if isinstance(answer, TurnChain)]
+        chains = {
+            member.name: answer
+            for member, answer in zip(members, answers, strict=True)
+            if isinstance(answer, TurnChain)
+        }
+        await self._sync_others(
+            member
+            for member in members
+            if member.name in chains and chains[member.name].epoch != epoch
+        )
+        return chains
+
+    async def _sync_others(self, members: Iterable[StoreMember]) -> bool:
+        """Exchange the list with members that answered by another one.
+
+        :returns: whether there were any.
+        """
+        syncs = [self._calls.sync_members(member) for member in members]
+        await asyncio.gather(*syncs)
+        return bool(syncs)
 
     async def _store_with_retries(
         self,
-        message: Reserve | SettleTurn | TurnRecord,
+        message: LoggedMessage,
         answer_class: type,
         timeout_s: float,
     ) -> list[Any]:
         deadline_s = time.monotonic() + timeout_s
+        has_synced = False
         while True:
-            answers = await self._store_once(message, answer_class)
-            if len(answers) >= quorum_size(self._lost_disks_max):
-                return answers
+            votes = await self._store_once(message, answer_class)
+            if len(votes.answers) >= quorum_size(self._lost_disks_max):
+                return votes.answers
             if time.monotonic() + RETRY_DELAY_S > deadline_s:
                 raise QuorumError(
-                    f'only {len(answers)} members stored {message.turn_id}',
+                    f'only {len(votes.answers)} members stored '
+                    f'{message.turn_id}',
                 )
-            await asyncio.sleep(RETRY_DELAY_S)
-
-    async def _store_once(self, message, answer_class: type) -> list[Any]:
-        """Send a record to a quorum of near members; add others on failure."""
+            # The first difference is settled at once; one that stays is not.
+            has_met_others = await self._sync_others(votes.others)
+            if has_synced or not has_met_others:
+                await asyncio.sleep(RETRY_DELAY_S)
+            has_synced = has_met_others
+
+    async def _store_once(
+        self, message: LoggedMessage, answer_class: type
+    ) -> _Votes:
+        """Send a record to a quorum of near members; add others on failure.
+
+        All answers count for the same list of members.
+        """
+        view = self._calls.view()
+        message = replace(message, epoch=view.epoch)
         group = self._reach.nearest_first(
             replica_group(
-                message.program_id,
-                self._members(),
-                self._lost_disks_max,
+                message.program_id, view.members, self._lost_disks_max
             ),
             self._zone,
         )
+        votes = _Votes(view.epoch)
         needed = quorum_size(self._lost_disks_max)
         spare = group[needed:]
-        pending = {
-            self._start_call(member, message, answer_class)
-            for member in group[:needed]
-        }
-        answers: list[Any] = []
+        pending = self._start_calls(group[:needed], message, answer_class)
         try:
-            while pending and len(answers) < needed:
-                done, pending = await asyncio.wait(
+            while pending and len(votes.answers) < needed:
+                done, _ = await asyncio.wait(
                     pending,
                     timeout=HEDGE_DELAY_S if spare else None,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                successful = [
-                    task.result()
-                    for task in done
-                    if task.exception() is None and task.result().is_complete
-                ]
-                answers.extend(successful)
                 # Call one more member for each failure, or if none answered
                 # within the hedging delay.
-                extra_count = max(len(done) - len(successful), int(not done))
-                for member in spare[:extra_count]:
-                    pending.add(self._start_call(member, message, answer_class))
-                spare = spare[extra_count:]
+                count = votes.add_all(done, pending) or int(not done)
+                pending |= self._start_calls(
+                    spare[:count], message, answer_class
+                )
+                spare = spare[count:]
         finally:
             # Calls in flight are not cancelled: they only add a copy.
             for task in pending:
                 task.add_done_callback(_ignore_result)
-        return answers
+        return votes
 
-    def _start_call(self, member, message, answer_class: type) -> asyncio.Task:
-        return asyncio.create_task(
-            self._calls.call(member, message, answer_class, CALL_TIMEOUT_S),
-        )
+    def _start_calls(
+        self,
+        members: Iterable[StoreMember],
+        message: LoggedMessage,
+        answer_class: type,
+    ) -> dict[asyncio.Task, StoreMember]:
+        return {
+            asyncio.create_task(
+                self._calls.call(member, message, answer_class, CALL_TIMEOUT_S)
+            ): member
+            for member in members
+        }
 
 
 def _first_missing(turn_id: str, known: dict[str, TurnRecord]) -> str:
--- a/rattanvalve/gateway/turns.py
+++ b/rattanvalve/gateway/turns.py
@@ -14,6 +14,7 @@
     SettleTurn,
     TurnRecord,
 )
+from rattanvalve.turnstore.turnrecords import LEDGER_RETENTION_MS
 
 __all__ = ('TurnManager', 'is_within_budget', 'max_charged_tokens')
 
@@ -24,8 +25,6 @@
 SETTLE_TIMEOUT_S = 2.0
 #: Delay before the retry of a turn when the turn store is unavailable.
 RETRY_AFTER_S = 0.4
-#: Minimum retention of the ledger of a budget.
-LEDGER_RETENTION_MS = 60_000
 
 _log = part_logger(LogPart.TURNS)
 
--- a/rattanvalve/platform/names.py
+++ b/rattanvalve/platform/names.py
@@ -7,6 +7,7 @@
     'FINISH_MS',
     'KIND_CONFIG',
     'KIND_MEMBERS',
+    'KIND_MEMBER_LIST',
     'KIND_RETIREMENTS',
     'KIND_SERVERS',
     'LAST_EVENT_ID',
@@ -75,5 +76,7 @@
 KIND_CONFIG = 'config'
 KIND_SERVERS = 'servers'
 KIND_RETIREMENTS = 'retirements'
-#: Members of the turn store; the platform itself does not define this kind.
+#: Registrations of the turn stores, and the list of those that store records;
+#: the platform itself does not define these kinds.
 KIND_MEMBERS = 'turnstores'
+KIND_MEMBER_LIST = 'turnstorelists'
--- a/rattanvalve/sharedstate/backup_watchers.py
+++ b/rattanvalve/sharedstate/backup_watchers.py
@@ -8,6 +8,7 @@
 import random
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
 
 from rattanvalve.channels import Address
 from rattanvalve.counters import Counter, Metrics
@@ -148,7 +149,11 @@
         try:
             for kind in kinds:
                 await exchange_kind(
-                    self._pool, self._board, self._metrics, peer, kind
+                    partial(self._pool.call, peer),
+                    self._board,
+                    self._metrics,
+                    peer.host,
+                    kind,
                 )
         except PeerError:
             # Another gateway is asked in the next round.
--- a/rattanvalve/sharedstate/document_tasks.py
+++ b/rattanvalve/sharedstate/document_tasks.py
@@ -13,13 +13,13 @@
 from rattanvalve.platform.malformed import MALFORMED_JSON
 from rattanvalve.platform.names import (
     KIND_CONFIG,
-    KIND_MEMBERS,
+    KIND_MEMBER_LIST,
     KIND_RETIREMENTS,
     KIND_SERVERS,
 )
 from rattanvalve.platform.objects import ObjectStore, StoredEntry
 from rattanvalve.platform.servers import encode_servers
-from rattanvalve.platform.turnstores import encode_members, encode_retirements
+from rattanvalve.platform.turnstores import encode_retirements, find_member_list
 from rattanvalve.sharedstate.backup_watchers import (
     BackupWatchers,
     GatewayExchange,
@@ -87,22 +87,22 @@
 def turn_store_followers(
     state: SharedState,
     store: ObjectStore,
-    needs_member_objects: Callable[[], bool],
+    needs_member_list: Callable[[], bool],
 ) -> tuple[ObjectFollower, list[ObjectFollower]]:
     """Create the followers of a turn store, which may be a watcher.
 
     :param state: state of this process.
     :param store: client of the platform's store.
-    :param needs_member_objects: returns whether the process needs the objects
-        of the members even if it is no watcher.
+    :param needs_member_list: returns whether the process needs the stored
+        list of members even if it is no watcher.
     :returns: follower of the members, and those of the other kinds; the caller
         runs them.
     """
     members = create_follower(
         state,
         store,
-        KIND_MEMBERS,
-        lambda: needs_member_objects() or state.is_watcher(),
+        KIND_MEMBER_LIST,
+        lambda: needs_member_list() or state.is_watcher(),
     )
     kinds = (KIND_CONFIG, KIND_SERVERS, KIND_RETIREMENTS)
     others = [
@@ -156,7 +156,7 @@
     backups = BackupWatchers(state.node.peer_address, known_gateways)
     followers = [
         create_follower(state, store, kind, _backup_check(state, backups, kind))
-        for kind in (KIND_CONFIG, KIND_SERVERS, KIND_MEMBERS)
+        for kind in (KIND_CONFIG, KIND_SERVERS, KIND_MEMBER_LIST)
     ]
     gateway_exchange = GatewayExchange(
         backups, pool, state.board, state.node.staleness, state.metrics
@@ -224,6 +224,20 @@
     return Document(kind=DocumentKind.RULES, version=version, body=stored)
 
 
+def _members_document(
+    entries: Iterable[StoredEntry],
+    revision: int,
+) -> Document | None:
+    stored = find_member_list(entries)
+    if stored is None:
+        return None
+    # The revision of the object, so that a list that is read again is the same
+    # document.
+    return Document(
+        kind=DocumentKind.MEMBERS, version=stored.revision, body=stored.spec
+    )
+
+
 def _list_builder(
     kind: DocumentKind,
     encode: Callable[[Iterable[StoredEntry]], bytes],
@@ -247,11 +261,7 @@
             DocumentKind.SERVERS,
             _list_builder(DocumentKind.SERVERS, encode_servers),
         ),
-        FollowedKind(
-            KIND_MEMBERS,
-            DocumentKind.MEMBERS,
-            _list_builder(DocumentKind.MEMBERS, encode_members),
-        ),
+        FollowedKind(KIND_MEMBER_LIST, DocumentKind.MEMBERS, _members_document),
         FollowedKind(
             KIND_RETIREMENTS,
             DocumentKind.RETIREMENTS,
--- a/rattanvalve/sharedstate/exchange.py
+++ b/rattanvalve/sharedstate/exchange.py
@@ -5,6 +5,8 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
+from typing import Any
 
 from rattanvalve.channels import Address
 from rattanvalve.counters import Counter, Metrics
@@ -160,42 +162,46 @@
 
     async def _exchange_kind(self, peer: Address, kind: DocumentKind) -> None:
         await exchange_kind(
-            self._pool, self._board, self._metrics, peer, kind, is_member=True
+            partial(self._pool.call, peer),
+            self._board,
+            self._metrics,
+            peer.host,
+            kind,
+            is_member=True,
         )
 
 
 async def exchange_kind(
-    pool: PeerPool,
+    call: Callable[[Any, float], Awaitable[Any]],
     board: DocumentBoard,
     metrics: Metrics,
-    peer: Address,
+    peer_host: str,
     kind: DocumentKind,
     *,
     is_member: bool = False,
 ) -> None:
     """Synchronize one document with a peer, in both directions.
 
-    :param pool: connections to peers.
+    :param call: sends a message to the peer and returns its answer, within a
+        timeout in seconds.
     :param board: documents of this process.
     :param metrics: counters.
-    :param peer: address of the peer.
+    :param peer_host: host of the peer, for the log.
     :param kind: kind of document.
     :param is_member: whether the peer is a turn store.
     :raises PeerError: if the peer does not answer.
     """
     ours = board.newest(kind)
     called_s = time.monotonic()
-    theirs = await pool.call(
-        peer,
-        Pull(kind=kind, newer_than=ours.version),
-        EXCHANGE_TIMEOUT_S,
+    theirs = await call(
+        Pull(kind=kind, newer_than=ours.version), EXCHANGE_TIMEOUT_S
     )
     if not isinstance(theirs, Document):
         raise PeerError('no document in the answer to a pull')
     if theirs.version < ours.version:
-        await pool.call(peer, ours, EXCHANGE_TIMEOUT_S)
+        await call(ours, EXCHANGE_TIMEOUT_S)
         return
-    if offer_document(board, theirs, peer.host, metrics):
+    if offer_document(board, theirs, peer_host, metrics):
         # The answer may have been under way since the call began.
         confirmed_s = called_s - theirs.age_ms / 1000
         board.confirm(kind, confirmed_s, is_from_member=is_member)
--- a/rattanvalve/sharedstate/members.py
+++ b/rattanvalve/sharedstate/members.py
@@ -4,22 +4,33 @@
 simultaneous disk losses to tolerate. A record is committed once ``f + 1``
 members of the group have it on disk, so that any ``f + 1`` of them together
 have every committed record.
+
+The list of members changes in epochs. The sets of earlier epochs stay in the
+list until enough members of the newest set have read their records.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 from rattanvalve.channels import Address
 from rattanvalve.rendezvous import rank
 
-__all__ = ('MembersView', 'StoreMember', 'quorum_size', 'replica_group')
+__all__ = (
+    'MemberSet',
+    'MembersView',
+    'StoreMember',
+    'quorum_size',
+    'replica_group',
+    'replica_names',
+)
 
 
 @dataclass(frozen=True, slots=True)
 class StoreMember:
     """One process of the turn store.
 
-    A member with ``is_leaving`` is being retired and gets no new records.
+    A member with ``is_leaving`` is not in the newest set and gets no new
+    records.
     """
 
     name: str
@@ -28,12 +39,54 @@
     is_leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class MemberSet:
+    """Names of the members that store records during one epoch.
+
+    ``ended_ms`` is the Unix time in milliseconds at which the next set
+    replaced this one, 0 for the newest.
+    """
+
+    epoch: int
+    names: frozenset[str]
+    ended_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class MembersView:
-    """Members of the turn store in one version of the member list."""
+    """The list of members: all that are in any set, and the sets by age.
+
+    The newest set is the last one. Earlier ones are those whose records the
+    members of the newest set may still lack.
+    """
 
-    version: int = 0
     members: tuple[StoreMember, ...] = ()
+    sets: tuple[MemberSet, ...] = ()
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the newest set.
+
+        :returns: epoch; 0 before the first list.
+        """
+        return self.sets[-1].epoch if self.sets else 0
+
+    @property
+    def current_names(self) -> frozenset[str]:
+        """Return the members of the newest set.
+
+        :returns: their names; empty before the first list.
+        """
+        return self.sets[-1].names if self.sets else frozenset()
+
+    @property
+    def former_names(self) -> frozenset[str]:
+        """Return the members of earlier sets that are not in the newest.
+
+        :returns: their names.
+        """
+        names = frozenset().union(*(item.names for item in self.sets))
+        return names - self.current_names
 
 
 def quorum_size(lost_disks_max: int) -> int:
@@ -45,6 +98,21 @@
     return lost_disks_max + 1
 
 
+def replica_names(
+    program_id: str,
+    names: Collection[str],
+    lost_disks_max: int,
+) -> list[str]:
+    """Choose the group of a program by the names of a set of members.
+
+    :param program_id: id of the program.
+    :param names: names of the set.
+    :param lost_disks_max: number of simultaneous disk losses to tolerate.
+    :returns: names of the group, highest rank first.
+    """
+    return rank(program_id, names)[: 2 * lost_disks_max + 1]
+
+
 def replica_group(
     program_id: str,
     members: Sequence[StoreMember],
@@ -63,5 +131,5 @@
     by_name = {
         member.name: member for member in members if not member.is_leaving
     }
-    size = 2 * lost_disks_max + 1
-    return [by_name[name] for name in rank(program_id, by_name)[:size]]
+    names = replica_names(program_id, by_name, lost_disks_max)
+    return [by_name[name] for name in names]
--- a/rattanvalve/sharedstate/shared_state.py
+++ b/rattanvalve/sharedstate/shared_state.py
@@ -1,6 +1,5 @@
 """Shared state of a process on the platform."""
 
-import time
 from dataclasses import dataclass, field
 
 from rattanvalve.channels import Address
@@ -8,39 +7,34 @@
 from rattanvalve.platform.configuration import decode_configuration
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.platform.turnstores import (
-    decode_members,
+    decode_member_list,
     decode_retirements,
 )
 from rattanvalve.sharedstate.documents import DocumentBoard, DocumentKind
-from rattanvalve.sharedstate.members import StoreMember
+from rattanvalve.sharedstate.members import MembersView, StoreMember
 from rattanvalve.sharedstate.reachability import ReachTable
 from rattanvalve.sharedstate.rules import TrafficRules
 from rattanvalve.sharedstate.watchers import watchers_of
 
 __all__ = ('SharedState',)
 
-#: Time after the removal of a member within which the others replicate the
-#: records that it stored.
-REPLICATION_GRACE_S = 15.0
-
 
 @dataclass(slots=True)
 class SharedState:
     """Documents of one process, with the decoded rules and members.
 
-    ``members`` is empty before the first member document; until then, the
-    seed hosts of the settings are used.
+    ``view`` is empty before the first list of members; until then, the seed
+    hosts of the settings are used.
     """
 
     node: NodeSettings
     board: DocumentBoard = field(default_factory=DocumentBoard)
     metrics: Metrics = field(default_factory=Metrics)
     rules: TrafficRules = field(default_factory=TrafficRules)
-    members: tuple[StoreMember, ...] = ()
+    view: MembersView = field(default_factory=MembersView)
     #: Names of the members that operators are retiring.
     retired_names: frozenset[str] = frozenset()
     reach: ReachTable = field(default_factory=ReachTable)
-    _departed_s: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.board.subscribe(DocumentKind.RULES, self._adopt_rules)
@@ -48,12 +42,12 @@
         self.board.subscribe(DocumentKind.RETIREMENTS, self._adopt_retirements)
 
     @property
-    def members_version(self) -> int:
-        """Return the version of the member document.
+    def members(self) -> tuple[StoreMember, ...]:
+        """Return the members of the turn store, with leaving ones.
 
-        :returns: version; 0 before the first document.
+        :returns: the members; empty before the first list.
         """
-        return self.board.newest(DocumentKind.MEMBERS).version
+        return self.view.members
 
     def rules_age_ms(self, now_s: float) -> int | None:
         """Return the age of the last confirmation of the rules, for logs.
@@ -103,18 +97,14 @@
             or self.node.peer_address in self.watcher_addresses()
         )
 
-    def departed_count(self, now_s: float) -> int:
-        """Count the members that were removed recently without retirement.
-
-        Their records may not be replicated to other members yet.
+    def watcher_rank(self) -> int | None:
+        """Return the rank of this process among the watchers.
 
-        :param now_s: monotonic time in seconds.
-        :returns: number of members removed within the grace time.
+        :returns: rank, 0 is the first; ``None`` if it is no watcher.
         """
-        return sum(
-            now_s - removed_s < REPLICATION_GRACE_S
-            for removed_s in self._departed_s.values()
-        )
+        addresses = self.watcher_addresses()
+        own = self.node.peer_address
+        return addresses.index(own) if own in addresses else None
 
     def other_watcher_addresses(self) -> list[Address]:
         """List the watchers without this process.
@@ -138,13 +128,4 @@
         self.rules = decode_configuration(body)
 
     def _adopt_members(self, body: bytes) -> None:
-        former = self.members
-        self.members = decode_members(body)
-        names = {member.name for member in self.members}
-        for member in former:
-            # The others have pulled all records of a retired member before its
-            # removal.
-            if member.name not in names and not member.is_leaving:
-                self._departed_s[member.name] = time.monotonic()
-        for name in names:
-            self._departed_s.pop(name, None)
+        self.view = decode_member_list(body)
--- a/rattanvalve/turn_messages.py
+++ b/rattanvalve/turn_messages.py
@@ -45,24 +45,31 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Reserve:
-    """Reserve the maximum tokens of a turn before it is sent to an engine."""
+    """Reserve the maximum tokens of a turn before it is sent to an engine.
+
+    ``epoch`` is that of the sender's list of members; a store with another
+    one does not store the message. The same holds for each such field below.
+    """
 
     program_id: str = ''
     turn_id: str = ''
     tokens: int = 0
     retention_ms: int = 0
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Ledger:
     """Token counts of a program that one store has.
 
-    ``is_complete`` is false while the store may lack records, for example
-    while it catches up after the loss of its disk.
+    ``is_complete`` is false while the store may lack records of the program,
+    and if its list of members has another epoch than the request. ``epoch``
+    is that of its list.
     """
 
     is_complete: bool = False
     entries: tuple[LedgerEntry, ...] = ()
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +84,7 @@
     output: bytes = b''
     tokens: int = 0
     retention_ms: int = 0
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,13 +95,15 @@
     turn_id: str = ''
     tokens: int = 0
     retention_ms: int = 0
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Stored:
-    """Acknowledge a record on disk; ``is_complete`` as in :class:`Ledger`."""
+    """Acknowledge a record; ``is_complete`` as in :class:`Ledger`."""
 
     is_complete: bool = False
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,14 +111,20 @@
     """Request a turn and its predecessors."""
 
     turn_id: str = ''
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TurnChain:
-    """The requested turn and its known predecessors, newest first."""
+    """The requested turn and its known predecessors, newest first.
+
+    ``is_complete`` means that the store lacks no record of any program that
+    earlier lists of members let others store.
+    """
 
     is_complete: bool = False
     turns: tuple[TurnRecord, ...] = ()
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -121,11 +137,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ListRecords:
-    """Request the keys of the records that a store got from a position on."""
+    """Request the keys of the records that a store got from a position on.
+
+    ``complete_epoch`` is the epoch at which the sender was last complete.
+    """
 
     member: str = ''
     after: int = 0
-    members_version: int = 0
+    epoch: int = 0
+    complete_epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -133,13 +153,17 @@
     """Keys of records in arrival order.
 
     Positions are valid only for one ``incarnation``, that is, until the store
-    restarts.
+    restarts. The store accepts no record of an earlier list of members than
+    that of ``epoch`` any more. ``is_intact`` is false while it may lack records
+    that it had acknowledged on a disk that was lost.
     """
 
     incarnation: str = ''
     next_after: int = 0
     is_end: bool = False
     keys: tuple[RecordKey, ...] = ()
+    epoch: int = 0
+    is_intact: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/rattanvalve/turnstore/membership.py
+++ b/rattanvalve/turnstore/membership.py
@@ -1,156 +1,198 @@
-"""Registration of turn store members in the platform's store.
+"""Updates the list of turn store members in the platform's store.
 
-A member writes its own object and removes the objects of unresponsive members.
-A member that is retired is first marked as leaving; its retirement is complete
-once every other member has pulled all of its records.
+A member registers and adds itself to the list, and takes itself off when it is
+retired. The members that watch the store also remove silent ones and drop the
+sets of earlier epochs.
 """
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import replace
 
 from rattanvalve.errors import StoreConflictError, StoreError
 from rattanvalve.logs import LogPart, part_logger
-from rattanvalve.platform.names import KIND_MEMBERS, KIND_RETIREMENTS
-from rattanvalve.platform.objects import ObjectStore
-from rattanvalve.platform.turnstores import member_spec
+from rattanvalve.platform.malformed import MALFORMED_JSON
+from rattanvalve.platform.names import (
+    KIND_MEMBER_LIST,
+    KIND_RETIREMENTS,
+)
+from rattanvalve.platform.nodefile import NodeSettings
+from rattanvalve.platform.objects import ObjectStore, StoredEntry
+from rattanvalve.platform.turnstores import (
+    LIST_NAME,
+    decode_member_list,
+    member_list_spec,
+)
 from rattanvalve.sharedstate.members import MembersView, StoreMember
 from rattanvalve.sharedstate.object_follower import ObjectFollower
+from rattanvalve.turnstore.memberplans import (
+    expire_sets,
+    join_members,
+    leave,
+    remove_unresponsive,
+    settle,
+    update_member,
+)
+from rattanvalve.turnstore.memberstate import MemberState
+from rattanvalve.turnstore.registration import Registrations
 from rattanvalve.turnstore.replication import PullState
 
-__all__ = ('Membership', 'unresponsive_members')
+__all__ = ('Membership', 'MembershipFacts')
 
 CHECK_INTERVAL_S = 0.3
-#: A member that has not answered for this long is removed.
-UNRESPONSIVE_TIMEOUT_S = 5.0
+#: The same while this member has yet to be listed.
+JOIN_INTERVAL_S = 0.05
 
 _log = part_logger(LogPart.TURNS)
 
 
-def unresponsive_members(
-    view: MembersView,
-    own_name: str,
-    pulled: Mapping[str, PullState],
-    now_s: float,
-) -> list[str]:
-    """Choose the members to remove.
+class MembershipFacts:
+    """What a member knows of itself and of the others.
 
-    No member is removed unless this one reaches more than half of all members,
-    as this one may itself be cut off by a network partition.
-
-    :param view: all members.
-    :param own_name: name of this member.
-    :param pulled: replication state of each other member, by name.
-    :param now_s: monotonic time in seconds.
-    :returns: names of the members to remove.
+    :param is_retired: returns whether the operators retire this member.
+    :param watcher_rank: returns the rank of this member among those that watch
+        the store; ``None`` if it does not.
+    :param pulled: returns the replication state of each other member.
+    :param complete_names: returns the members that are complete at an epoch.
+    :param retention_ms: returns the longest retention of any record.
     """
-    unresponsive = [
-        name
-        for name, state in pulled.items()
-        if now_s - state.last_answer_s > UNRESPONSIVE_TIMEOUT_S
-    ]
-    reached_count = len(view.members) - len(unresponsive)
-    return unresponsive if 2 * reached_count > len(view.members) else []
+
+    def __init__(
+        self,
+        is_retired: Callable[[], bool],
+        watcher_rank: Callable[[], int | None],
+        pulled: Callable[[], Mapping[str, PullState]],
+        complete_names: Callable[[int], frozenset[str]],
+        retention_ms: Callable[[], int],
+    ) -> None:
+        self.is_retired = is_retired
+        self.watcher_rank = watcher_rank
+        self.pulled = pulled
+        self.complete_names = complete_names
+        self.retention_ms = retention_ms
 
 
 class Membership:
-    """Updates the member objects in the platform's store.
+    """Keeps this member in the list and the list up to date.
 
-    :param own: this member.
+    :param node: settings of this process.
     :param store: client of the platform's store.
-    :param members: follows the objects of all members.
-    :param is_retired: returns whether the operators retire this member.
-    :param view: returns the current members.
-    :param pulled: returns the replication state of each other member.
-    :param pulled_versions: version of the member list at which each other
-        member has pulled all records from this one, by name.
+    :param stored: follows the stored list.
+    :param state: durable record of this member.
+    :param view: returns the list that this process has adopted.
+    :param facts: what this member knows.
     """
 
     def __init__(
         self,
-        own: StoreMember,
+        node: NodeSettings,
         store: ObjectStore,
-        members: ObjectFollower,
-        is_retired: Callable[[], bool],
+        stored: ObjectFollower,
+        state: MemberState,
         view: Callable[[], MembersView],
-        pulled: Callable[[], Mapping[str, PullState]],
-        pulled_versions: Mapping[str, int],
+        facts: MembershipFacts,
     ) -> None:
-        self._own = own
+        self._own = StoreMember(
+            name=node.name, address=node.peer_address, zone=node.zone
+        )
         self._store = store
-        self._members = members
-        self._is_retired = is_retired
+        self._stored = stored
+        self._registrations = Registrations(self._own, store, state)
         self._view = view
-        self._pulled = pulled
-        self._pulled_versions = pulled_versions
+        self._facts = facts
+        self._lost_disks_max = node.lost_disks_max
+        self._is_first_start = node.is_first_start
         self._reported_state = ''
-        self._is_drained = False
+        self._is_registered = False
+        #: Number of checks in a row that found the list in need of a change.
+        self._due_checks = 0
 
     async def run(self) -> None:
-        """Check and update the objects periodically until cancelled."""
+        """Check and update the list periodically until cancelled."""
         while True:
             try:
                 await self._check()
             except StoreConflictError:
                 # Another member wrote first; the next check sees its change.
-                _log.debug('member object changed by another member')
-            except StoreError as error:
+                _log.debug('list of members changed by another member')
+            except (StoreError, OSError) as error:
                 _log.warning(
-                    'member object not written',
+                    'list of members not written',
                     extra={'error': str(error)},
                 )
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.sleep(self._interval_s())
 
-    def needs_member_objects(self) -> bool:
-        """Return whether this member has to write or remove its own object.
+    def needs_member_list(self) -> bool:
+        """Return whether this member has to change the list.
 
-        :returns: whether the member objects must be followed, even if this
+        :returns: whether the stored list must be followed, even if this
             process is no watcher.
         """
-        is_listed = self._own in self._view().members
-        return self._is_retired() or not is_listed
+        view = self._view()
+        is_listed = self._own in view.members
+        return self._facts.is_retired() or not is_listed
+
+    def _interval_s(self) -> float:
+        is_joining = self.needs_member_list() and not self._facts.is_retired()
+        longest_s = JOIN_INTERVAL_S if is_joining else CHECK_INTERVAL_S
+        return longest_s * random.uniform(0.5, 1)
 
     async def _check(self) -> None:
-        if not self._members.is_synchronized():
+        if not self._stored.is_synchronized():
             return
-        is_retiring = self._is_retired()
-        if is_retiring != self._own.is_leaving:
-            self._own = replace(self._own, is_leaving=is_retiring)
-            self._reported_state = ''
-            self._is_drained = False
-        if is_retiring and self._is_drained:
-            await self._leave()
+        entry = self._stored.entries.get(LIST_NAME)
+        view = _decode_view(entry)
+        if view is None:
             return
-        await self._write_own()
-        if is_retiring:
-            await self._report_retirement('running')
-            self._is_drained = self._is_replicated_to_all()
+        if self._facts.is_retired():
+            await self._retire(entry, view)
+        elif self._own.name not in view.current_names:
+            await self._join(entry, view)
         else:
-            await self._remove_unresponsive()
-
-    async def _write_own(self) -> None:
-        spec = member_spec(self._own)
-        stored = self._members.entries.get(self._own.name)
-        if stored is None:
-            await self._store.create(KIND_MEMBERS, self._own.name, spec)
-            _log.info('member registered', extra={'member': self._own.name})
-        elif self._own not in self._view().members:
-            await self._store.replace(KIND_MEMBERS, stored, spec)
-            _log.info(
-                'member changed',
-                extra={
-                    'member': self._own.name,
-                    'is_leaving': self._own.is_leaving,
-                },
-            )
+            self._reported_state = ''
+            self._is_registered = False
+            await self._write(entry, update_member(view, self._own))
+            await self._keep_up(entry, view)
+
+    async def _join(self, entry: StoredEntry | None, view: MembersView) -> None:
+        changed = self._with_joining(view, [self._own])
+        if changed is None:
+            return
+        if not self._is_registered:
+            await self._registrations.register(view)
+            self._is_registered = True
+        if self._is_first_start:
+            # All members start at once; one of them adds all.
+            registered = await self._registrations.members()
+            changed = self._with_joining(view, [self._own, *registered])
+        await self._write(entry, changed)
 
-    async def _leave(self) -> None:
-        """Remove the own object, then report that the VM can be released."""
-        stored = self._members.entries.get(self._own.name)
-        if stored is not None:
-            await self._store.delete(KIND_MEMBERS, stored)
-        await self._report_retirement('done')
+    def _with_joining(
+        self, view: MembersView, joining: list[StoreMember]
+    ) -> MembersView | None:
+        return join_members(
+            view,
+            joining,
+            _unix_ms(),
+            self._lost_disks_max,
+            is_first_start=self._is_first_start,
+        )
+
+    async def _retire(
+        self, entry: StoredEntry | None, view: MembersView
+    ) -> None:
+        """Leave the list; the VM can be released once no set has this member.
+
+        Until then the other members may have to read its records.
+        """
+        is_listed = any(self._own.name in item.names for item in view.sets)
+        if is_listed:
+            await self._report_retirement('running')
+            await self._write(entry, leave(view, self._own.name, _unix_ms()))
+        elif view.sets and self._reported_state != 'done':
+            await self._registrations.remove({self._own.name})
+            await self._report_retirement('done')
 
     async def _report_retirement(self, state: str) -> None:
         if state == self._reported_state:
@@ -163,27 +205,71 @@
         self._reported_state = state
         _log.info('retirement reported', extra={'state': state})
 
-    def _is_replicated_to_all(self) -> bool:
-        view = self._view()
-        if self._own not in view.members:
-            return False
-        others = [member for member in view.members if not member.is_leaving]
-        return bool(others) and all(
-            self._pulled_versions.get(member.name) == view.version
-            for member in others
+    async def _keep_up(
+        self, entry: StoredEntry | None, view: MembersView
+    ) -> None:
+        """Remove silent members and drop earlier sets, if this one is to."""
+        rank = self._facts.watcher_rank()
+        changed = self._due_change(view)
+        if changed is None or rank is None:
+            self._due_checks = 0
+            return
+        # The first watcher writes at once, the others if it does not.
+        self._due_checks += 1
+        if self._due_checks <= 2 * rank:
+            return
+        await self._write(entry, changed)
+        kept = {member.name for member in changed.members}
+        gone = {member.name for member in view.members} - kept
+        if gone:
+            await self._registrations.remove(gone)
+
+    def _due_change(self, view: MembersView) -> MembersView | None:
+        """Return the list as it should be, by the first rule that applies."""
+        if view.epoch != self._view().epoch:
+            return None
+        now_ms = _unix_ms()
+        complete = self._facts.complete_names(view.epoch)
+        return (
+            settle(view, complete, self._lost_disks_max)
+            or expire_sets(view, now_ms, self._facts.retention_ms())
+            or remove_unresponsive(
+                view, self._facts.pulled(), now_ms, self._lost_disks_max
+            )
         )
 
-    async def _remove_unresponsive(self) -> None:
-        unresponsive = unresponsive_members(
-            self._view(),
-            self._own.name,
-            self._pulled(),
-            time.monotonic(),
+    async def _write(
+        self, entry: StoredEntry | None, changed: MembersView | None
+    ) -> None:
+        if changed is None:
+            return
+        spec = member_list_spec(changed)
+        if entry is None:
+            await self._store.create(KIND_MEMBER_LIST, LIST_NAME, spec)
+        else:
+            await self._store.replace(KIND_MEMBER_LIST, entry, spec)
+        _log.info(
+            'list of members changed',
+            extra={
+                'epoch': changed.epoch,
+                'members': sorted(changed.current_names),
+                'earlier_sets': [
+                    sorted(item.names) for item in changed.sets[:-1]
+                ],
+            },
         )
-        for name in unresponsive:
-            entry = self._members.entries.get(name)
-            if entry is not None:
-                await self._store.delete(KIND_MEMBERS, entry)
-                _log.warning(
-                    'unresponsive member removed', extra={'member': name}
-                )
+
+
+def _decode_view(entry: StoredEntry | None) -> MembersView | None:
+    """Return the stored list, an empty one if there is none yet."""
+    if entry is None:
+        return MembersView()
+    try:
+        return decode_member_list(entry.spec)
+    except MALFORMED_JSON as error:
+        _log.error('list of members malformed', extra={'error': str(error)})
+        return None
+
+
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/rattanvalve/turnstore/placement.py
+++ b/rattanvalve/turnstore/placement.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from rattanvalve.sharedstate.members import MembersView, replica_group
+from rattanvalve.sharedstate.members import MembersView, replica_names
 
 __all__ = ('RecordPlacement',)
 
@@ -14,7 +14,7 @@
 class RecordPlacement:
     """Caches the group of each program for the newest member list.
 
-    A new version of the list clears the cache; above its limit, the program
+    A new epoch of the list clears the cache; above its limit, the program
     that was added first is evicted.
 
     :param view: returns the current members.
@@ -28,16 +28,9 @@
     ) -> None:
         self._view = view
         self._lost_disks_max = lost_disks_max
-        self._version = 0
+        self._epoch = 0
         self._groups: OrderedDict[str, frozenset[str]] = OrderedDict()
 
-    def version(self) -> int:
-        """Return the version of the member list.
-
-        :returns: version; 0 before the first list.
-        """
-        return self._view().version
-
     def is_placed_on(self, member_name: str, program_id: str) -> bool:
         """Check whether a member stores the records of a program.
 
@@ -46,15 +39,15 @@
         :returns: whether the member is in the program's group.
         """
         view = self._view()
-        if view.version != self._version:
-            self._version = view.version
+        if view.epoch != self._epoch:
+            self._epoch = view.epoch
             self._groups.clear()
         group = self._groups.get(program_id)
         if group is None:
-            chosen = replica_group(
-                program_id, view.members, self._lost_disks_max
+            chosen = replica_names(
+                program_id, view.current_names, self._lost_disks_max
             )
-            group = frozenset(member.name for member in chosen)
+            group = frozenset(chosen)
             self._groups[program_id] = group
             if len(self._groups) > CACHED_PROGRAMS_MAX:
                 self._groups.popitem(last=False)
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -17,28 +17,22 @@
 )
 from rattanvalve.sharedstate.documents import DocumentKind
 from rattanvalve.sharedstate.exposition import MetricsPage, serve_metrics
-from rattanvalve.sharedstate.members import MembersView, StoreMember
 from rattanvalve.sharedstate.object_follower import offer_document
 from rattanvalve.sharedstate.request_crashes import CrashTable
 from rattanvalve.sharedstate.shared_state import SharedState
 from rattanvalve.sharedstate.tasks import run_tasks
 from rattanvalve.turnstore.crashfile import CrashFile
-from rattanvalve.turnstore.disklog import DiskLog
 from rattanvalve.turnstore.documentfiles import DocumentFiles
-from rattanvalve.turnstore.durablefiles import replace_file
 from rattanvalve.turnstore.endpointrates import EndpointRates
-from rattanvalve.turnstore.membership import Membership
-from rattanvalve.turnstore.placement import RecordPlacement
+from rattanvalve.turnstore.membership import Membership, MembershipFacts
 from rattanvalve.turnstore.rateshares import RateShares
-from rattanvalve.turnstore.replication import Replicator, is_caught_up
+from rattanvalve.turnstore.replica import Replica
 from rattanvalve.turnstore.service import TurnService
-from rattanvalve.turnstore.turnlog import TurnLog
+from rattanvalve.turnstore.turnrecords import retention_max_ms
 
 __all__ = ('TurnStoreProcess',)
 
 SWEEP_INTERVAL_S = 5.0
-#: Marker file: this store has once caught up with all records it must have.
-_COMPLETE_MARKER_NAME = 'complete'
 
 _log = part_logger(LogPart.PROCESS)
 
@@ -56,7 +50,6 @@
             raise SettingsError('a turn store needs a data folder')
         self._node = node
         self._state = SharedState(node)
-        self._turn_log = TurnLog(DiskLog(node.data_folder / 'turns'))
         self._shares = RateShares(node.name)
         self._endpoint_rates = EndpointRates(node.name)
         self._crashes = CrashTable()
@@ -69,82 +62,58 @@
         self._crash_file = CrashFile(
             node.data_folder / 'documents' / 'crashes', self._crashes
         )
-        self._complete_marker = node.data_folder / _COMPLETE_MARKER_NAME
-        self._is_complete = self._complete_marker.exists()
-        # Assumed until the first list of members arrives.
-        self._is_former_member = True
-        placement = RecordPlacement(self._view, node.lost_disks_max)
+        self._replica = Replica(node, self._state, self._pool)
         self._service = TurnService(
-            self._turn_log,
+            self._replica,
             self._shares,
             self._endpoint_rates,
             self._crashes,
-            lambda: self._is_complete,
-            placement,
-        )
-        self._replicator = Replicator(
-            node.name,
-            self._turn_log,
-            self._pool,
-            self._view,
-            placement,
-            self._update_completeness,
         )
         self._state.board.subscribe(DocumentKind.RULES, self._configure_shares)
         self._state.board.subscribe(DocumentKind.MEMBERS, self._handle_members)
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        if self._node.is_first_start and not self._is_complete:
-            # On a first start all disks are empty, so no record can be missing.
-            self._mark_complete()
-        for document in self._document_files.load():
-            offer_document(
-                self._state.board,
-                document,
-                'disk',
-                self._state.metrics,
-            )
-        self._crash_file.load(time.time(), time.monotonic())
+        self.load()
         handlers = self._service.handlers() | peer_handlers(self._state)
         server = PeerServer(self._peer_secret, handlers, self._state.metrics)
         await server.start(self._node.peer_address)
         page = MetricsPage(self._state.metrics, self._state.board)
         metrics_server = await serve_metrics(page, self._node)
-        _log.info(
-            'turn store started',
-            extra={
-                'records': len(self._turn_log.index),
-                'is_complete': self._is_complete,
-            },
-        )
+        _log.info('turn store started')
         try:
             await run_tasks(self._node.store, self._tasks)
         finally:
             await server.stop()
             metrics_server.close()
             self._pool.close()
-            self._turn_log.close()
+            self._replica.turn_log.close()
+
+    def load(self) -> None:
+        """Read what earlier runs saved beside the records."""
+        self._replica.load()
+        for document in self._document_files.load():
+            offer_document(
+                self._state.board,
+                document,
+                'disk',
+                self._state.metrics,
+            )
+        self._crash_file.load(time.time(), time.monotonic())
 
     def _tasks(self, store: ObjectStore) -> list:
-        own = StoreMember(
-            name=self._node.name,
-            address=self._node.peer_address,
-            zone=self._node.zone,
-        )
         members, others = turn_store_followers(
             self._state,
             store,
-            lambda: membership.needs_member_objects(),
+            lambda: membership.needs_member_list(),
         )
         membership = Membership(
-            own,
+            self._node,
             store,
             members,
-            lambda: self._node.name in self._state.retired_names,
-            self._view,
-            lambda: self._replicator.pulled,
-            self._service.pulled_versions,
+            self._replica.member_state,
+            self._replica.view,
+            self._membership_facts(),
         )
         kinds = tuple(DocumentKind)
         return [
@@ -153,14 +122,28 @@
             membership.run,
             create_exchange(self._state, self._pool, kinds).run,
             create_monitor(self._state, kinds).run,
-            self._replicator.run,
+            self._replica.replicator.run,
             self._document_files.run,
             self._crash_file.run,
             self._sweep,
         ]
 
-    def _view(self) -> MembersView:
-        return MembersView(self._state.members_version, self._state.members)
+    def _membership_facts(self) -> MembershipFacts:
+        return MembershipFacts(
+            lambda: self._node.name in self._state.retired_names,
+            self._state.watcher_rank,
+            lambda: self._replica.replicator.pulled,
+            self._complete_names,
+            lambda: retention_max_ms(self._state.rules),
+        )
+
+    def _complete_names(self, epoch: int) -> frozenset[str]:
+        epochs = self._service.complete_epochs | {
+            self._node.name: self._replica.authority.complete_epoch
+        }
+        return frozenset(
+            name for name, complete in epochs.items() if complete == epoch
+        )
 
     def _configure_shares(self, body: bytes) -> None:
         self._shares.configure(
@@ -170,36 +153,12 @@
         )
 
     def _handle_members(self, body: bytes) -> None:
-        if not self._state.members_version:
-            names = {member.name for member in self._state.members}
-            self._is_former_member = self._node.name in names
         self._configure_shares(body)
         self._endpoint_rates.configure(self._state.members)
 
-    async def _update_completeness(self) -> None:
-        if self._is_complete:
-            return
-        has_caught_up = is_caught_up(
-            self._node.name,
-            self._is_former_member,
-            self._view(),
-            self._replicator.pulled,
-            self._node.lost_disks_max,
-        )
-        if has_caught_up:
-            self._mark_complete()
-
-    def _mark_complete(self) -> None:
-        replace_file(self._complete_marker, b'')
-        self._is_complete = True
-        _log.info(
-            'turn store complete',
-            extra={'records': len(self._turn_log.index)},
-        )
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            self._turn_log.sweep(time.time())
+            self._replica.turn_log.sweep(time.time())
             self._endpoint_rates.expire(time.monotonic())
             self._crashes.expire(time.monotonic())
--- a/rattanvalve/turnstore/replication.py
+++ b/rattanvalve/turnstore/replication.py
@@ -17,10 +17,11 @@
     RecordKey,
     RecordList,
 )
+from rattanvalve.turnstore.authority import Authority
 from rattanvalve.turnstore.placement import RecordPlacement
 from rattanvalve.turnstore.turnlog import TurnLog
 
-__all__ = ('PullState', 'Replicator', 'is_caught_up')
+__all__ = ('PullState', 'Replicator', 'record_attempt')
 
 PULL_INTERVAL_S = 0.25
 #: Number of members up to which the pull interval is constant. Above it, the
@@ -29,6 +30,9 @@
 PULL_BASE_MEMBERS = 8
 PULL_TIMEOUT_S = 1.0
 FETCH_BATCH_SIZE = 100
+#: Longest time between two attempts that counts as silence of a member; in a
+#: longer one this process itself stood still.
+ATTEMPT_MAX_S = 2 * PULL_TIMEOUT_S
 
 _log = part_logger(LogPart.TURNS)
 
@@ -38,77 +42,80 @@
     """Progress of pulling the records of one member.
 
     ``position`` is the position in its arrival order of the next record to
-    list, valid for ``incarnation`` and ``members_version`` only.
-    ``is_at_end`` is true once all of its records were pulled, and
-    ``last_answer_s`` is the monotonic time of its last answer in seconds.
+    list, valid for ``incarnation`` and ``epoch`` only. ``read_epoch`` is the
+    newest epoch at which all of its records were read after it had adopted
+    that epoch. ``silent_s`` is the time in seconds for which it has not
+    answered while most members did; ``attempted_s`` is the monotonic time of
+    the last attempt.
     """
 
     incarnation: str = ''
     position: int = 0
-    members_version: int = 0
-    is_at_end: bool = False
-    last_answer_s: float = 0
-
-
-def is_caught_up(
-    own_name: str,
-    is_former_member: bool,
-    view: MembersView,
-    pulled: dict[str, PullState],
-    lost_disks_max: int,
-) -> bool:
-    """Check whether this store has every acknowledged record it must have.
-
-    Each acknowledged record is on ``lost_disks_max + 1`` disks. So at most
-    ``lost_disks_max`` disks may be unread, including this one if it was lost.
-
-    :param own_name: name of this member.
-    :param is_former_member: whether this member may have acknowledged records
-        on a disk that was lost.
-    :param view: all members.
-    :param pulled: replication state of each other member, by name.
-    :param lost_disks_max: number of simultaneous disk losses to tolerate.
-    :returns: whether the answers of this store are authoritative for records
-        that it does not find.
+    epoch: int = 0
+    read_epoch: int = 0
+    silent_s: float = 0
+    attempted_s: float = 0
+    is_failing: bool = False
+
+
+def record_attempt(
+    state: PullState,
+    now_s: float,
+    *,
+    has_answered: bool,
+    reaches_majority: bool,
+) -> None:
+    """Record whether a member answered, and for how long it has been silent.
+
+    Time in which this process stood still or reached only a minority says
+    nothing of the member.
+
+    :param state: state of the member; it is changed.
+    :param now_s: monotonic time in seconds.
+    :param has_answered: whether it answered this attempt.
+    :param reaches_majority: whether most members answered their last attempts.
     """
-    if not view.members:
-        return False
-    unread = sum(
-        not pulled.get(member.name, PullState()).is_at_end
-        for member in view.members
-        if member.name != own_name
-    )
-    return unread + is_former_member <= lost_disks_max
+    elapsed_s = now_s - state.attempted_s
+    state.attempted_s = now_s
+    state.is_failing = not has_answered
+    if has_answered or not reaches_majority:
+        state.silent_s = 0
+    else:
+        state.silent_s += min(elapsed_s, ATTEMPT_MAX_S)
 
 
 class Replicator:
     """Runs one pull task for each other member.
 
-    :param own_name: name of this member.
     :param turn_log: records of this store.
     :param pool: connections to the other members.
-    :param view: returns the current members.
+    :param view: returns the list of members.
     :param placement: determines which members store a program's records.
+    :param authority: name and epochs of this store.
     :param on_pull_complete: called each time all records of a member were
         pulled.
+    :param sync_members: exchanges the list with a member that has another one.
     """
 
     def __init__(
         self,
-        own_name: str,
         turn_log: TurnLog,
         pool: PeerPool,
         view: Callable[[], MembersView],
         placement: RecordPlacement,
+        authority: Authority,
         on_pull_complete: Callable[[], Awaitable[None]],
+        sync_members: Callable[[StoreMember], Awaitable[None]],
     ) -> None:
         self.pulled: dict[str, PullState] = {}
-        self._own_name = own_name
+        self._own_name = authority.own_name
         self._turn_log = turn_log
         self._pool = pool
         self._view = view
         self._placement = placement
+        self._authority = authority
         self._on_pull_complete = on_pull_complete
+        self._sync_members = sync_members
         self._tasks: dict[str, asyncio.Task] = {}
 
     async def run(self) -> None:
@@ -121,6 +128,15 @@
             for task in self._tasks.values():
                 task.cancel()
 
+    def has_read(self, name: str) -> bool:
+        """Return whether all records of a member were read at this epoch.
+
+        :param name: name of the member.
+        :returns: whether it has refused records of earlier epochs since.
+        """
+        state = self.pulled.get(name)
+        return state is not None and state.read_epoch >= self._view().epoch
+
     def _start_tasks(self) -> None:
         names = {member.name for member in self._view().members}
         names.discard(self._own_name)
@@ -128,23 +144,44 @@
             self._tasks.pop(name).cancel()
             self.pulled.pop(name, None)
         for name in names - self._tasks.keys():
-            # The timeout of a new member starts when it is first seen.
-            self.pulled[name] = PullState(last_answer_s=time.monotonic())
+            self.pulled[name] = PullState(attempted_s=time.monotonic())
             self._tasks[name] = asyncio.create_task(self._pull_forever(name))
 
     async def _pull_forever(self, name: str) -> None:
         while True:
-            try:
-                await self._pull(name)
-            except (PeerError, FrameError) as error:
-                _log.debug(
-                    'pull failed',
-                    extra={'member': name, 'error': str(error)},
-                )
-            except OSError as error:
-                _log.error('disk failed', extra={'error': str(error)})
+            await self._attempt(name)
             await asyncio.sleep(self._interval_s() * random.uniform(0.7, 1.3))
 
+    async def _attempt(self, name: str) -> None:
+        """Pull once; an answer of any kind ends the silence of the member."""
+        state = self.pulled[name]
+        has_answered = True
+        try:
+            await self._pull(name)
+        except (PeerError, FrameError) as error:
+            has_answered = False
+            _log.debug(
+                'pull failed',
+                extra={'member': name, 'error': str(error)},
+            )
+        except OSError as error:
+            _log.error('disk failed', extra={'error': str(error)})
+        record_attempt(
+            state,
+            time.monotonic(),
+            has_answered=has_answered,
+            reaches_majority=self._reaches_majority(),
+        )
+
+    def _reaches_majority(self) -> bool:
+        names = self._view().current_names
+        failing = sum(
+            state.is_failing
+            for name, state in self.pulled.items()
+            if name in names
+        )
+        return 2 * (len(names) - failing) > len(names)
+
     def _interval_s(self) -> float:
         member_count = len(self._view().members)
         return PULL_INTERVAL_S * max(member_count / PULL_BASE_MEMBERS, 1)
@@ -155,45 +192,50 @@
         member = _find_member(view.members, name)
         if member is None:
             return
-        if state.members_version != view.version:
+        if state.epoch != view.epoch:
             # Other programs may be placed here now, so all keys are listed
             # again.
-            state.members_version = view.version
+            state.epoch = view.epoch
             state.position = 0
-        is_end = False
-        while not is_end:
-            is_end = await self._pull_page(member, state, view)
-        state.is_at_end = True
-        await self._on_pull_complete()
+        while True:
+            listed = await self._pull_page(member, state, view)
+            if listed is not None and listed.is_end:
+                break
+        if listed.epoch != view.epoch:
+            await self._sync_members(member)
+        if listed.is_intact and listed.epoch >= view.epoch:
+            state.read_epoch = view.epoch
+            await self._on_pull_complete()
 
     async def _pull_page(
         self,
         member: StoreMember,
         state: PullState,
         view: MembersView,
-    ) -> bool:
+    ) -> RecordList | None:
+        """Read one page; ``None`` if listing has to begin again."""
         listed = await self._request(
             member,
             ListRecords(
                 member=self._own_name,
                 after=state.position,
-                members_version=view.version,
+                epoch=view.epoch,
+                complete_epoch=self._authority.complete_epoch,
             ),
             RecordList,
         )
-        state.last_answer_s = time.monotonic()
         if listed.incarnation != state.incarnation:
             # Positions are valid only within one run of the other member.
             is_restart = bool(state.position)
             state.incarnation = listed.incarnation
             state.position = 0
             if is_restart:
-                return False
+                return None
         wanted = [key.key for key in listed.keys if self._is_wanted(key)]
         for start in range(0, len(wanted), FETCH_BATCH_SIZE):
             await self._fetch(member, wanted[start : start + FETCH_BATCH_SIZE])
         state.position = listed.next_after
-        return listed.is_end
+        return listed
 
     async def _fetch(self, member: StoreMember, keys: list[str]) -> None:
         batch = await self._request(
--- a/rattanvalve/turnstore/service.py
+++ b/rattanvalve/turnstore/service.py
@@ -3,7 +3,6 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Callable
 from contextlib import suppress
 
 from rattanvalve.channels import Handler, Send
@@ -27,9 +26,9 @@
     TurnRecord,
 )
 from rattanvalve.turnstore.endpointrates import EndpointRates
-from rattanvalve.turnstore.placement import RecordPlacement
 from rattanvalve.turnstore.rateshares import RateShares
-from rattanvalve.turnstore.turnlog import TurnLog
+from rattanvalve.turnstore.replica import Replica
+from rattanvalve.turnstore.turnrecords import LoggedMessage
 
 __all__ = ('TurnService',)
 
@@ -45,35 +44,30 @@
 class TurnService:
     """Answers requests of gateways and of other members.
 
-    :param turn_log: records of this store.
+    :param replica: records of this store, and for which of them its answers
+        are authoritative.
     :param shares: this store's shares of the workspaces' rates.
     :param endpoint_rates: its shares of the limits that endpoints state.
     :param crashes: crashes of endpoints and the requests that they ran.
-    :param is_complete: returns whether the answers of this store are
-        authoritative for records that it does not find.
-    :param placement: determines which members store a program's records.
     """
 
     def __init__(
         self,
-        turn_log: TurnLog,
+        replica: Replica,
         shares: RateShares,
         endpoint_rates: EndpointRates,
         crashes: CrashTable,
-        is_complete: Callable[[], bool],
-        placement: RecordPlacement,
     ) -> None:
-        #: Version of the member list at which each member last pulled all
-        #: records, by name.
-        self.pulled_versions: dict[str, int] = {}
-        self._turn_log = turn_log
+        #: Epoch at which each other member was last complete, by name.
+        self.complete_epochs: dict[str, int] = {}
+        self._turn_log = replica.turn_log
         self._shares = shares
         self._endpoint_rates = endpoint_rates
         self._crashes = crashes
         #: Set when a record is new; each record gets a new event.
         self._crash_news = asyncio.Event()
-        self._is_complete = is_complete
-        self._placement = placement
+        self._authority = replica.authority
+        self._placement = replica.placement
         self._incarnation = secrets.token_hex(8)
         #: Monotonic expiry time in seconds of each known gateway, by host.
         self._gateways: dict[str, float] = {}
@@ -97,24 +91,51 @@
         }
 
     async def _reserve(self, message: Reserve, send: Send) -> None:
-        await self._turn_log.store(message)
+        is_stored = await self._store_at_epoch(message)
         entries = self._turn_log.ledger_entries(message.program_id)
-        await send(Ledger(is_complete=self._is_complete(), entries=entries))
+        answer = Ledger(
+            is_complete=is_stored,
+            entries=entries,
+            epoch=self._authority.epoch(),
+        )
+        await send(answer)
 
     async def _store(
         self, message: SettleTurn | TurnRecord, send: Send
     ) -> None:
+        is_stored = await self._store_at_epoch(message)
+        epoch = self._authority.epoch()
+        await send(Stored(is_complete=is_stored, epoch=epoch))
+
+    async def _store_at_epoch(self, message: LoggedMessage) -> bool:
+        """Store a record that was sent by this store's list of members.
+
+        :returns: whether the answer counts for a quorum. A member that reads
+            all records at a later epoch may have missed one whose write ended
+            after the epoch began.
+        """
+        epoch = self._authority.epoch()
+        if not epoch or message.epoch != epoch:
+            return False
         await self._turn_log.store(message)
-        await send(Stored(is_complete=self._is_complete()))
+        return (
+            self._authority.epoch() == epoch
+            and self._authority.is_complete_for(message.program_id)
+        )
 
     async def _fetch_turn(self, message: FetchTurn, send: Send) -> None:
         turns = self._turn_log.turn_chain(message.turn_id)
-        await send(TurnChain(is_complete=self._is_complete(), turns=turns))
+        epoch = self._authority.epoch()
+        is_complete = message.epoch == epoch and self._authority.is_complete()
+        await send(TurnChain(is_complete=is_complete, turns=turns, epoch=epoch))
 
     async def _list_records(self, message: ListRecords, send: Send) -> None:
+        # Sealed before the records are listed, so that none is added later.
+        epoch = self._authority.epoch()
+        self.complete_epochs[message.member] = message.complete_epoch
         index = self._turn_log.index
         next_after, keys = index.list_after(message.after, LIST_COUNT)
-        if message.members_version == self._placement.version():
+        if message.epoch == epoch:
             # Only keys of records placed on the requesting member are sent.
             keys = [
                 key
@@ -122,14 +143,14 @@
                 if self._placement.is_placed_on(message.member, key.program_id)
             ]
         is_end = next_after >= index.end_position()
-        if message.after >= index.end_position():
-            self.pulled_versions[message.member] = message.members_version
         await send(
             RecordList(
                 incarnation=self._incarnation,
                 next_after=next_after,
                 is_end=is_end,
                 keys=tuple(keys),
+                epoch=epoch,
+                is_intact=self._authority.is_intact,
             ),
         )
 
--- a/rattanvalve/turnstore/turnlog.py
+++ b/rattanvalve/turnstore/turnlog.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Iterable
+from dataclasses import replace
 
 from rattanvalve.errors import FrameError
 from rattanvalve.logs import LogPart, part_logger
@@ -45,6 +46,8 @@
         :param message: message to store; a stored one is not written again.
         :raises OSError: if writing fails.
         """
+        # Records outlast the epoch in which they were written.
+        message = replace(message, epoch=0)
         await self._append(LogRecord(int(time.time() * 1000), message))
 
     async def store_replica(self, encoded: bytes) -> None:
--- a/rattanvalve/turnstore/turnrecords.py
+++ b/rattanvalve/turnstore/turnrecords.py
@@ -5,15 +5,18 @@
 
 from rattanvalve import wire
 from rattanvalve.errors import FrameError
+from rattanvalve.sharedstate.rules import TrafficRules
 from rattanvalve.turn_messages import Reserve, SettleTurn, TurnRecord
 
 __all__ = (
+    'LEDGER_RETENTION_MS',
     'RETENTION_MARGIN_S',
     'LogRecord',
     'LoggedMessage',
     'decode_record',
     'encode_record',
     'record_key',
+    'retention_max_ms',
 )
 
 LoggedMessage = Reserve | SettleTurn | TurnRecord
@@ -22,6 +25,12 @@
 #: Records are retained longer than requested, to allow for clock skew and for
 #: the time between the end of a turn and the caller's next turn.
 RETENTION_MARGIN_S = 20.0
+#: Minimum retention of the ledger of a budget.
+LEDGER_RETENTION_MS = 60_000
+#: Assumed while the retention of turns is not known.
+UNKNOWN_RETENTION_MS = 2**53
+#: Differences between clocks, for those who compare times of several stores.
+CLOCK_MARGIN_MS = 20_000
 _PREFIXES = {Reserve: 'r:', SettleTurn: 's:', TurnRecord: 't:'}
 _CLASSES = {wire.kind_number(kind()): kind for kind in _PREFIXES}
 
@@ -42,6 +51,20 @@
         return expires_ms / 1000 + RETENTION_MARGIN_S
 
 
+def retention_max_ms(rules: TrafficRules) -> int:
+    """Compute the longest time for which any record may be needed.
+
+    :param rules: rules of the operators.
+    :returns: time in milliseconds since the record was written, with margins;
+        practically unlimited while there are no rules.
+    """
+    if not rules.version:
+        return UNKNOWN_RETENTION_MS
+    retained = [route.retention_ms for route in rules.routes]
+    longest_ms = max((LEDGER_RETENTION_MS, *retained))
+    return longest_ms + int(RETENTION_MARGIN_S * 1000) + CLOCK_MARGIN_MS
+
+
 def record_key(message: LoggedMessage) -> str:
     """Return the key of a record; equal keys imply equal content.
 
--- a/rattanvalve/wire_gen/ttypes.py
+++ b/rattanvalve/wire_gen/ttypes.py
@@ -3098,15 +3098,17 @@
      - turn_id
      - tokens
      - retention_ms
+     - epoch
 
     """
 
 
-    def __init__(self, program_id=None, turn_id=None, tokens=None, retention_ms=None,):
+    def __init__(self, program_id=None, turn_id=None, tokens=None, retention_ms=None, epoch=None,):
         self.program_id = program_id
         self.turn_id = turn_id
         self.tokens = tokens
         self.retention_ms = retention_ms
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3137,6 +3139,11 @@
                     self.retention_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3163,6 +3170,10 @@
             oprot.writeFieldBegin('retention_ms', TType.I64, 4)
             oprot.writeI64(self.retention_ms)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 5)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3186,13 +3197,15 @@
     Attributes:
      - is_complete
      - entries
+     - epoch
 
     """
 
 
-    def __init__(self, is_complete=None, entries=None,):
+    def __init__(self, is_complete=None, entries=None, epoch=None,):
         self.is_complete = is_complete
         self.entries = entries
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3219,6 +3232,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3240,6 +3258,10 @@
                 iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3269,11 +3291,12 @@
      - output
      - tokens
      - retention_ms
+     - epoch
 
     """
 
 
-    def __init__(self, turn_id=None, program_id=None, workspace=None, previous_id=None, prompt=None, output=None, tokens=None, retention_ms=None,):
+    def __init__(self, turn_id=None, program_id=None, workspace=None, previous_id=None, prompt=None, output=None, tokens=None, retention_ms=None, epoch=None,):
         self.turn_id = turn_id
         self.program_id = program_id
         self.workspace = workspace
@@ -3282,6 +3305,7 @@
         self.output = output
         self.tokens = tokens
         self.retention_ms = retention_ms
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3332,6 +3356,11 @@
                     self.retention_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3374,6 +3403,10 @@
             oprot.writeFieldBegin('retention_ms', TType.I64, 8)
             oprot.writeI64(self.retention_ms)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 9)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3399,15 +3432,17 @@
      - turn_id
      - tokens
      - retention_ms
+     - epoch
 
     """
 
 
-    def __init__(self, program_id=None, turn_id=None, tokens=None, retention_ms=None,):
+    def __init__(self, program_id=None, turn_id=None, tokens=None, retention_ms=None, epoch=None,):
         self.program_id = program_id
         self.turn_id = turn_id
         self.tokens = tokens
         self.retention_ms = retention_ms
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3438,6 +3473,11 @@
                     self.retention_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3464,6 +3504,10 @@
             oprot.writeFieldBegin('retention_ms', TType.I64, 4)
             oprot.writeI64(self.retention_ms)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 5)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3486,12 +3530,14 @@
     """
     Attributes:
      - is_complete
+     - epoch
 
     """
 
 
-    def __init__(self, is_complete=None,):
+    def __init__(self, is_complete=None, epoch=None,):
         self.is_complete = is_complete
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3507,6 +3553,11 @@
                     self.is_complete = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3521,6 +3572,10 @@
             oprot.writeFieldBegin('is_complete', TType.BOOL, 1)
             oprot.writeBool(self.is_complete)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3543,12 +3598,14 @@
     """
     Attributes:
      - turn_id
+     - epoch
 
     """
 
 
-    def __init__(self, turn_id=None,):
+    def __init__(self, turn_id=None, epoch=None,):
         self.turn_id = turn_id
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3564,6 +3621,11 @@
                     self.turn_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3578,6 +3640,10 @@
             oprot.writeFieldBegin('turn_id', TType.STRING, 1)
             oprot.writeString(self.turn_id.encode('utf-8') if sys.version_info[0] == 2 else self.turn_id)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3601,13 +3667,15 @@
     Attributes:
      - is_complete
      - turns
+     - epoch
 
     """
 
 
-    def __init__(self, is_complete=None, turns=None,):
+    def __init__(self, is_complete=None, turns=None, epoch=None,):
         self.is_complete = is_complete
         self.turns = turns
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3634,6 +3702,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3655,6 +3728,10 @@
                 iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3746,15 +3823,17 @@
     Attributes:
      - member
      - after
-     - members_version
+     - epoch
+     - complete_epoch
 
     """
 
 
-    def __init__(self, member=None, after=None, members_version=None,):
+    def __init__(self, member=None, after=None, epoch=None, complete_epoch=None,):
         self.member = member
         self.after = after
-        self.members_version = members_version
+        self.epoch = epoch
+        self.complete_epoch = complete_epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3777,7 +3856,12 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
-                    self.members_version = iprot.readI64()
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.complete_epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -3798,9 +3882,13 @@
             oprot.writeFieldBegin('after', TType.I64, 2)
             oprot.writeI64(self.after)
             oprot.writeFieldEnd()
-        if self.members_version is not None:
-            oprot.writeFieldBegin('members_version', TType.I64, 3)
-            oprot.writeI64(self.members_version)
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.complete_epoch is not None:
+            oprot.writeFieldBegin('complete_epoch', TType.I64, 4)
+            oprot.writeI64(self.complete_epoch)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3827,15 +3915,19 @@
      - next_after
      - is_end
      - keys
+     - epoch
+     - is_intact
 
     """
 
 
-    def __init__(self, incarnation=None, next_after=None, is_end=None, keys=None,):
+    def __init__(self, incarnation=None, next_after=None, is_end=None, keys=None, epoch=None, is_intact=None,):
         self.incarnation = incarnation
         self.next_after = next_after
         self.is_end = is_end
         self.keys = keys
+        self.epoch = epoch
+        self.is_intact = is_intact
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3872,6 +3964,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_intact = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3901,6 +4003,14 @@
                 iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 5)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.is_intact is not None:
+            oprot.writeFieldBegin('is_intact', TType.BOOL, 6)
+            oprot.writeBool(self.is_intact)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5234,12 +5344,14 @@
     (2, TType.STRING, 'turn_id', 'UTF8', None, ),  # 2
     (3, TType.I64, 'tokens', None, None, ),  # 3
     (4, TType.I64, 'retention_ms', None, None, ),  # 4
+    (5, TType.I64, 'epoch', None, None, ),  # 5
 )
 all_structs.append(Ledger)
 Ledger.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'is_complete', None, None, ),  # 1
     (2, TType.LIST, 'entries', (TType.STRUCT, [LedgerEntry, None], False), None, ),  # 2
+    (3, TType.I64, 'epoch', None, None, ),  # 3
 )
 all_structs.append(TurnRecord)
 TurnRecord.thrift_spec = (
@@ -5252,6 +5364,7 @@
     (6, TType.STRING, 'output', 'BINARY', None, ),  # 6
     (7, TType.I64, 'tokens', None, None, ),  # 7
     (8, TType.I64, 'retention_ms', None, None, ),  # 8
+    (9, TType.I64, 'epoch', None, None, ),  # 9
 )
 all_structs.append(SettleTurn)
 SettleTurn.thrift_spec = (
@@ -5260,22 +5373,26 @@
     (2, TType.STRING, 'turn_id', 'UTF8', None, ),  # 2
     (3, TType.I64, 'tokens', None, None, ),  # 3
     (4, TType.I64, 'retention_ms', None, None, ),  # 4
+    (5, TType.I64, 'epoch', None, None, ),  # 5
 )
 all_structs.append(Stored)
 Stored.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'is_complete', None, None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
 )
 all_structs.append(FetchTurn)
 FetchTurn.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'turn_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
 )
 all_structs.append(TurnChain)
 TurnChain.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'is_complete', None, None, ),  # 1
     (2, TType.LIST, 'turns', (TType.STRUCT, [TurnRecord, None], False), None, ),  # 2
+    (3, TType.I64, 'epoch', None, None, ),  # 3
 )
 all_structs.append(RecordKey)
 RecordKey.thrift_spec = (
@@ -5288,7 +5405,8 @@
     None,  # 0
     (1, TType.STRING, 'member', 'UTF8', None, ),  # 1
     (2, TType.I64, 'after', None, None, ),  # 2
-    (3, TType.I64, 'members_version', None, None, ),  # 3
+    (3, TType.I64, 'epoch', None, None, ),  # 3
+    (4, TType.I64, 'complete_epoch', None, None, ),  # 4
 )
 all_structs.append(RecordList)
 RecordList.thrift_spec = (
@@ -5297,6 +5415,8 @@
     (2, TType.I64, 'next_after', None, None, ),  # 2
     (3, TType.BOOL, 'is_end', None, None, ),  # 3
     (4, TType.LIST, 'keys', (TType.STRUCT, [RecordKey, None], False), None, ),  # 4
+    (5, TType.I64, 'epoch', None, None, ),  # 5
+    (6, TType.BOOL, 'is_intact', None, None, ),  # 6
 )
 all_structs.append(FetchRecords)
 FetchRecords.thrift_spec = (
--- a/tests/gateway/odd_entries.feature
+++ b/tests/gateway/odd_entries.feature
@@ -32,6 +32,8 @@
       | turnstores | {"host": "no address", "port": 80, "zone": ""}              |
       | turnstores | {"host": "a..b", "port": 80, "zone": ""}                    |
       | turnstores | nested 960 levels deep                                      |
+      | turnstorelists | {"members": {}, "sets": []}                             |
+      | turnstorelists | nested 960 levels deep                                  |
       | retirements | nested 1100 levels deep                                    |
 
   Scenario: a list goes on after a page of entries that cannot be used
--- /dev/null
+++ b/tests/steps/members_steps.py
@@ -0,0 +1,272 @@
+"""Steps of turnstore/members.feature."""
+
+import logging
+import shutil
+import tempfile
+from contextlib import contextmanager
+from dataclasses import replace
+from pathlib import Path
+
+from behave import given, then, when
+
+from rattanvalve.channels import Address
+from rattanvalve.sharedstate.members import (
+    MemberSet,
+    MembersView,
+    StoreMember,
+    replica_names,
+)
+from rattanvalve.sharedstate.request_crashes import CrashTable
+from rattanvalve.turn_messages import Reserve
+from rattanvalve.turnstore import memberplans
+from rattanvalve.turnstore.authority import Authority, is_caught_up
+from rattanvalve.turnstore.endpointrates import EndpointRates
+from rattanvalve.turnstore.memberstate import MemberState
+from rattanvalve.turnstore.rateshares import RateShares
+from rattanvalve.turnstore.replication import PullState
+from rattanvalve.turnstore.service import TurnService
+from tests.member_lists import single_set_view
+from tests.membership_simulation import Event, play, random_schedule
+
+LOST_DISKS_MAX = 1
+CHANGE_S = 4.0
+AWAY_S = 6.0
+RETENTION_MS = 100_000
+SILENT_S = memberplans.UNRESPONSIVE_TIMEOUT_S + 1
+
+
+@contextmanager
+def quiet_logs():
+    """Suppress the logs of hundreds of simulated processes."""
+    logging.disable(logging.CRITICAL)
+    try:
+        yield
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+def check(seed, schedule):
+    """Play a schedule; no rule may be broken."""
+    with quiet_logs():
+        findings = play(seed, schedule)
+    assert not findings, (seed, findings, schedule)
+
+
+@then(
+    'no turn is denied if one of 3 stores misses turns, one is emptied and one'
+    ' stays away'
+)
+def step_behind(context):
+    for index in range(3):
+        check(index + 1, [Event(CHANGE_S, 'behind', index, AWAY_S)])
+
+
+@then(
+    'no turn is denied with seeds {first:d} and {second:d} if three stores are'
+    ' added at once'
+)
+@then(
+    'no program exceeds its budget with seeds {first:d} and {second:d} if three'
+    ' stores are added at once'
+)
+def step_add(context, first, second):
+    for seed in (first, second):
+        check(seed, [Event(CHANGE_S, 'add three', 0, 0)])
+
+
+@then('nothing is denied or exceeded under random changes with seed {seed:d}')
+def step_random(context, seed):
+    check(seed, random_schedule(seed))
+
+
+def member(name):
+    """Create a member."""
+    return StoreMember(name, Address('h', 1))
+
+
+def view_of(text, ended_ms=0):
+    """Create a list from sets like ``a b c, b c``."""
+    parts = [frozenset(part.split()) for part in text.split(',')]
+    sets = [
+        MemberSet(epoch, names, ended_ms if epoch < len(parts) else 0)
+        for epoch, names in enumerate(parts, start=1)
+    ]
+    names = sorted(frozenset().union(*parts))
+    return MembersView(tuple(map(member, names)), tuple(sets))
+
+
+@given(
+    'the sets "{first}" and "{second}" of members, of which the second is new'
+)
+def step_sets(context, first, second):
+    context.view = view_of(f'{first}, {second}')
+
+
+@then('with one loss allowed, a store is caught up with them as follows')
+def step_caught_up(context):
+    for row in context.table:
+        read = row['read'].split()
+        has_caught_up = is_caught_up(
+            row['store'],
+            context.view,
+            read.__contains__,
+            LOST_DISKS_MAX,
+            is_intact=row['intact'] == 'yes',
+        )
+        assert has_caught_up == (row['caught up'] == 'yes'), row
+
+
+def open_store(context):
+    """Create the authority of store b on a folder of its own."""
+    if not hasattr(context, 'folder'):
+        context.folder = Path(tempfile.mkdtemp())
+        context.closers.append(lambda: shutil.rmtree(context.folder))
+    context.state = MemberState(context.folder / 'membership')
+    context.authority = Authority(
+        'b', context.state, lambda: context.view, LOST_DISKS_MAX
+    )
+
+
+@given('store b, which was complete with the first set')
+def step_complete(context):
+    open_store(context)
+    context.state.update(is_intact=True, complete_epoch=1)
+
+
+@then('it counts for a program of a, b and c, which b, c and d keep now')
+def step_counts(context):
+    names = context.view.current_names
+    assert set(replica_names('p', names, LOST_DISKS_MAX)) == names
+    assert context.authority.is_complete_for('p')
+
+
+@then('it does not deny turns, as they may be of another program')
+def step_no_denial(context):
+    assert not context.authority.is_complete()
+
+
+@then('after it has lost its disk it counts for none')
+def step_lost(context):
+    (context.folder / 'membership').unlink()
+    open_store(context)
+    assert not context.authority.is_complete_for('p')
+
+
+class SlowLog:
+    """Log of records whose writes can be held up."""
+
+    def __init__(self):
+        self.stored = []
+        self.before_end = None
+
+    async def store(self, message):
+        """Keep a record."""
+        self.stored.append(message.turn_id)
+        if self.before_end is not None:
+            self.before_end()
+
+    def ledger_entries(self, program_id):
+        """Return that nothing is known."""
+        return ()
+
+
+class FakeReplica:
+    """Records and authority of a store."""
+
+    placement = None
+
+    def __init__(self, context):
+        self.turn_log = SlowLog()
+        self.authority = context.authority
+
+
+def open_service(context):
+    """Create the service of store b with an empty log."""
+    open_store(context)
+    context.replica = FakeReplica(context)
+    context.service = TurnService(
+        context.replica, RateShares('b'), EndpointRates('b'), CrashTable()
+    )
+
+
+@given('store b with a list of epoch {epoch:d}')
+def step_store(context, epoch):
+    context.view = single_set_view([member('a'), member('b')], epoch)
+    open_service(context)
+    context.state.update(is_intact=True, complete_epoch=epoch)
+
+
+def reserve(context, turn_id, epoch):
+    """Send a reservation; return the answer."""
+    answers = []
+
+    async def send(answer):
+        answers.append(answer)
+
+    message = Reserve(program_id='p', turn_id=turn_id, epoch=epoch)
+    context.run(context.service.handlers()[Reserve](message, send))
+    return answers[0]
+
+
+@then('a record that was sent with epoch 1 or 3 is refused and not stored')
+def step_refused(context):
+    for epoch in (1, 3):
+        answer = reserve(context, 'refused', epoch)
+        assert not answer.is_complete, epoch
+    assert not context.replica.turn_log.stored
+
+
+@then('one that was sent with epoch 2 is stored')
+def step_stored(context):
+    answer = reserve(context, 'sent', 2)
+    assert answer.is_complete and answer.epoch == 2, answer
+    assert context.replica.turn_log.stored == ['sent']
+
+
+@then('one whose write ends after the next epoch has begun does not count')
+def step_late(context):
+    def begin_next_epoch():
+        context.view = single_set_view([member('a'), member('b')], 3)
+
+    context.replica.turn_log.before_end = begin_next_epoch
+    answer = reserve(context, 'late', 2)
+    assert not answer.is_complete and answer.epoch == 3, answer
+
+
+@when('it has answered, and starts again with a list of epoch 1')
+def step_restart(context):
+    assert reserve(context, 'sent', 2).is_complete
+    context.view = replace(
+        context.view, sets=(replace(context.view.sets[0], epoch=1),)
+    )
+    open_service(context)
+
+
+def change(view, event):
+    """Return the list after an event, or ``None`` if it stays."""
+    words = event.replace(' are ', ' is ').split()
+    if words[-1] == 'joins':
+        return memberplans.join_members(
+            view, [member(words[0])], 1, LOST_DISKS_MAX, is_first_start=False
+        )
+    if words[-1] == 'leaves':
+        return memberplans.leave(view, words[0], 1)
+    if words[-1] == 'complete':
+        return memberplans.settle(view, set(words[:-2]), LOST_DISKS_MAX)
+    if words[-1] == 'silent':
+        pulled = {name: PullState(silent_s=SILENT_S) for name in words[:-2]}
+        return memberplans.remove_unresponsive(view, pulled, 1, LOST_DISKS_MAX)
+    now_ms = int(words[0]) * 1000 + 1
+    return memberplans.expire_sets(view, now_ms, RETENTION_MS)
+
+
+@then('the list of members changes as follows')
+def step_changes(context):
+    for row in context.table:
+        changed = change(view_of(row['sets']), row['event'])
+        sets = changed.sets if changed else ()
+        result = ', '.join(' '.join(sorted(item.names)) for item in sets)
+        assert result == row['result'], (row, result)
+        names = {name for item in sets for name in item.names}
+        listed = {found.name for found in changed.members} if changed else set()
+        assert listed == names, row
--- a/tests/turnstore/turnstore.feature
+++ b/tests/turnstore/turnstore.feature
@@ -33,6 +33,11 @@
 
   Scenario: an entry that is nested too deeply breaks the list
     Then members and servers are listed without malformed entries
+    And a list of members that is no object is refused
+    And a list of members that is without sets is refused
+    And a list of members that is without a member is refused
+    And a list of members that is nested too deeply is refused
+    And a list of members that is out of order is refused
 
   Scenario: records are forgotten with their time, chains as a whole
     Given a turn log with a chain of 3 turns and a reservation
@@ -54,6 +59,15 @@
   Scenario: silent members are removed only by a majority
     Then of 3 members, 1 silent one is removed and 2 silent ones are not
 
+  Scenario: a store that stood still or was cut off has no evidence of silence
+    # It took the time of its own standstill for silence of the others.
+    Then the silence of a member grows as follows
+      | after | answered | majority | silent |
+      | 1     | no       | yes      | 2      |
+      | 60    | no       | yes      | 3      |
+      | 1     | no       | no       | 0      |
+      | 1     | yes      | yes      | 0      |
+
   Scenario: a group of stores is found again and leaving ones are left out
     Then removing a member changes only the groups that it was in
 
