Send records and chains in messages that fit into a frame

Cause: records were fetched by 100 keys, whatever their size. A batch over 16 MiB cannot be sent; the same batch was asked for again for ever, and the failed pull was logged at DEBUG. A chain of turns had the same limit.

Evidence: the last store with records logs "closed connection: frame of bytes is too large" several times a second, until it loses its disk; all three stores are then complete with 0 records.

Change: an answer holds the records that fit into 4 MiB, one at least, and how many of the requested keys they cover. The first failure of a pull in a row is a warning.

Test: "records that do not fit into one message are read in several". Without the change it ends with "frame of bytes is too large".

--- a/rattanvalve.thrift
+++ b/rattanvalve.thrift
@@ -321,6 +321,7 @@
 
 struct RecordBatch {
   1: list<binary> records
+  2: i32 key_count
 }
 
 struct TakeRate {
--- a/rattanvalve/turn_messages.py
+++ b/rattanvalve/turn_messages.py
@@ -175,9 +175,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RecordBatch:
-    """Records as encoded in the log."""
+    """Records as encoded in the log.
+
+    They are those of the first ``key_count`` requested keys; the others did
+    not fit into the message.
+    """
 
     records: tuple[bytes, ...] = ()
+    key_count: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/rattanvalve/turnstore/recordindex.py
+++ b/rattanvalve/turnstore/recordindex.py
@@ -146,14 +146,15 @@
         """
         return self._first_position + len(self._order)
 
-    def find_locations(self, keys: Iterable[str]) -> list[Location]:
+    def find_locations(self, keys: Iterable[str]) -> list[Location | None]:
         """Find the locations of records in the log.
 
-        :param keys: keys of records; unknown ones are skipped.
-        :returns: locations in the order of the keys.
+        :param keys: keys of records.
+        :returns: locations in the order of the keys, ``None`` for an unknown
+            one.
         """
         found = map(self._records.get, keys)
-        return [entry.location for entry in found if entry]
+        return [entry.location if entry else None for entry in found]
 
     def sweep(self, now_s: float) -> set[int]:
         """Remove expired turns, ledgers and records.
--- a/rattanvalve/turnstore/replication.py
+++ b/rattanvalve/turnstore/replication.py
@@ -1,6 +1,7 @@
 """Replication: pulls the records placed on this store from other members."""
 
 import asyncio
+import logging
 import random
 import time
 from collections.abc import Awaitable, Callable, Sequence
@@ -155,12 +156,15 @@
     async def _attempt(self, name: str) -> None:
         """Pull once; an answer of any kind ends the silence of the member."""
         state = self.pulled[name]
+        was_failing = state.is_failing
         has_answered = True
         try:
             await self._pull(name)
         except (PeerError, FrameError) as error:
             has_answered = False
-            _log.debug(
+            # The first failure in a row tells the cause, the others repeat it.
+            _log.log(
+                _FAILURE_LEVELS[was_failing],
                 'pull failed',
                 extra={'member': name, 'error': str(error)},
             )
@@ -238,12 +242,19 @@
         return listed
 
     async def _fetch(self, member: StoreMember, keys: list[str]) -> None:
-        batch = await self._request(
-            member,
-            FetchRecords(keys=tuple(keys)),
-            RecordBatch,
-        )
-        await asyncio.gather(*map(self._turn_log.store_replica, batch.records))
+        """Fetch records, in several messages if they are large."""
+        while keys:
+            batch = await self._request(
+                member,
+                FetchRecords(keys=tuple(keys)),
+                RecordBatch,
+            )
+            await asyncio.gather(
+                *map(self._turn_log.store_replica, batch.records)
+            )
+            if batch.key_count < 1:
+                raise PeerError('a batch of records without progress')
+            keys = keys[batch.key_count :]
 
     def _is_wanted(self, key: RecordKey) -> bool:
         if key.key in self._turn_log.index:
@@ -259,6 +270,10 @@
         return response
 
 
+#: Log level of a failed pull by whether the one before failed as well.
+_FAILURE_LEVELS = {False: logging.WARNING, True: logging.DEBUG}
+
+
 def _find_member(
     members: Sequence[StoreMember], name: str
 ) -> StoreMember | None:
--- a/rattanvalve/turnstore/service.py
+++ b/rattanvalve/turnstore/service.py
@@ -155,8 +155,8 @@
         )
 
     async def _fetch_records(self, message: FetchRecords, send: Send) -> None:
-        records = self._turn_log.read_records(message.keys)
-        await send(RecordBatch(records=records))
+        records, key_count = self._turn_log.read_records(message.keys)
+        await send(RecordBatch(records=records, key_count=key_count))
 
     async def _take_rate(self, message: TakeRate, send: Send) -> None:
         await send(self._shares.take(message, time.monotonic()))
--- a/rattanvalve/turnstore/turnlog.py
+++ b/rattanvalve/turnstore/turnlog.py
@@ -1,7 +1,7 @@
 """Records of one store: the log on disk together with its index."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import replace
 
 from rattanvalve.errors import FrameError
@@ -19,6 +19,10 @@
 
 __all__ = ('TurnLog',)
 
+#: Size of the records in one answer, far below that of the largest frame. A
+#: record that is larger is sent alone.
+ANSWER_BYTES = 4 * 1024 * 1024
+
 _log = part_logger(LogPart.TURNS)
 
 
@@ -71,22 +75,32 @@
         """Read a turn and its predecessors.
 
         :param turn_id: id of the newest turn.
-        :returns: newest first; ends at the first turn that is not indexed.
+        :returns: newest first; ends at the first turn that is not indexed, and
+            before one that does not fit into ``ANSWER_BYTES``.
         :raises OSError: if reading fails.
         """
+        entries = self.index.turn_chain(turn_id)
+        lengths = [entry.location.length for entry in entries]
         return tuple(
             decode_record(self._log.read(entry.location)).message
-            for entry in self.index.turn_chain(turn_id)
+            for entry in entries[: _fitting_count(lengths)]
         )
 
-    def read_records(self, keys: Iterable[str]) -> tuple[bytes, ...]:
-        """Read encoded records.
+    def read_records(
+        self, keys: Sequence[str]
+    ) -> tuple[tuple[bytes, ...], int]:
+        """Read as many encoded records as fit into ``ANSWER_BYTES``.
 
         :param keys: keys of records; unknown ones are skipped.
-        :returns: records as encoded in the log.
+        :returns: records as encoded in the log, and the number of keys that
+            they cover; one record at least, however large it is.
         :raises OSError: if reading fails.
         """
-        return tuple(map(self._log.read, self.index.find_locations(keys)))
+        locations = self.index.find_locations(keys)
+        lengths = [found.length if found else 0 for found in locations]
+        count = _fitting_count(lengths)
+        records = tuple(map(self._log.read, filter(None, locations[:count])))
+        return records, count
 
     def sweep(self, now_s: float) -> None:
         """Remove expired records, and delete segments without live records.
@@ -104,3 +118,13 @@
             return
         location = await self._log.append(encode_record(record))
         self.index.merge(record, location)
+
+
+def _fitting_count(lengths: Sequence[int]) -> int:
+    """Count the first records that fit into one answer, at least one."""
+    total = 0
+    for count, length in enumerate(lengths):
+        total += length
+        if total > ANSWER_BYTES:
+            return max(count, 1)
+    return len(lengths)
--- a/rattanvalve/wire_gen/ttypes.py
+++ b/rattanvalve/wire_gen/ttypes.py
@@ -4098,12 +4098,14 @@
     """
     Attributes:
      - records
+     - key_count
 
     """
 
 
-    def __init__(self, records=None,):
+    def __init__(self, records=None, key_count=None,):
         self.records = records
+        self.key_count = key_count
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4124,6 +4126,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.key_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4141,6 +4148,10 @@
                 oprot.writeBinary(iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.key_count is not None:
+            oprot.writeFieldBegin('key_count', TType.I32, 2)
+            oprot.writeI32(self.key_count)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5427,6 +5438,7 @@
 RecordBatch.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'records', (TType.STRING, 'BINARY', False), None, ),  # 1
+    (2, TType.I32, 'key_count', None, None, ),  # 2
 )
 all_structs.append(TakeRate)
 TakeRate.thrift_spec = (
--- a/tests/turnstore/turnstore.feature
+++ b/tests/turnstore/turnstore.feature
@@ -95,3 +95,10 @@
     Given 9 members and a store with the records of 30 programs
     Then each member is listed the keys of its programs only, and all in pages
     And a member that knows other members is listed all keys
+
+  Scenario: records that do not fit into one message are read in several
+    # A batch over the frame limit was requested again for ever, so a store that
+    # had lost its disk never got its records back.
+    Given a store with a chain of 12 turns of 2000000 bytes
+    Then another store fetches all records, in messages that can be sent
+    And a gateway fetches the whole chain, in messages that can be sent
