End the fetch of a turn with the first answer that has it

The gateway waited for all members it asked, up to 0.8 s of the 1 s that a turn may be prepared, if one of them was silent. Members of earlier sets are asked as well since the list keeps them, so silent ones are met more often.

--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -235,25 +235,29 @@
         turn_id: str,
         epoch: int,
     ) -> dict[str, TurnChain]:
-        """Return the answers by the name of the member."""
+        """Ask members for a turn until one of them has it.
+
+        :returns: answers by the name of the member.
+        """
         message = FetchTurn(turn_id=turn_id, epoch=epoch)
-        answers = await asyncio.gather(
-            *(
-                self._calls.call(member, message, TurnChain, CALL_TIMEOUT_S)
-                for member in members
-            ),
-            return_exceptions=True,
-        )
-        chains = {
-            member.name: answer
-            for member, answer in zip(members, answers, strict=True)
-            if isinstance(answer, TurnChain)
-        }
-        await self._sync_others(
-            member
-            for member in members
-            if member.name in chains and chains[member.name].epoch != epoch
-        )
+        pending = self._start_calls(members, message, TurnChain)
+        votes = _Votes(epoch)
+        chains: dict[str, TurnChain] = {}
+        while pending and not _has_turn(chains.values(), turn_id):
+            done, _ = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            finished = {pending[task].name: task for task in done}
+            votes.add_all(done, pending)
+            chains |= {
+                name: task.result()
+                for name, task in finished.items()
+                if task.exception() is None
+            }
+        for task in pending:
+            task.add_done_callback(_ignore_result)
+        if not _has_turn(chains.values(), turn_id):
+            await self._sync_others(votes.others)
         return chains
 
     async def _sync_others(self, members: Iterable[StoreMember]) -> bool:
@@ -330,7 +334,7 @@
     def _start_calls(
         self,
         members: Iterable[StoreMember],
-        message: LoggedMessage,
+        message: LoggedMessage | FetchTurn,
         answer_class: type,
     ) -> dict[asyncio.Task, StoreMember]:
         return {
@@ -341,6 +345,12 @@
         }
 
 
+def _has_turn(chains: Iterable[TurnChain], turn_id: str) -> bool:
+    return any(
+        turn.turn_id == turn_id for chain in chains for turn in chain.turns
+    )
+
+
 def _first_missing(turn_id: str, known: dict[str, TurnRecord]) -> str:
     """Return the id of the newest unknown turn of a chain, or empty."""
     while turn_id in known:
