Forget the loss of a disk when its records have expired

The record keeps when its folder was empty; after the longest retention nothing that was on the disk before can be missed.

--- a/rattanvalve/gateway/member_calls.py
+++ b/rattanvalve/gateway/member_calls.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from rattanvalve.channels import Address
+from rattanvalve.counters import Counter
 from rattanvalve.errors import PeerError
 from rattanvalve.gateway.relays import RelayTable
 from rattanvalve.messages import Ack, Document, Pull
@@ -128,6 +129,7 @@
 
         :param member: the member.
         """
+        self._state.metrics.count(Counter.RETRY_STALE_EPOCH)
         sync = self._syncs.get(member.name)
         if sync is None:
             sync = asyncio.create_task(self._sync(member))
--- a/rattanvalve/turnstore/authority.py
+++ b/rattanvalve/turnstore/authority.py
@@ -159,6 +159,23 @@
             self._state.update(complete_epoch=epoch, is_intact=True)
         return has_caught_up
 
+    def expire_loss(self, now_ms: int, retention_ms: int) -> None:
+        """Forget the loss of the disk once all that was on it has expired.
+
+        Otherwise stores that lost more disks than are tolerated would wait for
+        each other for ever.
+
+        :param now_ms: Unix time in milliseconds.
+        :param retention_ms: longest retention of any record, with a margin for
+            the differences between clocks.
+        :raises OSError: if this cannot be written to the disk.
+        """
+        record = self._state.record
+        if record.is_intact or record.began_ms + retention_ms > now_ms:
+            return
+        self._state.update(is_intact=True)
+        _log.warning('records of the lost disk have expired')
+
     def _is_placed_here(self, program_id: str, member_set: MemberSet) -> bool:
         return self.own_name in replica_names(
             program_id, member_set.names, self._lost_disks_max
--- a/rattanvalve/turnstore/membership.py
+++ b/rattanvalve/turnstore/membership.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Mapping
 
 from rattanvalve.errors import StoreConflictError, StoreError
@@ -34,7 +33,7 @@
     settle,
     update_member,
 )
-from rattanvalve.turnstore.memberstate import MemberState
+from rattanvalve.turnstore.memberstate import MemberState, unix_ms
 from rattanvalve.turnstore.registration import Registrations
 from rattanvalve.turnstore.replication import PullState
 
@@ -174,7 +173,7 @@
         return join_members(
             view,
             joining,
-            _unix_ms(),
+            unix_ms(),
             self._lost_disks_max,
             is_first_start=self._is_first_start,
         )
@@ -189,7 +188,7 @@
         is_listed = any(self._own.name in item.names for item in view.sets)
         if is_listed:
             await self._report_retirement('running')
-            await self._write(entry, leave(view, self._own.name, _unix_ms()))
+            await self._write(entry, leave(view, self._own.name, unix_ms()))
         elif view.sets and self._reported_state != 'done':
             await self._registrations.remove({self._own.name})
             await self._report_retirement('done')
@@ -228,7 +227,7 @@
         """Return the list as it should be, by the first rule that applies."""
         if view.epoch != self._view().epoch:
             return None
-        now_ms = _unix_ms()
+        now_ms = unix_ms()
         complete = self._facts.complete_names(view.epoch)
         return (
             settle(view, complete, self._lost_disks_max)
@@ -269,7 +268,3 @@
     except MALFORMED_JSON as error:
         _log.error('list of members malformed', extra={'error': str(error)})
         return None
-
-
-def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -25,6 +25,7 @@
 from rattanvalve.turnstore.documentfiles import DocumentFiles
 from rattanvalve.turnstore.endpointrates import EndpointRates
 from rattanvalve.turnstore.membership import Membership, MembershipFacts
+from rattanvalve.turnstore.memberstate import unix_ms
 from rattanvalve.turnstore.rateshares import RateShares
 from rattanvalve.turnstore.replica import Replica
 from rattanvalve.turnstore.service import TurnService
@@ -160,5 +161,8 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._replica.turn_log.sweep(time.time())
+            self._replica.authority.expire_loss(
+                unix_ms(), retention_max_ms(self._state.rules)
+            )
             self._endpoint_rates.expire(time.monotonic())
             self._crashes.expire(time.monotonic())
--- a/tests/steps/members_steps.py
+++ b/tests/steps/members_steps.py
@@ -152,6 +152,22 @@
     assert not context.authority.is_complete_for('p')
 
 
+@when('it loses its disk at {at_s:d} s and records are kept for {kept_s:d} s')
+def step_lose_disk(context, at_s, kept_s):
+    (context.folder / 'membership').unlink()
+    open_store(context)
+    context.state.update(began_ms=at_s * 1000)
+    context.kept_ms = kept_s * 1000
+
+
+@then('it is not intact at {early_s:d} s and intact at {late_s:d} s')
+def step_intact(context, early_s, late_s):
+    context.authority.expire_loss(early_s * 1000, context.kept_ms)
+    assert not context.authority.is_intact
+    context.authority.expire_loss(late_s * 1000, context.kept_ms)
+    assert context.authority.is_intact
+
+
 class SlowLog:
     """Log of records whose writes can be held up."""
 
--- a/tests/turnstore/members.feature
+++ b/tests/turnstore/members.feature
@@ -44,6 +44,12 @@
     But it does not deny turns, as they may be of another program
     And after it has lost its disk it counts for none
 
+  Scenario: a lost disk is forgotten when its records have expired
+    # Stores that lost more disks than are tolerated would wait for ever.
+    Given store b with a list of epoch 2
+    When it loses its disk at 0 s and records are kept for 100 s
+    Then it is not intact at 99 s and intact at 101 s
+
   Scenario: a record that was sent by another list is not stored
     Given store b with a list of epoch 2
     Then a record that was sent with epoch 1 or 3 is refused and not stored
