Let members register before one of them lists all at a first start

Each member tried to write the list every 0.05 s until it was in it; with dozens of members most of these calls of the platform's store would conflict. Now all register first, and the first check after that adds all of them.

--- a/rattanvalve/turnstore/membership.py
+++ b/rattanvalve/turnstore/membership.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from rattanvalve.errors import StoreConflictError, StoreError
 from rattanvalve.logs import LogPart, part_logger
@@ -40,36 +41,28 @@
 __all__ = ('Membership', 'MembershipFacts')
 
 CHECK_INTERVAL_S = 0.3
-#: The same while this member has yet to be listed.
+#: The same for a member that joins others, which may write at the same time.
 JOIN_INTERVAL_S = 0.05
 
 _log = part_logger(LogPart.TURNS)
 
 
+@dataclass(frozen=True, slots=True)
 class MembershipFacts:
     """What a member knows of itself and of the others.
 
-    :param is_retired: returns whether the operators retire this member.
-    :param watcher_rank: returns the rank of this member among those that watch
-        the store; ``None`` if it does not.
-    :param pulled: returns the replication state of each other member.
-    :param complete_names: returns the members that are complete at an epoch.
-    :param retention_ms: returns the longest retention of any record.
+    ``is_retired`` returns whether the operators retire this member, and
+    ``watcher_rank`` its rank among those that watch the store, ``None`` if it
+    does not. ``pulled`` returns the replication state of each other member,
+    ``complete_names`` the members that are complete at an epoch, and
+    ``retention_ms`` the longest retention of any record.
     """
 
-    def __init__(
-        self,
-        is_retired: Callable[[], bool],
-        watcher_rank: Callable[[], int | None],
-        pulled: Callable[[], Mapping[str, PullState]],
-        complete_names: Callable[[int], frozenset[str]],
-        retention_ms: Callable[[], int],
-    ) -> None:
-        self.is_retired = is_retired
-        self.watcher_rank = watcher_rank
-        self.pulled = pulled
-        self.complete_names = complete_names
-        self.retention_ms = retention_ms
+    is_retired: Callable[[], bool]
+    watcher_rank: Callable[[], int | None]
+    pulled: Callable[[], Mapping[str, PullState]]
+    complete_names: Callable[[int], frozenset[str]]
+    retention_ms: Callable[[], int]
 
 
 class Membership:
@@ -133,7 +126,8 @@
         return self._facts.is_retired() or not is_listed
 
     def _interval_s(self) -> float:
-        is_joining = self.needs_member_list() and not self._facts.is_retired()
+        is_waiting = self._is_first_start or self._facts.is_retired()
+        is_joining = self.needs_member_list() and not is_waiting
         longest_s = JOIN_INTERVAL_S if is_joining else CHECK_INTERVAL_S
         return longest_s * random.uniform(0.5, 1)
 
@@ -161,8 +155,11 @@
         if not self._is_registered:
             await self._registrations.register(view)
             self._is_registered = True
+            if self._is_first_start:
+                # All members start at once. The next check gives the others
+                # the time to register, so that one of them adds all.
+                return
         if self._is_first_start:
-            # All members start at once; one of them adds all.
             registered = await self._registrations.members()
             changed = self._with_joining(view, [self._own, *registered])
         await self._write(entry, changed)
