--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,10 @@
-"""All servers of a zone are taken away at once, and none reports ``draining``.
+"""All servers of a zone are taken away at once; some never report ``draining``.
 
 Two services with servers in three zones; the first zone has most. With trouble
-the first zone is reclaimed again and again: the entries of its servers are
-removed, the servers serve on for ``drainMs`` and a little longer, say in all
-their answers that they leave, and exit. New ones come some seconds later.
+the first zone is reclaimed again and again: one of its four servers reports
+``draining``, the entries of the other three are removed. They serve on for
+``drainMs`` and a little longer, say in all their answers that they leave, and
+exit. New ones come some seconds later.
 """
 
 import asyncio
@@ -65,9 +66,13 @@
 async def reclaim(fleet, servers, zone, left):
     """Take all servers of a zone away; they exit, and new ones come."""
     leaving = [server for server in servers if server.zone == zone]
+    reports = random.choice(leaving)
     for server in leaving:
         servers.remove(server)
-        server.leave_list()
+        if server is reports:
+            server.report_draining()
+        else:
+            server.leave_list()
     confirmed_s = time.monotonic()
     left.extend((server, confirmed_s) for server in leaving)
     fleet.record.say('reclaimed', zone=zone, servers=[s.name for s in leaving])
--- a/review/fleet2/servers.py
+++ b/review/fleet2/servers.py
@@ -60,32 +60,42 @@
         self._beats.cancel()
         self._store.remove('servers', self.name)
 
+    def report_draining(self):
+        """Leave as planned: the entry says so at once."""
+        self.is_leaving = True
+        self._beats.cancel()
+        self._put('draining')
+
     def end(self):
         """Exit: all channels are reset."""
         self._beats.cancel()
+        self._store.remove('servers', self.name)
         self._server.close()
         for writer in tuple(self._writers):
             writer.transport.abort()
 
     async def _beat(self):
         while True:
-            self._store.put(
-                'servers',
-                self.name,
-                {
-                    'service': self.service,
-                    'address': self.address,
-                    'zone': self.zone,
-                    'version': 'v1',
-                    'slots': self.slots,
-                    'state': 'ready',
-                    'coldRemainingMs': 0,
-                    'sequence': 1,
-                    'born': self._born,
-                },
-            )
+            self._put('ready')
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _put(self, state):
+        self._store.put(
+            'servers',
+            self.name,
+            {
+                'service': self.service,
+                'address': self.address,
+                'zone': self.zone,
+                'version': 'v1',
+                'slots': self.slots,
+                'state': state,
+                'coldRemainingMs': 0,
+                'sequence': 1,
+                'born': self._born,
+            },
+        )
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         ahead = b''
