--- a/review/fleet2/servers.py
+++ b/review/fleet2/servers.py
@@ -34,6 +34,11 @@
         self.arrivals = []
         self.is_leaving = False
         self.limit_per_s = None
+        #: Body of a request that crashes this server when it begins to run.
+        self.deadly_body = None
+        #: Seconds until a crashed server is back.
+        self.down_s = 2.5
+        self.crashes_s = []
         #: Share of the requests that run and whose answer is lost.
         self.lost_share = 0.0
         self._store = store
@@ -74,6 +79,22 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    async def _crash(self):
+        """Lose all channels, and be back later in a new lifetime."""
+        if not self._server.is_serving():
+            return
+        self._record.write('crash', server=self.name)
+        self.crashes_s.append(time.monotonic())
+        self._beats.cancel()
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(self.down_s)
+        self._running = 0
+        self._waiting = 0
+        self._born = time.time_ns() // 1_000_000
+        await self.start()
+
     async def _beat(self):
         while True:
             self._put('ready')
@@ -163,6 +184,11 @@
         self._record.write(
             'run', server=self.name, service=self.service, request=request_id
         )
+        if request.body == self.deadly_body:
+            run['outcome'] = 'crashed'
+            await asyncio.sleep(self._work_s() / 2)
+            asyncio.ensure_future(self._crash())
+            raise ConnectionResetError
         try:
             async with asyncio.timeout_at(
                 asyncio.get_running_loop().time() + limit_s - time.monotonic()
@@ -177,7 +203,7 @@
                 raise ConnectionResetError from None
             writer.write(encode_answer(504, **self._headers(request_id)))
         finally:
-            self._running -= 1
+            self._running = max(self._running - 1, 0)
             async with self._free:
                 self._free.notify()
 
