--- a/review/p1/fleet.py
+++ b/review/p1/fleet.py
@@ -552,6 +552,7 @@
         method='POST',
         body=b'',
         deadline_ms=4000,
+        key=KEY,
         channel=None,
         **extra,
     ):
@@ -562,7 +563,7 @@
             f'Host: {HOST}',
             f'Request-Id: {answer.request_id}',
             f'Deadline-Ms: {deadline_ms}',
-            f'X-Api-Key: {KEY}',
+            f'X-Api-Key: {key}',
             f'Content-Length: {len(body)}',
         ]
         lines += [f'{k.replace("_", "-")}: {v}' for k, v in extra.items() if v]
