--- a/review/fleet3/fleet.py
+++ b/review/fleet3/fleet.py
@@ -19,7 +19,7 @@
 import tempfile
 import time
 import tomllib
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -112,11 +112,20 @@
         print(line, flush=True)
 
 
-def free_port():
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('0.0.0.0', 0))
-        return probe.getsockname()[1]
+def free_ports(hosts, count):
+    """Return different TCP ports that are free now on all these addresses."""
+    ports = []
+    with ExitStack() as probes:
+        while len(ports) < count:
+            probe = probes.enter_context(socket.socket())
+            probe.bind((hosts[0], 0))
+            port = probe.getsockname()[1]
+            with suppress(OSError):
+                for host in hosts[1:]:
+                    other = probes.enter_context(socket.socket())
+                    other.bind((host, port))
+                ports.append(port)
+    return ports
 
 
 async def read_head(reader):
@@ -417,7 +426,8 @@
         ]
         self.hosts = {name: f'{net}.{n + 1}' for n, name in enumerate(names)}
         self.net = net
-        self.ports = {name: free_port() for name in ('in', 'front', 'ready')}
+        drawn = free_ports(tuple(self.hosts.values()), 3)
+        self.ports = dict(zip(('in', 'front', 'ready'), drawn, strict=True))
         self.store = Store()
         self.servers = {}
         self.processes = {}
