--- a/review/fleet2/machines.py
+++ b/review/fleet2/machines.py
@@ -197,6 +197,12 @@
         process.wait()
         self.record.write('process killed', name=name)
 
+    def lose_disk(self, name):
+        """Kill the program of a storage machine and empty its data folder."""
+        self.kill(name)
+        shutil.rmtree(self._work / f'data-{name}')
+        self.record.say('disk lost', name=name)
+
     def signal(self, name, number):
         """Send a signal to a program that this script started."""
         self._running[name].send_signal(number)
