--- a/review/fleet2/machines.py
+++ b/review/fleet2/machines.py
@@ -238,6 +238,10 @@
             await asyncio.sleep(0.1)
         raise RuntimeError('the store does not get quiet')
 
+    def process_ids(self):
+        """Return the process id of each program, by the name of its machine."""
+        return {name: process.pid for name, process in self._running.items()}
+
     def ended(self):
         """Return the programs that have ended by themselves."""
         return [n for n, process in self._running.items() if process.poll() is not None]
