--- a/review/fleet2/machines.py
+++ b/review/fleet2/machines.py
@@ -149,9 +149,15 @@
         """Return an address for a server."""
         return self.next_address(self._port + 30)
 
+    def extra_address(self, number):
+        """Return host and port of a further listener beside the store's."""
+        return f'{self._subnet}.1', self._port + 20 + number
+
     async def start_store(self):
         """Start the platform's store."""
         self._store_address = f'{self._subnet}.1:{self._port + 20}'
+        #: Address of the store for machines of one class, if it is another one.
+        self.store_addresses = {}
         await self.store.start(f'{self._subnet}.1', self._port + 20)
 
     def add_machine(self, machine_class, zone, *, bootstrap):
@@ -297,7 +303,7 @@
             listen=listen,
             memory_mb=150 if is_front else 170,
             disk_mb=0 if is_front else 400,
-            store=self._store_address,
+            store=self.store_addresses.get(machine_class, self._store_address),
         )
 
 
