--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,101 +1,208 @@
-"""Another writer leaves an unreadable entry; then a server drains and exits."""
+"""Three disks are lost one after the other; a turn's chain is lost with them.
+
+Three storage machines, five front machines. Each program sends turn T1, within
+``retentionS`` after it T2, which continues it, and within ``retentionS`` after T2
+its next turn T3, through other front machines. With trouble each storage machine
+loses its disk once, after the one before has caught up.
+"""
 
 import asyncio
+import random
+import sys
 import time
 from pathlib import Path
 
-import fleet as f
+from fleet2.consumers import (
+    Consumer,
+    desired_state,
+    model_service,
+    new_id,
+    turn_headers,
+    turn_route,
+)
+from fleet2.machines import run_case
+from fleet2.servers import Server, event_data
+
+KEY = '3fexd9dnn2ctnfzs989a'
+EVENT_COUNT = 8
+OUTPUT_MAX = EVENT_COUNT * 9
+BUDGET = 2304
+PROGRAM_COUNT = 240
+#: Programs of one turn that come before them.
+OTHER_COUNT = 160
+INPUT_BYTES = 30_000
+TURNS_PER_S = 130
+#: While the first disk is lost.
+SECOND_TURNS_PER_S = 200
+RETENTION_S = 60.0
+CATCH_UP_S = 4.5
+#: How long a storage machine is away, as in the site file.
+AWAY_S = 1.0
+#: From the first T1 to the first loss, and to the last one, for which the
+#: retention of T1 has to be over at the others.
+FIRST_LOSS_S = 49.0
+LAST_LOSS_S = 89.0
+FINISH_S = 12.0
+FIRST_TURN_COUNT = 30
+SERVER_SLOTS = 12
+
+
+class Program:
+    """A program and the turns of it that were answered whole."""
+
+    def __init__(self):
+        self.id = new_id()[:8]
+        self.chain = []
+        self.ended_s = []
+
+
+def whole_turn(request_id, body):
+    """Return what a later turn's server has to receive of a turn."""
+    events = range(1, EVENT_COUNT + 1)
+    output = ''.join(f'{event_data(request_id, number)}\n' for number in events)
+    return body + output.encode()
+
+
+async def send_turn(consumer, fronts, program):
+    """Send the next turn of a program with its retries; return all attempts."""
+    body = f'[input {len(program.chain)} of {program.id} {"x" * INPUT_BYTES}]'.encode()
+    headers = turn_headers(program.id, 's', 900, OUTPUT_MAX, BUDGET)
+    if program.chain:
+        headers['Previous_Turn'] = program.chain[-1][0]
+    attempts = []
+    shift = random.randrange(len(fronts))
+    async for request_id, answer in consumer.turn(
+        fronts[shift:] + fronts[:shift], '/chat/4b', body, FINISH_S, **headers
+    ):
+        attempts.append((request_id, answer))
+    if attempts[-1][1].status == 200 and attempts[-1][1].is_whole:
+        program.chain.append((attempts[-1][0], body))
+        program.ended_s.append(time.monotonic())
+    return attempts
 
-DRAIN_S = 2.0
-#: From the confirmation that a server drains to its exit: it serves on for
-#: drainMs "and a little longer (at times many seconds)".
-EXIT_AFTER_S = 8.0
-SENDERS = 6
-#: One half of a character that JSON writes as two escapes.
-UNREADABLE = '\ud800'
 
+async def send_all(consumer, fronts, programs, rate_per_s=TURNS_PER_S):
+    """Send one turn of each program, at an even rate."""
+    tasks = []
+    for program in programs:
+        tasks.append(asyncio.ensure_future(send_turn(consumer, fronts, program)))
+        await asyncio.sleep(1 / rate_per_s)
+    return await asyncio.gather(*tasks)
 
-async def play(record):
-    """Write the entry, drain one server, replace the others."""
-    fleet = f.Fleet(record, gateways=2)
-    try:
-        return await _play(fleet, record)
-    finally:
-        fleet.stop()
 
+async def until(moment_s):
+    """Sleep until a monotonic time."""
+    await asyncio.sleep(max(moment_s - time.monotonic(), 0))
 
-async def _play(fleet, record):
-    old = [
-        await fleet.add_server(f'i-old-{n}', 'app', work_s=0.11) for n in range(3)
+
+async def lose_disk(fleet, name, has_trouble):
+    """Let a storage machine lose its disk and come back; return when it did."""
+    if has_trouble:
+        fleet.lose_disk(name)
+    await asyncio.sleep(AWAY_S)
+    if has_trouble:
+        fleet.start_program(name)
+    return time.monotonic()
+
+
+async def main(fleet, has_trouble):
+    """Run the case; return whether LOST was broken."""
+    await fleet.start_store()
+    fleet.store.put(
+        'config',
+        'main',
+        desired_state(
+            7, [turn_route('chat', 'huvo11a')], [model_service('huvo11a')],
+            [('hule930', KEY)],
+        ),
+    )
+    servers = [
+        Server(
+            fleet.store, fleet.record, f'i-{new_id()[:8]}', 'huvo11a', zone,
+            fleet.server_address(), lambda: random.uniform(0.01, 0.02),
+            slots=SERVER_SLOTS, event_count=EVENT_COUNT,
+        )
+        for zone in fleet.zones * 2
     ]
-    await fleet.start(f.config())
-    await asyncio.sleep(3)
-    if f.has_trouble():
-        fleet.store.put('servers', 'i-other', {'service': UNREADABLE})
-        record('another writer has written the entry i-other')
-        await asyncio.sleep(3)
-    leaving = old[0]
-    fleet.store.put('servers', leaving.name, leaving.entry('draining'))
-    drained_s = time.monotonic()
-    record(f'the store has confirmed that {leaving.name} is draining')
-    orders = []
-    senders = [
-        asyncio.ensure_future(_send_orders(fleet, f'gateway-{n % 2}', orders))
-        for n in range(SENDERS)
+    for server in servers:
+        await server.start()
+    stores = [
+        fleet.add_machine('storage', zone, bootstrap=True) for zone in fleet.zones
     ]
-    await asyncio.sleep(EXIT_AFTER_S)
-    await leaving.stop()
-    record(f'{leaving.name} has exited')
-    await asyncio.sleep(1)
-    for sender in senders:
-        sender.cancel()
-    ran = {run[1] for run in leaving.runs}
-    late = [
-        (sent_s - drained_s, answer)
-        for sent_s, answer in orders
-        if sent_s > drained_s + DRAIN_S and answer.request_id in ran
+    fronts = [
+        fleet.add_machine('front', zone, bootstrap=True)
+        for zone in (*fleet.zones, *fleet.zones[:2])
     ]
-    for after_s, answer in late:
-        record(
-            f'{leaving.name} ran {answer.request_id}, sent {after_s:.1f} s after '
-            f'it drained: {answer.status or "no complete answer"}'
-        )
-    cut = sum(answer.status != 200 for _, answer in late)
-    record(f'{len(late)} of {len(orders)} orders reached {leaving.name} too late')
-    record(f'{cut} of these ran, may not run again and got no answer of it')
-    fresh = [
-        await fleet.add_server(f'i-new-{n}', 'app', work_s=0.11) for n in range(3)
+    earlier, later = [fronts[0], fronts[3], fronts[1]], [fronts[2], fronts[4]]
+    await fleet.wait_ready()
+    await asyncio.sleep(1)
+    consumer = Consumer(fleet, KEY)
+    programs = [Program() for _ in range(PROGRAM_COUNT)]
+    began_s = time.monotonic()
+    others = [Program() for _ in range(OTHER_COUNT)]
+    await send_all(consumer, earlier, others + programs)
+    programs = [program for program in programs if len(program.chain) == 1]
+    fleet.record.say('T1', served=len(programs))
+    await until(began_s + FIRST_LOSS_S)
+    loss = asyncio.ensure_future(lose_disk(fleet, stores[0], has_trouble))
+    await asyncio.sleep(AWAY_S * 0.9)
+    random.shuffle(programs)
+    await send_all(consumer, earlier, programs, SECOND_TURNS_PER_S)
+    back_s = await loss
+    programs = [program for program in programs if len(program.chain) == 2]
+    fleet.record.say('T2', served=len(programs))
+    programs = [
+        program
+        for program in programs
+        if program.ended_s[1] - program.ended_s[0] < RETENTION_S
     ]
-    await asyncio.sleep(3)
-    for server in old[1:]:
-        fleet.store.put('servers', server.name, server.entry('draining'))
-    await asyncio.sleep(5)
-    for server in old:
-        fleet.store.remove('servers', server.name)
-    for server in old[1:]:
-        await server.stop()
-    record('the old servers have left, three new ones are ready')
-    await asyncio.sleep(3)
-    unserved = 0
-    for number in range(20):
-        answer = await fleet.request(
-            '/book/x', body=b'order', gateway=f'gateway-{number % 2}'
-        )
-        unserved += answer.status != 200
-        await asyncio.sleep(0.2)
-    runs = sum(len(server.runs) for server in fresh)
-    record(f'new servers ran {runs}; {unserved} of 20 requests not served')
-    return f.BROKEN if late else f.HOLDS
+    if len(programs) < PROGRAM_COUNT * 0.9:
+        raise RuntimeError('too few programs were served')
+    await until(back_s + CATCH_UP_S + 1)
+    await lose_disk(fleet, stores[1], has_trouble)
+    await until(began_s + LAST_LOSS_S)
+    back_s = await lose_disk(fleet, stores[2], has_trouble)
+    await until(back_s + CATCH_UP_S + 0.5)
+    firsts = [Program() for _ in range(FIRST_TURN_COUNT)]
+    turns, _ = await asyncio.gather(
+        send_all(consumer, later, programs),
+        send_all(consumer, later, firsts, rate_per_s=10),
+    )
+    return judge(fleet, servers, programs, turns, firsts)
 
 
-async def _send_orders(fleet, gateway, orders):
-    """Send orders, which may run once at most, until cancelled."""
-    while True:
-        sent_s = time.monotonic()
-        answer = await fleet.request('/book/x', body=b'order', gateway=gateway)
-        orders.append((sent_s, answer))
-        await asyncio.sleep(0.02)
+def judge(fleet, servers, programs, turns, firsts):
+    """Apply LOST as written."""
+    runs = {
+        run['request'].headers['request-id']: run['request'].body
+        for server in servers
+        for run in server.runs
+    }
+    lost = 0
+    for program, attempts in zip(programs, turns, strict=True):
+        if attempts[-1][1].ended_s - program.ended_s[1] > RETENTION_S:
+            raise RuntimeError('the run was too slow')
+        reached = [request_id for request_id, _ in attempts if request_id in runs]
+        statuses = [answer.status for _, answer in attempts]
+        if {404, 410} & set(statuses) or (len(attempts) >= 5 and not reached):
+            lost += 1
+            age_s = round(attempts[0][1].began_s - program.ended_s[1], 1)
+            fleet.record.say(
+                'LOST', program=program.id, previous=program.chain[1][0],
+                age_s=age_s, statuses=statuses,
+            )
+        chain = b''.join(whole_turn(*turn) for turn in program.chain[:2])
+        for request_id in reached:
+            if not runs[request_id].startswith(chain):
+                fleet.record.say('UNASKED', request=request_id)
+                lost += 1
+    served = sum(bool(program.chain) for program in firsts)
+    fleet.record.say(
+        'T3', lost=lost, of=len(programs), first_turns_served=served,
+        of_first_turns=len(firsts),
+    )
+    return bool(lost) and served >= 0.9 * len(firsts)
 
 
 if __name__ == '__main__':
-    f.run_case(Path(__file__).parent, play)
+    sys.exit(run_case(main, Path(__file__).resolve().parent))
