Retain a turn as long as the turns that continue it, in any order

Cause: a turn extended the retention of its predecessors when a store merged it, but only of those that were merged already. A store that is back without its disk gets new turns from gateways while it still reads the old ones, and the next store reads them in that order. Both removed the predecessors after their own retention, although turns continued them. The same rule failed where another program continues a turn, whose records other stores keep, and where a store that stood still swept before it had read what extends its records.

Change: TurnChains remembers the expiry that a missing turn needs. Replication fetches missing turns from all members. Gaps of a complete store are counted (turn.predecessor_missing) and logged. It works as the expiry of a turn is now the maximum over the turns that continue it, whatever the order of arrival, and as a turn without predecessor makes the store ask for it.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -63,6 +63,7 @@
     RATE_CONTINUATION_REFUSED = 'rate.continuation_refused'
     RATE_TRANSFERS = 'rate.transfers'
     RATE_TRANSFER_FAILED = 'rate.transfer_failed'
+    TURN_PREDECESSOR_MISSING = 'turn.predecessor_missing'
     CACHE_HELD = 'cache.held'
     CACHE_RELEASED = 'cache.released'
     RUN_PAUSED = 'run.paused'
--- a/rattanvalve/turnstore/authority.py
+++ b/rattanvalve/turnstore/authority.py
@@ -5,7 +5,7 @@
 a program at a later epoch, too, if it was in the program's group all the time.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.sharedstate.members import (
@@ -159,6 +159,29 @@
             self._state.update(complete_epoch=epoch, is_intact=True)
         return has_caught_up
 
+    def complete_until_s(
+        self, read_s: Mapping[str, float], now_s: float
+    ) -> float:
+        """Compute until when no committed record can be missing here.
+
+        :param read_s: Unix time in seconds at which all records of each other
+            member were last read, by name.
+        :param now_s: present Unix time in seconds.
+        :returns: Unix time in seconds; 0 if too few members were ever read.
+        """
+        view = self._view()
+        for moment_s in (now_s, *sorted(read_s.values(), reverse=True)):
+            read = {name for name, at_s in read_s.items() if at_s >= moment_s}
+            if is_caught_up(
+                self.own_name,
+                view,
+                read.__contains__,
+                self._lost_disks_max,
+                is_intact=self.is_intact,
+            ):
+                return moment_s
+        return 0
+
     def expire_loss(self, now_ms: int, retention_ms: int) -> None:
         """Forget the loss of the disk once all that was on it has expired.
 
--- a/rattanvalve/turnstore/process.py
+++ b/rattanvalve/turnstore/process.py
@@ -166,7 +166,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            self._replica.turn_log.sweep(time.time())
+            self._replica.sweep(time.time())
             self._replica.authority.expire_loss(
                 unix_ms(), retention_max_ms(self._state.rules)
             )
--- a/rattanvalve/turnstore/recordindex.py
+++ b/rattanvalve/turnstore/recordindex.py
@@ -10,22 +10,14 @@
     TurnRecord,
 )
 from rattanvalve.turnstore.disklog import Location
-from rattanvalve.turnstore.turnrecords import LogRecord, record_key
-
-__all__ = ('RecordIndex', 'TurnEntry')
-
-
-@dataclass(slots=True)
-class TurnEntry:
-    """Index entry of a turn.
-
-    ``previous_id`` is the turn that it continues, ``expires_s`` the Unix time
-    in seconds until which it is retained.
-    """
+from rattanvalve.turnstore.turnchains import TurnChains
+from rattanvalve.turnstore.turnrecords import (
+    TURN_KEY_PREFIX,
+    LogRecord,
+    record_key,
+)
 
-    location: Location
-    previous_id: str
-    expires_s: float
+__all__ = ('RecordIndex',)
 
 
 @dataclass(slots=True)
@@ -46,7 +38,7 @@
     """Index of the records in the log; merging a record is idempotent."""
 
     def __init__(self) -> None:
-        self.turns: dict[str, TurnEntry] = {}
+        self.turns = TurnChains()
         self._ledgers: dict[str, _Ledger] = {}
         self._records: dict[str, _RecordEntry] = {}
         #: Keys in arrival order; the first has position ``_first_position``.
@@ -88,12 +80,9 @@
         self._order.append(key)
         self._merge_tokens(message, expires_s)
         if isinstance(message, TurnRecord):
-            self.turns[message.turn_id] = TurnEntry(
-                location,
-                message.previous_id,
-                expires_s,
+            self.turns.add(
+                message.turn_id, message.previous_id, location, expires_s
             )
-            self._extend_chain_expiry(message.previous_id, expires_s)
 
     def ledger_entries(self, program_id: str) -> tuple[LedgerEntry, ...]:
         """List the token counts of a program.
@@ -104,21 +93,6 @@
         ledger = self._ledgers.get(program_id)
         return tuple(ledger.entries.values()) if ledger else ()
 
-    def turn_chain(self, turn_id: str) -> list[TurnEntry]:
-        """Find a turn and its predecessors.
-
-        :param turn_id: id of the newest turn.
-        :returns: newest first; ends at the first turn that is not indexed.
-        """
-        chain = []
-        while turn_id:
-            turn = self.turns.get(turn_id)
-            if turn is None:
-                break
-            chain.append(turn)
-            turn_id = turn.previous_id
-        return chain
-
     def list_after(
         self,
         after: int,
@@ -162,11 +136,7 @@
         :param now_s: Unix time in seconds.
         :returns: numbers of the segments that still hold indexed records.
         """
-        self.turns = {
-            turn_id: turn
-            for turn_id, turn in self.turns.items()
-            if turn.expires_s > now_s
-        }
+        self.turns.sweep(now_s)
         self._ledgers = {
             program_id: ledger
             for program_id, ledger in self._ledgers.items()
@@ -181,8 +151,8 @@
         return {entry.location.segment for entry in self._records.values()}
 
     def _is_retained(self, key: str, entry: _RecordEntry, now_s: float) -> bool:
-        if key.startswith('t:'):
-            return key[2:] in self.turns
+        if key.startswith(TURN_KEY_PREFIX):
+            return key.removeprefix(TURN_KEY_PREFIX) in self.turns
         return entry.expires_s > now_s or entry.program_id in self._ledgers
 
     def _trim_order(self) -> None:
@@ -206,15 +176,3 @@
                 tokens=message.tokens,
                 is_settled=is_settled,
             )
-
-    def _extend_chain_expiry(self, turn_id: str, expires_s: float) -> None:
-        """Extend the expiry of a turn and its predecessors.
-
-        A turn is thereby retained as long as the turns that continue it.
-        """
-        while turn_id:
-            turn = self.turns.get(turn_id)
-            if turn is None or turn.expires_s >= expires_s:
-                return
-            turn.expires_s = expires_s
-            turn_id = turn.previous_id
--- a/rattanvalve/turnstore/replica.py
+++ b/rattanvalve/turnstore/replica.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from rattanvalve.counters import Counter
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.peers import PeerPool
 from rattanvalve.platform.nodefile import NodeSettings
@@ -14,6 +15,7 @@
 from rattanvalve.turnstore.placement import RecordPlacement
 from rattanvalve.turnstore.replication import Replicator
 from rattanvalve.turnstore.turnlog import TurnLog
+from rattanvalve.turnstore.turnrecords import retention_max_ms
 
 __all__ = ('Replica',)
 
@@ -71,6 +73,39 @@
         """
         return self._state.view
 
+    def sweep(self, now_s: float) -> None:
+        """Remove expired records, and report chains with gaps.
+
+        What has expired is removed once all records were read that could
+        extend its retention.
+
+        :param now_s: Unix time in seconds.
+        """
+        known_s = self.authority.complete_until_s(
+            self.replicator.read_times_s(), now_s
+        )
+        # Without the others, the disk must not fill up.
+        longest_s = retention_max_ms(self._state.rules) / 1000
+        self.turn_log.sweep(max(known_s, now_s - longest_s))
+        self._report_gaps()
+
+    def _report_gaps(self) -> None:
+        turns = self.turn_log.index.turns
+        missing = turns.missing_ids
+        if not missing or not self.authority.is_complete():
+            return
+        self._state.metrics.count(
+            Counter.TURN_PREDECESSOR_MISSING, len(missing)
+        )
+        _log.warning(
+            'stored turns continue missing turns',
+            extra={
+                'missing': len(missing),
+                'example': min(missing),
+                'added_late': turns.late_count,
+            },
+        )
+
     async def _sync_members(self, member: StoreMember) -> None:
         call = partial(self._pool.call, member.address)
         await sync_member_list(call, self._state, member)
--- a/rattanvalve/turnstore/replication.py
+++ b/rattanvalve/turnstore/replication.py
@@ -5,7 +5,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rattanvalve.errors import FrameError, PeerError
 from rattanvalve.logs import LogPart, part_logger
@@ -31,6 +31,8 @@
 PULL_BASE_MEMBERS = 8
 PULL_TIMEOUT_S = 1.0
 FETCH_BATCH_SIZE = 100
+#: Time after which a member is asked again for turns that it did not have.
+MISSING_RETRY_S = 2.0
 #: Longest time between two attempts that counts as silence of a member; in a
 #: longer one this process itself stood still.
 ATTEMPT_MAX_S = 2 * PULL_TIMEOUT_S
@@ -45,15 +47,20 @@
     ``position`` is the position in its arrival order of the next record to
     list, valid for ``incarnation`` and ``epoch`` only. ``read_epoch`` is the
     newest epoch at which all of its records were read after it had adopted
-    that epoch. ``silent_s`` is the time in seconds for which it has not
-    answered while most members did; ``attempted_s`` is the monotonic time of
-    the last attempt.
+    that epoch, ``read_s`` the Unix time in seconds at which the last such
+    reading began. ``lacked`` are the keys of missing turns that the member did
+    not have, ``asked_s`` is the monotonic time from which they were collected.
+    ``silent_s`` is the time in seconds for which it has not answered while most
+    members did; ``attempted_s`` is the monotonic time of the last attempt.
     """
 
     incarnation: str = ''
     position: int = 0
     epoch: int = 0
     read_epoch: int = 0
+    read_s: float = 0
+    lacked: set[str] = field(default_factory=set)
+    asked_s: float = 0
     silent_s: float = 0
     attempted_s: float = 0
     is_failing: bool = False
@@ -138,6 +145,17 @@
         state = self.pulled.get(name)
         return state is not None and state.read_epoch >= self._view().epoch
 
+    def read_times_s(self) -> dict[str, float]:
+        """Return when all records of the members were last read.
+
+        :returns: Unix time in seconds by the name of the member.
+        """
+        return {
+            name: state.read_s
+            for name, state in self.pulled.items()
+            if self.has_read(name)
+        }
+
     def _start_tasks(self) -> None:
         names = {member.name for member in self._view().members}
         names.discard(self._own_name)
@@ -192,6 +210,7 @@
 
     async def _pull(self, name: str) -> None:
         state = self.pulled[name]
+        began_s = time.time()
         view = self._view()
         member = _find_member(view.members, name)
         if member is None:
@@ -205,10 +224,12 @@
             listed = await self._pull_page(member, state, view)
             if listed is not None and listed.is_end:
                 break
+        await self._fetch_missing(member, state, time.monotonic())
         if listed.epoch != view.epoch:
             await self._sync_members(member)
         if listed.is_intact and listed.epoch >= view.epoch:
             state.read_epoch = view.epoch
+            state.read_s = began_s
             await self._on_pull_complete()
 
     async def _pull_page(
@@ -241,6 +262,25 @@
         state.position = listed.next_after
         return listed
 
+    async def _fetch_missing(
+        self, member: StoreMember, state: PullState, now_s: float
+    ) -> None:
+        """Fetch the turns that stored turns continue.
+
+        They are not listed if they belong to a program that is placed on other
+        members, or were listed before this store lost them.
+        """
+        if now_s > state.asked_s + MISSING_RETRY_S:
+            state.lacked.clear()
+            state.asked_s = now_s
+        while True:
+            missing = self._turn_log.missing_keys()
+            keys = [key for key in missing if key not in state.lacked]
+            if not keys:
+                return
+            await self._fetch(member, keys[:FETCH_BATCH_SIZE])
+            state.lacked.update(keys[:FETCH_BATCH_SIZE])
+
     async def _fetch(self, member: StoreMember, keys: list[str]) -> None:
         """Fetch records, in several messages if they are large."""
         while keys:
--- /dev/null
+++ b/rattanvalve/turnstore/turnchains.py
@@ -0,0 +1,116 @@
+"""Turns by id, each retained as long as the turns that continue it."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from rattanvalve.turnstore.disklog import Location
+
+__all__ = ('TurnChains', 'TurnEntry')
+
+
+@dataclass(slots=True)
+class TurnEntry:
+    """Index entry of a turn.
+
+    ``previous_id`` is the turn that it continues, ``expires_s`` the Unix time
+    in seconds until which it is retained.
+    """
+
+    location: Location
+    previous_id: str
+    expires_s: float
+
+
+class TurnChains:
+    """Turns and their expiry, whatever the order in which they are added.
+
+    A store may get a turn before its predecessors, for example while it reads
+    the records of others. A turn therefore extends the expiry of those that
+    are missing, too: it is kept until the missing turn is added.
+    """
+
+    def __init__(self) -> None:
+        self._turns: dict[str, TurnEntry] = {}
+        #: Unix time in seconds until which a missing turn is needed, by its id.
+        self._missing: dict[str, float] = {}
+        #: Number of turns that were added after a turn that continues them.
+        self.late_count = 0
+
+    def __contains__(self, turn_id: str) -> bool:
+        """Return whether a turn is stored.
+
+        :param turn_id: id of the turn.
+        :returns: whether it was added and has not expired.
+        """
+        return turn_id in self._turns
+
+    @property
+    def missing_ids(self) -> Collection[str]:
+        """List turns that a stored turn continues, but that are not stored.
+
+        :returns: their ids; empty if all chains are whole.
+        """
+        return self._missing.keys()
+
+    def add(
+        self,
+        turn_id: str,
+        previous_id: str,
+        location: Location,
+        expires_s: float,
+    ) -> None:
+        """Add a turn and extend the expiry of its predecessors.
+
+        :param turn_id: id of the turn, which is not stored yet.
+        :param previous_id: id of the turn that it continues; may be empty.
+        :param location: location of its record in the log.
+        :param expires_s: Unix time in seconds until which it is retained.
+        """
+        if turn_id in self._missing:
+            self.late_count += 1
+            expires_s = max(expires_s, self._missing.pop(turn_id))
+        self._turns[turn_id] = TurnEntry(location, previous_id, expires_s)
+        self._extend_expiry(previous_id, expires_s)
+
+    def find_chain(self, turn_id: str) -> list[TurnEntry]:
+        """Find a turn and its predecessors.
+
+        :param turn_id: id of the newest turn.
+        :returns: newest first; ends at the first turn that is not stored.
+        """
+        chain = []
+        while turn_id:
+            turn = self._turns.get(turn_id)
+            if turn is None:
+                break
+            chain.append(turn)
+            turn_id = turn.previous_id
+        return chain
+
+    def sweep(self, now_s: float) -> None:
+        """Remove turns that have expired.
+
+        :param now_s: Unix time in seconds.
+        """
+        self._turns = {
+            turn_id: turn
+            for turn_id, turn in self._turns.items()
+            if turn.expires_s > now_s
+        }
+        self._missing = {
+            turn_id: expires_s
+            for turn_id, expires_s in self._missing.items()
+            if expires_s > now_s
+        }
+
+    def _extend_expiry(self, turn_id: str, expires_s: float) -> None:
+        while turn_id:
+            turn = self._turns.get(turn_id)
+            if turn is None:
+                known_s = self._missing.get(turn_id, 0)
+                self._missing[turn_id] = max(known_s, expires_s)
+                return
+            if turn.expires_s >= expires_s:
+                return
+            turn.expires_s = expires_s
+            turn_id = turn.previous_id
--- a/rattanvalve/turnstore/turnlog.py
+++ b/rattanvalve/turnstore/turnlog.py
@@ -15,6 +15,7 @@
     decode_record,
     encode_record,
     record_key,
+    turn_key,
 )
 
 __all__ = ('TurnLog',)
@@ -79,7 +80,7 @@
             before one that does not fit into ``ANSWER_BYTES``.
         :raises OSError: if reading fails.
         """
-        entries = self.index.turn_chain(turn_id)
+        entries = self.index.turns.find_chain(turn_id)
         lengths = [entry.location.length for entry in entries]
         return tuple(
             decode_record(self._log.read(entry.location)).message
@@ -102,6 +103,13 @@
         records = tuple(map(self._log.read, filter(None, locations[:count])))
         return records, count
 
+    def missing_keys(self) -> list[str]:
+        """List records of turns that are missing in the stored chains.
+
+        :returns: keys of the records; empty if all chains are whole.
+        """
+        return list(map(turn_key, self.index.turns.missing_ids))
+
     def sweep(self, now_s: float) -> None:
         """Remove expired records, and delete segments without live records.
 
--- a/rattanvalve/turnstore/turnrecords.py
+++ b/rattanvalve/turnstore/turnrecords.py
@@ -11,12 +11,14 @@
 __all__ = (
     'LEDGER_RETENTION_MS',
     'RETENTION_MARGIN_S',
+    'TURN_KEY_PREFIX',
     'LogRecord',
     'LoggedMessage',
     'decode_record',
     'encode_record',
     'record_key',
     'retention_max_ms',
+    'turn_key',
 )
 
 LoggedMessage = Reserve | SettleTurn | TurnRecord
@@ -31,7 +33,8 @@
 UNKNOWN_RETENTION_MS = 2**53
 #: Differences between clocks, for those who compare times of several stores.
 CLOCK_MARGIN_MS = 20_000
-_PREFIXES = {Reserve: 'r:', SettleTurn: 's:', TurnRecord: 't:'}
+TURN_KEY_PREFIX = 't:'
+_PREFIXES = {Reserve: 'r:', SettleTurn: 's:', TurnRecord: TURN_KEY_PREFIX}
 _CLASSES = {wire.kind_number(kind()): kind for kind in _PREFIXES}
 
 
@@ -74,6 +77,15 @@
     return f'{_PREFIXES[type(message)]}{message.turn_id}'
 
 
+def turn_key(turn_id: str) -> str:
+    """Return the key of the record of a completed turn.
+
+    :param turn_id: id of the turn.
+    :returns: key, as :func:`record_key` of the record.
+    """
+    return f'{TURN_KEY_PREFIX}{turn_id}'
+
+
 def encode_record(record: LogRecord) -> bytes:
     """Encode a record for the log and for peers.
 
--- a/tests/membership_simulation.py
+++ b/tests/membership_simulation.py
@@ -24,13 +24,13 @@
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.platform.objects import Changes
 from rattanvalve.sharedstate.document_tasks import peer_handlers
-from rattanvalve.turn_messages import Reserve, TurnRecord
+from rattanvalve.turn_messages import RecordBatch, Reserve, TurnRecord
 from rattanvalve.turnstore.disklog import Location
 from rattanvalve.turnstore.process import TurnStoreProcess
 from tests.staleness_simulation import HANGS, PORT, UP, StoreLink, World
 from tests.virtual_time import virtual_time
 
-__all__ = ('Event', 'find_minimal', 'play', 'random_schedule')
+__all__ = ('Event', 'MemberWorld', 'find_minimal', 'play', 'random_schedule')
 
 SECRET = b's' * 32
 LOST_DISKS_MAX = 1
@@ -79,13 +79,14 @@
     return schedule
 
 
-def play(seed, schedule, is_placed=bool):
+def play(seed, schedule, is_placed=bool, create_world=None):
     """Play a schedule; return the broken rules.
 
     :param is_placed: selects the ids of the programs that are played.
+    :param create_world: creates the world from the seed.
     """
     with _stand_ins(), _seeded(seed), virtual_time() as loop:
-        world = MemberWorld(seed)
+        world = (create_world or MemberWorld)(seed)
         world.is_placed = is_placed
         try:
             loop.run_until_complete(world.play_schedule(schedule))
@@ -236,6 +237,10 @@
             answers.append(answer)
 
         await peer.handlers[type(message)](message, send)
+        if isinstance(answers[0], RecordBatch):
+            await asyncio.sleep(
+                self._world.transfer_s * len(answers[0].records)
+            )
         await self._pass(host)
         if self._world.processes.get(host) is not peer:
             raise PeerError('connection lost')
@@ -305,6 +310,11 @@
 class MemberWorld(World):
     """The platform's store, turn stores, gateways, links and callers."""
 
+    duration_s = DURATION_S
+    line_count = LINE_COUNT
+    #: Time that the transfer of a record between two stores takes.
+    transfer_s = 0.0
+
     def __post_init__(self):
         """Create what all processes share."""
         super().__post_init__()
@@ -352,12 +362,14 @@
             self.processes[host] = MemberProcess(self, node)
         started_s = self.now_s()
         await asyncio.sleep(START_S / 2)
-        lines = [asyncio.ensure_future(self._run(n)) for n in range(LINE_COUNT)]
+        lines = [
+            asyncio.ensure_future(self._run(n)) for n in range(self.line_count)
+        ]
         running = [
             asyncio.ensure_future(self._act(started_s, event))
             for event in schedule
         ]
-        await asyncio.sleep(DURATION_S - START_S / 2)
+        await asyncio.sleep(self.duration_s - START_S / 2)
         for process in self.processes.values():
             process.raise_failures()
         for task in (*lines, *running):
