Count failures of handlers, which peers take for an unreachable process

Only a log line told the difference. Such failures are counted as handler.failed now.

Test: "a failure of a handler is counted, as the peer cannot tell it"; the counter did not exist before.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -72,6 +72,7 @@
     REQUEST_BLOCKED = 'request.blocked'
     REQUEST_UNBLOCKED = 'request.unblocked'
     FRAME_REJECTED = 'frame.rejected'
+    HANDLER_FAILED = 'handler.failed'
     RELOADED = 'settings.reloaded'
     RELOAD_FAILED = 'settings.reload_failed'
     HTTP_MALFORMED = 'http.malformed'
--- a/rattanvalve/peer_server.py
+++ b/rattanvalve/peer_server.py
@@ -102,6 +102,9 @@
             self._metrics.count(Counter.INVARIANT_VIOLATED)
             _log.error('invariant violated', exc_info=error)
         else:
+            # The peer sees a closed connection only, like that of a process
+            # that has ended.
+            self._metrics.count(Counter.HANDLER_FAILED)
             _log.error('handler failed', exc_info=error)
 
     async def _serve_messages(self, channel: Channel) -> None:
--- a/tests/peers.feature
+++ b/tests/peers.feature
@@ -26,6 +26,12 @@
     Then the stranger is disconnected and counted
     And a call still gets its answer
 
+  Scenario: a failure of a handler is counted, as the peer cannot tell it
+    # A store that failed at a number looked like one that had ended.
+    Given a peer server whose handler fails
+    When a call gets no answer
+    Then the failure is counted
+
   Scenario: a message on a closed connection is an error of the connection
     Given a peer server that answers settle messages
     When a connection is closed before a message is sent
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -39,6 +39,31 @@
     start(context, {messages.Settle: respond_to_settle})
 
 
+@given('a peer server whose handler fails')
+def step_failing_server(context):
+    async def fail(message, send):
+        raise OverflowError
+
+    start(context, {messages.Settle: fail})
+
+
+@when('a call gets no answer')
+def step_unanswered(context):
+    call = context.pool.call(
+        context.address, messages.Settle(number='1'), TIMEOUT_S
+    )
+    try:
+        context.run(call)
+    except PeerError:
+        return
+    raise AssertionError('the call was answered')
+
+
+@then('the failure is counted')
+def step_failure_counted(context):
+    assert context.metrics.counts[Counter.HANDLER_FAILED] == 1
+
+
 @given('a peer server that streams chunks {manner}')
 def step_endless_server(context, manner):
     context.ended = asyncio.Event()
