Keep numbers usable at the edges of what rules and callers may state

Cause, as a class: a number that may legally be stated leads to an infinite quotient or to one that no message field holds, and the exception looks like an unreachable store.

Change: numbers are bounded once, where they are decoded, so that one value does not make the others unusable. Each store of a group has a token of burst at least. Only services with a weight are chosen. A deadline of 0 leaves no time. It works as within the bounds all quotients are finite and fit.

--- a/rattanvalve/gateway/calls.py
+++ b/rattanvalve/gateway/calls.py
@@ -7,6 +7,7 @@
 from rattanvalve.gateway.events import EventParser
 from rattanvalve.gateway.loads import PromptPart
 from rattanvalve.platform import names
+from rattanvalve.platform.number_bounds import TOKENS_MAX
 from rattanvalve.resultcodes import ResultCode
 from rattanvalve.sharedstate.rules import Route, Workspace
 from rattanvalve.wholenumbers import parse_whole_number
@@ -208,8 +209,10 @@
     return TurnHeaders(
         program_id=program_id,
         previous_id=headers.get(names.PREVIOUS_TURN, ''),
-        budget_tokens=None if budget is None else int(budget),
-        output_tokens_max=int(parse_header_number(output_limit_text) or 0),
+        budget_tokens=None if budget is None else _to_tokens(budget),
+        output_tokens_max=_to_tokens(
+            parse_header_number(output_limit_text) or 0
+        ),
         finish_ms=parse_header_number(headers.get(names.FINISH_MS)),
         parts=_parse_prompt_parts(headers.get(names.PROMPT_PARTS, '')),
         is_malformed=budget_text is not None
@@ -217,6 +220,10 @@
     )
 
 
+def _to_tokens(number: float) -> int:
+    return int(min(number, TOKENS_MAX))
+
+
 def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in text.split(','):
--- a/rattanvalve/gateway/reading.py
+++ b/rattanvalve/gateway/reading.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 
 from aiohttp import web
 
@@ -26,7 +27,7 @@
 from rattanvalve.sharedstate.shared_state import SharedState
 from rattanvalve.wholenumbers import parse_whole_number
 
-__all__ = ('RequestReader',)
+__all__ = ('RequestReader', 'time_limit_ms')
 
 STARTING_RETRY_AFTER_S = 0.5
 #: Copies of a body: received and joined, later kept and forwarded.
@@ -165,8 +166,6 @@
             return None
     if turn.is_malformed:
         return None
-    remaining_ms = parse_header_number(headers.get(names.DEADLINE_MS))
-    limit_ms = min(route.timeout_ms, remaining_ms or route.timeout_ms)
     priority = route.priority
     if workspace is not None and workspace.priority is not None:
         priority = workspace.priority
@@ -179,9 +178,22 @@
         route=route,
         workspace=workspace,
         received_s=received_s,
-        deadline_s=received_s + limit_ms / 1000,
+        deadline_s=received_s + time_limit_ms(route, headers) / 1000,
         turn=turn,
         key=headers.get(names.CALLER_KEY, ''),
         priority=min(max(priority, 0), PRIORITY_MAX),
         resume_after=resume_after,
     )
+
+
+def time_limit_ms(route: Route, headers: Mapping[str, str]) -> float:
+    """Return how long a request may take.
+
+    :param route: route of the request.
+    :param headers: headers of the caller, who may have less time left.
+    :returns: time in milliseconds; 0 if the caller has none left.
+    """
+    remaining_ms = parse_header_number(headers.get(names.DEADLINE_MS))
+    if remaining_ms is None:
+        return route.timeout_ms
+    return min(route.timeout_ms, remaining_ms)
--- a/rattanvalve/gateway/service_choice.py
+++ b/rattanvalve/gateway/service_choice.py
@@ -20,10 +20,12 @@
     if len(route.services) == 1:
         return route.services[0][0]
     digest = blake2b(request_id.encode(), digest_size=_DIGEST_BYTES).digest()
-    total = sum(weight for _, weight in route.services)
+    # Rounding must not select a service without a share.
+    shares = [share for share in route.services if share[1]] or route.services
+    total = sum(weight for _, weight in shares)
     point = int.from_bytes(digest, 'big') / 2 ** (8 * _DIGEST_BYTES) * total
-    for service, weight in route.services:
+    for service, weight in shares:
         point -= weight
         if point < 0:
             return service
-    return route.services[-1][0]
+    return shares[-1][0]
--- a/rattanvalve/gateway/turns.py
+++ b/rattanvalve/gateway/turns.py
@@ -33,9 +33,11 @@
     """Compute the largest number of tokens that a turn is charged.
 
     :param output_tokens_max: output limit of the caller in tokens.
-    :param event_tokens: tokens charged per event.
+    :param event_tokens: tokens charged per event; 0 if events are free.
     :returns: the output limit, rounded up to whole events, in tokens.
     """
+    if not event_tokens:
+        return 0
     return -(-output_tokens_max // event_tokens) * event_tokens
 
 
--- a/rattanvalve/platform/configuration.py
+++ b/rattanvalve/platform/configuration.py
@@ -1,9 +1,23 @@
 """Decodes the operators' configuration into traffic rules."""
 
+from typing import Annotated
+
 import msgspec
 
 from rattanvalve.errors import ConfigurationError
 from rattanvalve.platform.malformed import MALFORMED_JSON
+from rattanvalve.platform.number_bounds import (
+    BURST_MAX,
+    EVENT_TOKENS_MAX,
+    RATE_MAX_PER_S,
+    RATE_MIN_PER_S,
+    RETENTION_MAX_S,
+    TIMEOUT_MAX_MS,
+    TOKENS_MAX,
+    VERSION_MAX,
+    WEIGHT_MAX,
+    clamp,
+)
 from rattanvalve.sharedstate.rules import (
     Engine,
     Limits,
@@ -68,7 +82,7 @@
 
 
 class _Configuration(msgspec.Struct, rename='camel'):
-    version: int
+    version: Annotated[int, msgspec.Meta(le=VERSION_MAX)]
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -99,26 +113,30 @@
         limits=Limits(
             header_bytes=stored.limits.max_header_bytes,
             body_bytes=stored.limits.max_body_bytes,
-            header_timeout_ms=stored.limits.header_timeout_ms,
-            idle_timeout_ms=stored.limits.idle_timeout_ms,
+            header_timeout_ms=_timeout_ms(stored.limits.header_timeout_ms),
+            idle_timeout_ms=_timeout_ms(stored.limits.idle_timeout_ms),
         ),
     )
 
 
 def _route(stored: _Route) -> Route:
-    shares = tuple((part.service, part.weight) for part in stored.traffic_split)
+    shares = tuple(
+        (part.service, clamp(part.weight, 0, WEIGHT_MAX))
+        for part in stored.traffic_split
+    )
+    retention_s = clamp(stored.retention_s, 0, RETENTION_MAX_S)
     return Route(
         name=stored.name,
         host=stored.host,
         path_prefix=stored.path_prefix,
         kind=stored.kind,
-        timeout_ms=stored.timeout_ms,
-        target_ms=stored.target_latency_ms,
+        timeout_ms=_timeout_ms(stored.timeout_ms),
+        target_ms=_timeout_ms(stored.target_latency_ms),
         priority=stored.priority,
         services=shares or ((stored.service, 1),),
         max_attempts=stored.max_attempts,
         keeps_turns=stored.retain_context,
-        retention_ms=int(stored.retention_s * 1000),
+        retention_ms=int(retention_s * 1000),
         is_resumable=stored.resumable,
         is_open=stored.auth_exempt,
     )
@@ -131,8 +149,8 @@
         engine=engine
         and Engine(
             slots=engine.slots,
-            cache_tokens=engine.kv_capacity,
-            event_tokens=engine.tokens_per_event,
+            cache_tokens=clamp(engine.kv_capacity, 0, TOKENS_MAX),
+            event_tokens=clamp(engine.tokens_per_event, 0, EVENT_TOKENS_MAX),
         ),
     )
 
@@ -142,6 +160,17 @@
         name=stored.name,
         keys=stored.api_keys,
         priority=stored.priority,
-        rate_per_s=stored.per_s,
-        burst=stored.burst,
+        rate_per_s=_rate_per_s(stored.per_s),
+        burst=clamp(stored.burst, 0, BURST_MAX),
     )
+
+
+def _rate_per_s(stored: float) -> float:
+    """Return a rate within its bounds; 0 means no limit."""
+    if stored <= 0:
+        return 0
+    return clamp(stored, RATE_MIN_PER_S, RATE_MAX_PER_S)
+
+
+def _timeout_ms(stored: float) -> float:
+    return clamp(stored, 0, TIMEOUT_MAX_MS)
--- a/rattanvalve/platform/nodefile.py
+++ b/rattanvalve/platform/nodefile.py
@@ -13,6 +13,7 @@
 
 from rattanvalve.addresses import Address
 from rattanvalve.errors import SettingsError
+from rattanvalve.platform.number_bounds import clamp
 from rattanvalve.sharedstate.staleness import StalenessBounds
 from rattanvalve.wholenumbers import parse_whole_number
 
@@ -26,6 +27,11 @@
 
 ENVIRONMENT_VARIABLE = 'RATTANVALVE_NODE_FILE'
 PORT_MAX = 65_535
+#: One day.
+BOUND_MAX_S = 86_400.0
+#: Processes call the store several times within the bound of a document's age,
+#: so without a lowest one they would call it all the time.
+STALENESS_MIN_S = 0.2
 #: Contract by which callers compete for the capacity of the endpoints.
 _CONTENTION_CONTRACT = 'pressure'
 
@@ -165,18 +171,22 @@
         is_first_start=node.bootstrap,
         lost_disks_max=node.fault_tolerance.machines,
         memory_mb=node.limits.memory_mb,
-        grace_s=node.bounds.grace_s,
-        key_revocation_s=node.bounds.revoke_ms / 1000,
+        grace_s=clamp(node.bounds.grace_s, 0, BOUND_MAX_S),
+        key_revocation_s=clamp(node.bounds.revoke_ms / 1000, 0, BOUND_MAX_S),
         staleness=StalenessBounds(
-            rules_s=node.bounds.config_apply_ms / 1000,
-            endpoints_s=node.bounds.drain_ms / 1000,
+            rules_s=_staleness_s(node.bounds.config_apply_ms / 1000),
+            endpoints_s=_staleness_s(node.bounds.drain_ms / 1000),
             # Records of a removed member are placed on its successor by then.
-            members_s=node.bounds.catch_up_s,
+            members_s=_staleness_s(node.bounds.catch_up_s),
         ),
         descriptors_max=node.limits.max_fds,
         has_contention=_CONTENTION_CONTRACT in node.contracts,
     )
 
 
+def _staleness_s(bound_s: float) -> float:
+    return clamp(bound_s, STALENESS_MIN_S, BOUND_MAX_S)
+
+
 def _parse_optional_address(text: str) -> Address | None:
     return parse_address(text) if text else None
--- a/rattanvalve/turnstore/rateshares.py
+++ b/rattanvalve/turnstore/rateshares.py
@@ -37,7 +37,8 @@
 
 #: A group of three: one primary and two standbys.
 RATE_LOST_STORES_MAX = 1
-#: Smallest burst in requests; a bucket below one token never admits a request.
+#: Smallest burst of a store in requests; a bucket below one token never admits
+#: a request.
 BURST_MIN = 1.0
 #: Fraction of a rate that each standby has.
 STANDBY_FRACTION = 0.1
@@ -244,7 +245,9 @@
         if self._own_name not in group_names:
             return False
         rank = group_names.index(self._own_name)
-        burst = max(workspace.burst, BURST_MIN)
+        # Also a small burst is divided: without their part, the standbys would
+        # refuse all requests while the primary is away.
+        burst = max(workspace.burst, BURST_MIN * len(group))
         fraction, burst = split_rate(rank, len(group), burst)
         if not fraction:
             return False
