Bound what small pieces of a server's response cost

What callers saw: with 24 responses that a server sends without end, ordinary requests to another server got no answer within 3 s; with events of two bytes, events of short lines or heads of short fields the gateway was over its memory (168, 421 and 304 MB where a VM has 150), which ends all requests on it.

Cause: limits counted bytes of content, but each piece was an object of its own (events, lines, body parts, headers), and incomplete heads and events were not in the budget of what callers hold. Nothing bounded the work for one connection before the others came: the event loop was late by 2,608 ms.

Ruled out: a reader without a limit (all ended at theirs); want of memory as the reason for the late answers (peak 63 MB in five of them).

Change: buffers instead of lists; 256 headers at most; incomplete heads and events count for the budget; reads of 16 KiB, and a connection whose server is ahead of its reader waits for its turn, one in each iteration of the loop. It works as memory now follows from the bytes that are counted, and as the work of one iteration does not grow with the number of such servers.

--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -248,7 +248,7 @@
         trace: Trace,
     ) -> None:
         _send(call, endpoint, connection)
-        head = await connection.read_head()
+        head = await connection.read_head(sink.hold)
         self._loads.get(endpoint).health.record_answered(call.request_id)
         if names.SERVER_LEAVING in head.headers:
             self._tables.directory.mark_leaving(endpoint)
@@ -263,7 +263,7 @@
         trace.status = head.status
         if _is_refusal(head):
             await _read_body(connection, sink.hold)
-            connection.record_refusal()
+            connection.refused_ids.add(call.request_id)
             raise AttemptFailedError(
                 f'refused {head.status}', may_have_run=False
             )
@@ -305,8 +305,14 @@
             )
             call.event_parser = event_parser
             await sink.begin(head)
+        held_bytes = 0
         while chunk := await connection.read_chunk():
-            if events := event_parser.feed(chunk):
+            events = event_parser.feed(chunk)
+            pending_bytes = event_parser.pending_bytes
+            if pending_bytes > held_bytes:
+                sink.hold(pending_bytes - held_bytes)
+                held_bytes = pending_bytes
+            if events:
                 if call.route.keeps_turns:
                     sink.hold(len(events))
                 await sink.write(events)
--- a/rattanvalve/gateway/connection_pool.py
+++ b/rattanvalve/gateway/connection_pool.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from rattanvalve.counters import Counter, Metrics
+from rattanvalve.gateway.read_turns import ReadTurns
 from rattanvalve.gateway.server_connection import (
     ServerConnection,
     open_connection,
@@ -61,6 +62,7 @@
         self._metrics = metrics or Metrics()
         self._keeps_refused = keeps_refused
         self._servers: dict[Hashable, _ServerConnections] = {}
+        self._turns = ReadTurns()
 
     async def acquire(
         self, endpoint: EndpointEntry, request_id: str
@@ -233,7 +235,7 @@
     async def _open(
         self, endpoint: EndpointEntry, reason: Counter
     ) -> ServerConnection:
-        connection = await open_connection(endpoint.address)
+        connection = await open_connection(endpoint.address, self._turns)
         self.record_use(endpoint, connection, reason)
         return connection
 
--- a/rattanvalve/gateway/events.py
+++ b/rattanvalve/gateway/events.py
@@ -31,15 +31,23 @@
         self.event_count = 0
         self.last_id = after_id
         self._keeps_output = keeps_output
-        self._partial_line = b''
-        self._event: list[bytes] = []
-        self._event_bytes = 0
-        self._data: list[bytes] = []
+        # Buffers instead of lists, as objects of a few bytes cost a multiple.
+        self._partial_line = bytearray()
+        self._event = bytearray()
+        #: Each data line of the incomplete event, followed by a line feed.
+        self._data = bytearray()
         self._event_id: int | None = None
-        self._outputs: list[bytes] = []
-        self._output_bytes = 0
+        self._output = bytearray()
         self._has_fields = False
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of what is kept of the incomplete event.
+
+        :returns: size in bytes.
+        """
+        return len(self._partial_line) + len(self._event) + len(self._data)
+
     def feed(self, chunk: bytes) -> bytes:
         """Parse the next bytes of the stream.
 
@@ -47,11 +55,15 @@
         :returns: the unmodified bytes of the events completed by the chunk.
         :raises ServerExchangeError: if an event or the output is too large.
         """
-        lines = (self._partial_line + chunk).split(_LINE_FEED)
-        self._partial_line = lines.pop()
+        if _LINE_FEED not in chunk:
+            # A long line in small pieces is not copied for each of them.
+            self._partial_line += chunk
+            self._check_size()
+            return b''
+        lines = (bytes(self._partial_line) + chunk).split(_LINE_FEED)
+        self._partial_line = bytearray(lines.pop())
         complete = [self._process_line(line) for line in lines]
-        if self._event_bytes + len(self._partial_line) > EVENT_BYTES_MAX:
-            raise ServerExchangeError('stream event exceeds the size limit')
+        self._check_size()
         return b''.join(complete)
 
     def is_between_events(self) -> bool:
@@ -63,7 +75,7 @@
 
     def discard_incomplete(self) -> None:
         """Discard a truncated event; the next server sends it whole."""
-        self._partial_line = b''
+        self._partial_line.clear()
         self._reset_event()
 
     def output(self) -> bytes:
@@ -72,12 +84,12 @@
         :returns: the data of each event, followed by a line feed; empty if
             the output is not collected.
         """
-        return b''.join(self._outputs)
+        return bytes(self._output)
 
     def _process_line(self, line: bytes) -> bytes:
         """Add a line; return the event that it completes, or no bytes."""
-        self._event.append(line + _LINE_FEED)
-        self._event_bytes += len(line) + 1
+        self._event += line
+        self._event += _LINE_FEED
         field = line.removesuffix(b'\r')
         if field:
             self._has_fields = True
@@ -89,19 +101,20 @@
         name, _, content = line.partition(b':')
         content = content.removeprefix(b' ')
         if name == _DATA:
-            self._data.append(content)
+            self._data += content
+            self._data += _LINE_FEED
         elif name == _ID:
             self._event_id = parse_whole_number(content.decode('latin-1'))
 
     def _end_event(self) -> bytes:
-        event = b''.join(self._event)
+        event = bytes(self._event)
         if self._is_repeated():
             event = b''
         elif self._event_id is not None:
             self.last_id = self._event_id
         if self._data and event:
             self.event_count += 1
-            self._collect_output(_LINE_FEED.join(self._data) + _LINE_FEED)
+            self._collect_output()
         self._reset_event()
         return event
 
@@ -110,17 +123,19 @@
             return False
         return self._event_id <= self.last_id
 
-    def _collect_output(self, output: bytes) -> None:
+    def _collect_output(self) -> None:
         if not self._keeps_output:
             return
-        self._outputs.append(output)
-        self._output_bytes += len(output)
-        if self._output_bytes > OUTPUT_BYTES_MAX:
+        self._output += self._data
+        if len(self._output) > OUTPUT_BYTES_MAX:
             raise ServerExchangeError('stream output exceeds the size limit')
 
+    def _check_size(self) -> None:
+        if len(self._event) + len(self._partial_line) > EVENT_BYTES_MAX:
+            raise ServerExchangeError('stream event exceeds the size limit')
+
     def _reset_event(self) -> None:
-        self._event = []
-        self._event_bytes = 0
-        self._data = []
+        self._event.clear()
+        self._data.clear()
         self._event_id = None
         self._has_fields = False
--- a/rattanvalve/gateway/response_parser.py
+++ b/rattanvalve/gateway/response_parser.py
@@ -6,7 +6,6 @@
 next response regardless of its id and retries requests based on their method.
 """
 
-from collections import deque
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -29,6 +28,8 @@
 #: The same for interim responses and responses with another id, which may
 #: arrive before or within the expected one.
 UNMATCHED_BYTES_MAX = 1024 * 1024
+#: Number of headers of a response; each costs far more memory than its bytes.
+HEADER_COUNT_MAX = 256
 _PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 #: Statuses that HTTP defines; no other one may reach a caller.
 _STATUSES = range(100, 600)
@@ -47,22 +48,22 @@
     """Parses the responses on one connection for one request at a time.
 
     ``head`` is ``None`` until the head of the expected response is complete.
-    ``chunks`` holds its unread body parts, ``buffered_bytes`` their size, and
-    ``idle_timeout_s`` the time for which an idle connection may be reused.
+    ``idle_timeout_s`` is the time for which an idle connection may be reused.
     """
 
     def __init__(self) -> None:
         self.head: ResponseHead | None = None
-        self.chunks: deque[bytes] = deque()
-        self.buffered_bytes = 0
         self.is_complete = True
         #: Whether another request may be sent on the connection.
         self.is_reusable = True
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        #: Unread bytes of the body of the expected response.
+        self._body = bytearray()
         self._parser = httptools.HttpResponseParser(self)
         self._request_id = ''
         self._request_count = 0
         self._headers: CIMultiDict[str] = CIMultiDict()
+        self._header_count = 0
         self._is_matched = False
         self._is_close_delimited = False
         self._is_in_head = False
@@ -73,6 +74,22 @@
         #: Bytes since the last byte of the expected response.
         self._unmatched_bytes = 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the unread part of the body.
+
+        :returns: size in bytes.
+        """
+        return len(self._body)
+
+    @property
+    def head_bytes(self) -> int:
+        """Return the size of an incomplete head.
+
+        :returns: bytes since the last complete head or body part.
+        """
+        return self._head_bytes
+
     def expect(self, request_id: str) -> None:
         """Set the request whose response is parsed next.
 
@@ -117,14 +134,12 @@
         self.is_reusable = False
 
     def take_chunk(self) -> bytes:
-        """Remove and return the next buffered part of the body.
+        """Remove and return the buffered part of the body.
 
         :returns: body bytes; empty if none are buffered.
         """
-        if not self.chunks:
-            return b''
-        chunk = self.chunks.popleft()
-        self.buffered_bytes -= len(chunk)
+        chunk = bytes(self._body)
+        self._body.clear()
         return chunk
 
     # Callbacks of httptools.
@@ -132,6 +147,7 @@
     def on_message_begin(self) -> None:
         """Reset the header state at the first byte of a response."""
         self._headers = CIMultiDict()
+        self._header_count = 0
         self._is_in_head = True
         self._is_matched = False
         if self.is_complete:
@@ -147,13 +163,16 @@
         if not self._is_in_head:
             # Trailers are unused, and a server may send any number of them.
             return
+        self._header_count += 1
+        if self._header_count > HEADER_COUNT_MAX:
+            return
         self._headers.add(name.decode('latin-1'), content.decode('latin-1'))
 
     def on_headers_complete(self) -> None:
         """Match the response to the request; store the head on a match.
 
-        :raises ValueError: if the status is not between 100 and 599, which
-            ends the parsing.
+        :raises ValueError: if the status is not between 100 and 599 or the head
+            has too many headers, which ends the parsing.
         """
         self._is_in_head = False
         self._head_bytes = 0
@@ -161,6 +180,8 @@
         if status not in _STATUSES:
             self._invalid_status = status
             raise ValueError(status)
+        if self._header_count > HEADER_COUNT_MAX:
+            raise ValueError(self._header_count)
         self._is_matched = self._matches_request(status)
         if not self._is_matched:
             return
@@ -180,8 +201,7 @@
         self._head_bytes = 0
         if self._is_matched:
             self._unmatched_bytes = 0
-            self.chunks.append(body)
-            self.buffered_bytes += len(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Mark the expected response complete; ignore any other."""
--- a/rattanvalve/gateway/server_connection.py
+++ b/rattanvalve/gateway/server_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 from rattanvalve.channels import Address
 from rattanvalve.errors import (
@@ -9,37 +10,48 @@
     ServerRefusedError,
     ServerUnreachableError,
 )
+from rattanvalve.gateway.read_turns import ReadTurns
 from rattanvalve.gateway.response_parser import ResponseHead, ResponseParser
 
 __all__ = ('ServerConnection', 'open_connection')
 
-#: Buffered bytes of a response at which reading from the server pauses.
-BUFFER_BYTES_MAX = 64 * 1024
+#: Bytes of one read, and of a response that may be unread before reading from
+#: the server pauses. Bounds the work of one connection at a time.
+READ_BYTES = 16 * 1024
 CONNECT_TIMEOUT_S = 0.6
 #: Time after which the kernel drops a connection with unacknowledged bytes.
 TCP_USER_TIMEOUT_MS = 1500
 
 
-class ServerConnection(asyncio.Protocol):
+#: Shared by all connections, as each read is parsed before the next one.
+_read_buffer = bytearray(READ_BYTES)
+
+
+class ServerConnection(asyncio.BufferedProtocol):
     """Sends one request at a time and reads its response.
 
     ``idle_since_s`` is the monotonic time at which the last request ended.
     ``origin`` tells why it was opened for the current request, or that it is
-    reused; empty before the first request.
+    reused; empty before the first request. ``refused_ids`` are the requests
+    that the server has refused on this connection.
+
+    :param turns: order of the connections whose servers send without a pause.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, turns: ReadTurns) -> None:
         self.idle_since_s: float = 0
         self.origin = ''
         self._transport: asyncio.Transport | None = None
         self._parser = ResponseParser()
         self._is_broken = False
+        self._turns = turns
+        #: Bytes received since the last part of the body was taken.
+        self._unread_bytes = 0
+        self._is_paused = False
         #: Error of the parser that broke the connection.
         self._error: ServerExchangeError | None = None
         self._waiter: asyncio.Future | None = None
-        self._request_id = ''
-        #: Ids of the requests that were refused on this connection.
-        self._refused_ids: set[str] = set()
+        self.refused_ids: set[str] = set()
 
     def send(self, request_id: str, payload: bytes) -> None:
         """Send a request; the response to the previous one must be complete.
@@ -50,18 +62,23 @@
         """
         if not self.is_open():
             raise ServerExchangeError('connection closed before sending')
-        self._request_id = request_id
         self._parser.expect(request_id)
         self._transport.write(payload)
 
-    async def read_head(self) -> ResponseHead:
+    async def read_head(self, hold: Callable[[int], None]) -> ResponseHead:
         """Wait for the head of the response.
 
+        :param hold: accounts for bytes of the head; may raise an error.
         :returns: status and headers of the response.
         :raises ServerExchangeError: if the connection breaks.
         """
+        held_bytes = 0
         while self._parser.head is None:
             await self._wait()
+            growth = self._parser.head_bytes - held_bytes
+            if growth > 0:
+                hold(growth)
+                held_bytes += growth
         return self._parser.head
 
     async def read_chunk(self) -> bytes:
@@ -70,17 +87,17 @@
         :returns: body bytes; empty at the end of a complete body.
         :raises ServerExchangeError: if the connection breaks.
         """
-        while not (self._parser.chunks or self._parser.is_complete):
+        while not (self._parser.buffered_bytes or self._parser.is_complete):
             await self._wait()
         chunk = self._parser.take_chunk()
-        if self._parser.buffered_bytes < BUFFER_BYTES_MAX and self.is_open():
-            self._transport.resume_reading()
+        self._unread_bytes = 0
+        if self._is_paused:
+            await self._turns.wait()
+            self._is_paused = False
+            if self.is_open():
+                self._transport.resume_reading()
         return chunk
 
-    def record_refusal(self) -> None:
-        """Record that the response refused the request."""
-        self._refused_ids.add(self._request_id)
-
     def has_refused(self, request_id: str) -> bool:
         """Return whether a request with this id was refused here.
 
@@ -90,7 +107,7 @@
         :param request_id: id of a request.
         :returns: whether the request needs another connection.
         """
-        return request_id in self._refused_ids
+        return request_id in self.refused_ids
 
     def is_open(self) -> bool:
         """Return whether the connection can carry data.
@@ -110,7 +127,8 @@
         parser = self._parser
         is_clean = parser.is_complete and parser.is_reusable
         is_recent = now_s - self.idle_since_s < parser.idle_timeout_s
-        return is_clean and is_recent and not parser.chunks and self.is_open()
+        is_read = not parser.buffered_bytes
+        return is_clean and is_recent and is_read and self.is_open()
 
     def close(self) -> None:
         """Abort the connection, which cancels a request in flight."""
@@ -125,17 +143,28 @@
         """
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer of the next read; called by the event loop.
+
+        :param sizehint: recommended size; ignored.
+        :returns: buffer of ``READ_BYTES``.
+        """
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; malformed ones close the connection.
 
-        :param data: next bytes of the stream, split at any position.
+        :param nbytes: number of bytes that were read into the buffer.
         """
+        self._unread_bytes += nbytes
         try:
-            self._parser.feed(data)
+            self._parser.feed(memoryview(_read_buffer)[:nbytes])
         except ServerExchangeError as error:
             self._error = error
             self.close()
-        if self._parser.buffered_bytes >= BUFFER_BYTES_MAX:
+        is_ahead = self._unread_bytes >= READ_BYTES
+        if is_ahead and self._parser.buffered_bytes and self.is_open():
+            self._is_paused = True
             self._transport.pause_reading()
         self._wake()
 
@@ -169,10 +198,13 @@
             self._waiter.set_result(None)
 
 
-async def open_connection(address: Address) -> ServerConnection:
+async def open_connection(
+    address: Address, turns: ReadTurns
+) -> ServerConnection:
     """Connect to a server.
 
     :param address: address on which the server listens.
+    :param turns: order of the connections whose servers send without a pause.
     :returns: an open connection.
     :raises ServerUnreachableError: if the connection fails or times out; no
         request was sent.
@@ -182,7 +214,7 @@
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             transport, connection = await loop.create_connection(
-                ServerConnection,
+                lambda: ServerConnection(turns),
                 address.host,
                 address.port,
             )
--- a/tests/limited_gateway.py
+++ b/tests/limited_gateway.py
@@ -20,6 +20,8 @@
 from tests.platform_servers import PlatformServer
 from tests.platform_store import PlatformStore
 
+#: Services whose servers may send without an end.
+_ENDLESS = ('models', 'frail')
 START_TIMEOUT_S = 20.0
 ANSWER_TIMEOUT_S = 20.0
 SAMPLE_INTERVAL_S = 0.02
@@ -27,6 +29,7 @@
 LARGE_BYTES = 4_000_000
 #: Third octets of the scenarios' addresses, apart from those of other tests.
 _octets = itertools.count(100)
+_request_numbers = itertools.count()
 NODE_FILE = """
 nodeName = "{name}"
 ip = "{host}"
@@ -76,20 +79,17 @@
         self._children = Children(self._folder)
         self._store = PlatformStore()
         self._server = LargeServer('app-1')
+        #: Ports of the servers in a process of their own, by service.
+        self._endless_ports = {service: free_port() for service in _ENDLESS}
         self._sampler = None
 
     async def start(self):
         """Start all parts and wait until the gateway is ready."""
         platform = await self._store.start()
-        spec = {
-            'service': 'app',
-            'address': await self._server.start(),
-            'zone': 'z',
-            'slots': 1000,
-            'state': 'ready',
-            'born': 1,
-        }
-        self._store.put('servers', 'app-1', spec)
+        self._register('app', await self._server.start())
+        for service, port in self._endless_ports.items():
+            self._register(service, f'127.0.0.1:{port}')
+        self._start_endless()
         self._store.put('config', 'main', configuration())
         self._start_process('store', 'rattanvalve.turnstore.main', platform)
         self._start_process('gateway', 'rattanvalve.gateway.main', platform)
@@ -130,17 +130,34 @@
             return False
         return True
 
-    async def request(self, body_bytes=2000, field_count=0):
+    async def request(self, body_bytes=2000, field_count=0, path='/look/whole'):
         """Send a request with short fields; return its status or 0."""
-        url = f'http://{self.host}:{self.callers_port}/look/whole'
+        url = f'http://{self.host}:{self.callers_port}{path}'
         headers = {
             'Host': 'farm.example',
-            'Request-Id': 'ordinary',
+            'Request-Id': f'request-{next(_request_numbers)}',
             'X-Api-Key': KEY,
         }
         headers |= {f'f{number}': '1' for number in range(field_count)}
         return await _status(url, headers, bytes(body_bytes))
 
+    def _register(self, service, address):
+        spec = {
+            'service': service,
+            'address': address,
+            'zone': 'z',
+            'slots': 1000,
+            'state': 'ready',
+            'born': 1,
+        }
+        self._store.put('servers', f'{service}-1', spec)
+
+    def _start_endless(self):
+        arguments = []
+        for service, port in self._endless_ports.items():
+            arguments.extend((f'{service}-1', str(port)))
+        self._children.start('servers', 'tests.endless_servers', *arguments)
+
     def _proc(self):
         return Path(f'/proc/{self._children.running["gateway"].pid}')
 
@@ -186,7 +203,9 @@
     async with aiohttp.ClientSession(timeout=timeout) as session:
         try:
             async with session.post(url, headers=headers, data=body) as answer:
-                await answer.read()
+                # Long responses are not collected.
+                while not answer.content.at_eof():
+                    await answer.content.readany()
                 return answer.status
         except (aiohttp.ClientError, TimeoutError):
             return 0
--- a/tests/steps/caller_limits_steps.py
+++ b/tests/steps/caller_limits_steps.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import sys
+import time
 
 from behave import given, then, when
 
 from tests.caller_crowds import run_crowd
 from tests.limited_gateway import LimitedGateway
 
+ORDINARY_INTERVAL_S = 0.1
+#: A third of the time that the route allows.
+ORDINARY_MAX_S = 1.0
+
 
 @given(
     'a gateway process with {memory_mb:d} MB of memory and '
@@ -53,6 +58,42 @@
     assert context.run(context.limited.is_answered(field_count=count))
 
 
+@when('{count:d} requests to {path} and ordinary ones are sent at once')
+def step_endless(context, count, path):
+    gateway = context.limited
+    #: Status and duration in seconds of each ordinary request.
+    context.ordinary = []
+    has_ended = asyncio.Event()
+
+    async def send_ordinary():
+        while not has_ended.is_set():
+            started_s = time.monotonic()
+            status = await gateway.request()
+            context.ordinary.append((status, time.monotonic() - started_s))
+            await asyncio.sleep(ORDINARY_INTERVAL_S)
+
+    async def send():
+        ordinary = asyncio.ensure_future(send_ordinary())
+        await asyncio.gather(
+            *(gateway.request(path=path) for _ in range(count))
+        )
+        has_ended.set()
+        await ordinary
+
+    context.run(send())
+
+
+@then('all ordinary requests were answered in time')
+def step_ordinary_answered(context):
+    statuses = {status for status, _ in context.ordinary}
+    longest_s = max(duration_s for _, duration_s in context.ordinary)
+    sys.stdout.write(
+        f'{len(context.ordinary)} requests, longest {longest_s:.2f} s\n'
+    )
+    assert statuses == {200}, context.ordinary
+    assert longest_s < ORDINARY_MAX_S, longest_s
+
+
 @when('{count:d} requests at once with {size:d} bytes each are sent')
 def step_send_all(context, count, size):
     context.statuses = _send_all(context, count, size)
