--- a/rattanvalve/chatstream.py
+++ b/rattanvalve/chatstream.py
@@ -4,6 +4,7 @@
 after any of them.
 """
 
+import io
 import re
 from typing import Any
 
@@ -17,6 +18,8 @@
 MAX_KEPT_BYTES = 1024 * 1024
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+#: Length of the longest match of ``_EVENT_END``.
+EVENT_END_BYTES_MAX = 4
 _DATA_PREFIX = b'data:'
 _EVENT_STREAM = 'text/event-stream'
 _DONE = b'[DONE]'
@@ -73,9 +76,12 @@
         self._can_continue = is_resumable
         self._is_resumed = False
         self._has_started = False
-        self._text: list[str] = []
+        # Buffers instead of lists, as objects of a few bytes cost a multiple.
+        self._text = io.StringIO()
         self._text_length = 0
-        self._partial = b''
+        self._partial = bytearray()
+        #: Bytes of ``_partial`` in which no event ends.
+        self._searched_bytes = 0
 
     @property
     def is_resumable(self) -> bool:
@@ -85,11 +91,11 @@
     @property
     def text(self) -> str:
         """Content of all forwarded events; empty beyond ``MAX_KEPT_BYTES``."""
-        return ''.join(self._text)
+        return self._text.getvalue()
 
     def start_run(self) -> None:
         """Expect the next bytes from another run; drop a partial event."""
-        self._partial = b''
+        self._take_partial()
         self._is_resumed = self._has_started
 
     def feed(self, content: bytes) -> bytes:
@@ -100,31 +106,45 @@
             ``MAX_KEPT_BYTES`` is returned in parts, and the response is then
             not resumable.
         """
-        pending = self._partial + content
-        forwarded = []
+        self._partial += content
+        forwarded = bytearray()
         start = 0
-        for match in _EVENT_END.finditer(pending):
-            event = pending[start : match.end()]
-            start = match.end()
+        for end in self._find_event_ends():
+            event = bytes(self._partial[start:end])
+            start = end
             if self._track_event(event):
-                forwarded.append(event)
-        self._partial = pending[start:]
+                forwarded += event
+        if start:
+            self._partial = self._partial[start:]
+        self._searched_bytes = len(self._partial)
         if len(self._partial) > MAX_KEPT_BYTES:
-            forwarded.append(self.flush())
-        return b''.join(forwarded)
+            forwarded += self.flush()
+        return bytes(forwarded)
 
     def flush(self) -> bytes:
         """Return a partial event; the response is then not resumable.
 
         :returns: buffered bytes that form no whole event.
         """
-        partial = self._partial
-        self._partial = b''
+        partial = self._take_partial()
         if partial:
             self._has_started = True
             self._can_continue = False
         return partial
 
+    def _find_event_ends(self) -> list[int]:
+        """Return where events end; bytes are not searched twice."""
+        # An end that is split between two calls begins before the new bytes.
+        start = max(self._searched_bytes - EVENT_END_BYTES_MAX, 0)
+        matches = _EVENT_END.finditer(self._partial, start)
+        return [match.end() for match in matches]
+
+    def _take_partial(self) -> bytes:
+        partial = bytes(self._partial)
+        self._partial.clear()
+        self._searched_bytes = 0
+        return partial
+
     def _track_event(self, event: bytes) -> bool:
         """Track an event; return whether to forward it.
 
@@ -152,11 +172,11 @@
                 self._can_continue = False
         text = choice.delta.get('content')
         if isinstance(text, str):
-            self._text.append(text)
+            self._text.write(text)
             self._text_length += len(text)
         if self._text_length > MAX_KEPT_BYTES:
             self._can_continue = False
-            self._text.clear()
+            self._text = io.StringIO()
 
 
 def _is_role_only(event: _ChatEvent) -> bool:
--- a/rattanvalve/responsestore.py
+++ b/rattanvalve/responsestore.py
@@ -34,8 +34,8 @@
     is_body_dropped: bool = False
     http_status: int = 0
     headers: tuple[Header, ...] = ()
-    parts: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
+    # A buffer, as one object for each part of a few bytes costs a multiple.
+    body: bytearray = field(default_factory=bytearray)
     usage: Usage = field(default_factory=Usage)
 
 
@@ -64,10 +64,9 @@
         """
         if record.is_body_dropped:
             return
-        record.parts.append(content)
-        record.body_bytes += len(content)
+        record.body += content
         self.total_bytes += len(content)
-        if record.body_bytes > self._max_body_bytes:
+        if len(record.body) > self._max_body_bytes:
             self.drop(record)
         self._evict_excess(record)
 
@@ -76,9 +75,7 @@
 
         :param record: record that gets no more content.
         """
-        # A single bytes object takes less memory than one per part.
-        record.parts = [b''.join(record.parts)]
-        if record.body_bytes:
+        if record.body:
             self._evictable[record.ticket.number] = record
 
     def drop(self, record: Record) -> None:
@@ -88,9 +85,8 @@
         :raises InvariantError: if the total size becomes negative.
         """
         record.is_body_dropped = True
-        self.total_bytes -= record.body_bytes
-        record.parts = []
-        record.body_bytes = 0
+        self.total_bytes -= len(record.body)
+        record.body = bytearray()
         self._evictable.pop(record.ticket.number, None)
         if self.total_bytes < 0:
             raise InvariantError(
@@ -120,7 +116,7 @@
             outcome=record.outcome,
             http_status=record.http_status,
             headers=record.headers,
-            body=b''.join(record.parts),
+            body=bytes(record.body),
             usage=record.usage,
         )
 
--- a/tests/steps/records_steps.py
+++ b/tests/steps/records_steps.py
@@ -213,8 +213,7 @@
 
     def check_bytes(self):
         """Compare the counted bytes with the sizes of the bodies."""
-        kept = [record.parts for record in self.book.records.values()]
-        total = sum(len(part) for parts in kept for part in parts)
+        total = sum(len(record.body) for record in self.book.records.values())
         assert total == self.book._responses.total_bytes
         assert total <= 2 * MAX_BODY_BYTES
 
@@ -268,7 +267,7 @@
 
 def without_count(book):
     """Break the book: bytes of bodies are not counted."""
-    book._responses.append = lambda record, part: record.parts.append(part)
+    book._responses.append = lambda record, part: record.body.extend(part)
 
 
 FAULTS = {
