End chains of turns that continue each other in a circle

A caller who uses the id of a request again, naming that turn or one that continues it, could let a store that had not stored the first one yet link turns in a circle. A store and a gateway then walked the chain for ever, the store with a list that grows. Found by reading, while the expiry of chains was reworked; shown by the test only, not with processes.

One function walks chains for both now and passes each turn once; three loops stood for it before. The test did not end within 20 s on the code of before.

--- a/rattanvalve/gateway/turn_client.py
+++ b/rattanvalve/gateway/turn_client.py
@@ -24,6 +24,7 @@
     TurnChain,
     TurnRecord,
 )
+from rattanvalve.turnstore.turnchains import walk_chain
 from rattanvalve.turnstore.turnrecords import LoggedMessage
 
 __all__ = ('TurnClient', 'merge_ledgers')
@@ -172,7 +173,7 @@
                 # here is never final.
                 return () if is_absent and missing_id == turn_id else None
             missing_id = _first_missing(turn_id, known)
-        return _build_chain(turn_id, known)
+        return tuple(walk_chain(turn_id, known.get))
 
     async def _find_turn(
         self,
@@ -353,20 +354,9 @@
 
 def _first_missing(turn_id: str, known: dict[str, TurnRecord]) -> str:
     """Return the id of the newest unknown turn of a chain, or empty."""
-    while turn_id in known:
-        turn_id = known[turn_id].previous_id
-    return turn_id
-
-
-def _build_chain(
-    turn_id: str,
-    known: dict[str, TurnRecord],
-) -> tuple[TurnRecord, ...]:
-    chain = []
-    while turn_id:
-        chain.append(known[turn_id])
-        turn_id = known[turn_id].previous_id
-    return tuple(chain)
+    for turn in walk_chain(turn_id, known.get):
+        turn_id = turn.previous_id
+    return '' if turn_id in known else turn_id
 
 
 def _ignore_result(task: asyncio.Task) -> None:
--- a/rattanvalve/turnstore/turnchains.py
+++ b/rattanvalve/turnstore/turnchains.py
@@ -1,11 +1,45 @@
 """Turns by id, each retained as long as the turns that continue it."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
+from typing import Protocol, TypeVar
 
 from rattanvalve.turnstore.disklog import Location
 
-__all__ = ('TurnChains', 'TurnEntry')
+__all__ = ('TurnChains', 'TurnEntry', 'walk_chain')
+
+
+class Continuing(Protocol):
+    """A turn that may continue another one."""
+
+    @property
+    def previous_id(self) -> str:
+        """Return the id of the turn that it continues; empty for none."""
+
+
+_Turn = TypeVar('_Turn', bound=Continuing)
+
+
+def walk_chain(
+    turn_id: str, find: Callable[[str], _Turn | None]
+) -> Iterator[_Turn]:
+    """Walk from a turn to its predecessors.
+
+    A caller who uses the id of a request again may link turns in a circle.
+
+    :param turn_id: id of the newest turn.
+    :param find: returns a turn by its id.
+    :returns: turns, newest first, each once; ends at the first one that is not
+        found.
+    """
+    seen = set()
+    while turn_id not in seen:
+        turn = find(turn_id)
+        if turn is None:
+            return
+        yield turn
+        seen.add(turn_id)
+        turn_id = turn.previous_id
 
 
 @dataclass(slots=True)
@@ -78,14 +112,7 @@
         :param turn_id: id of the newest turn.
         :returns: newest first; ends at the first turn that is not stored.
         """
-        chain = []
-        while turn_id:
-            turn = self._turns.get(turn_id)
-            if turn is None:
-                break
-            chain.append(turn)
-            turn_id = turn.previous_id
-        return chain
+        return list(walk_chain(turn_id, self._turns.get))
 
     def sweep(self, now_s: float) -> None:
         """Remove turns that have expired.
--- a/tests/steps/retention_steps.py
+++ b/tests/steps/retention_steps.py
@@ -13,10 +13,11 @@
 
 from rattanvalve.channels import Address
 from rattanvalve.counters import Counter, Metrics
+from rattanvalve.gateway.turn_client import TurnClient
 from rattanvalve.platform.nodefile import NodeSettings
 from rattanvalve.sharedstate.members import StoreMember
 from rattanvalve.sharedstate.rules import TrafficRules
-from rattanvalve.turn_messages import TurnRecord
+from rattanvalve.turn_messages import TurnChain, TurnRecord
 from rattanvalve.turnstore.authority import Authority
 from rattanvalve.turnstore.disklog import Location
 from rattanvalve.turnstore.memberstate import MemberState
@@ -102,6 +103,39 @@
     assert stored_count(index, context) == len(context.records)
 
 
+@given('a store and a gateway with a turn that continues itself')
+def step_circle(context):
+    open_circle(context, {'a': 'a'})
+
+
+@given('a store and a gateway with two turns that continue each other')
+def step_longer_circle(context):
+    open_circle(context, {'a': 'b', 'b': 'a'})
+
+
+def open_circle(context, previous_ids):
+    """Create an index and a gateway's client of a store with these turns."""
+    records = [turn(*item) for item in previous_ids.items()]
+    context.index = RecordIndex()
+    for record in records:
+        context.index.merge(LogRecord(0, record), LOCATION)
+
+    async def call(member, message, answer_class, timeout_s):
+        return TurnChain(is_complete=True, turns=tuple(records), epoch=1)
+
+    calls = mock.Mock(lost_disks_max=0, call=call, view=lambda: view_of('a'))
+    calls.reach.nearest_first = lambda members, zone: list(members)
+    context.client = TurnClient(calls, 'z')
+
+
+@then('both find its chain of {count:d} turn')
+@then('both find its chain of {count:d} turns')
+def step_circle_found(context, count):
+    assert len(context.index.turns.find_chain('a')) == count
+    chain = context.run(context.client.fetch('a', 'p', 1))
+    assert len(chain) == count
+
+
 @contextmanager
 def quiet_logs():
     """Suppress the logs of simulated processes."""
--- a/tests/turnstore/retention.feature
+++ b/tests/turnstore/retention.feature
@@ -7,6 +7,14 @@
     Then in each order of arrival all of it is stored until the newest expires
     And a turn that arrives after its own expiry is stored as long as the others
 
+  Scenario: turns that continue each other in a circle have an end
+    # A caller who used the id of a request again could let a store and a gateway
+    # walk such a chain for ever.
+    Given a store and a gateway with a turn that continues itself
+    Then both find its chain of 1 turn
+    Given a store and a gateway with two turns that continue each other
+    Then both find its chain of 2 turns
+
   Scenario Outline: no turn is lost while stores lose their disks in turn
     # Turns were lost when the last store with the beginning of their chain lost
     # its disk; with 6 stores also when another program continued a turn.
