--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -33,11 +33,23 @@
 _numbers = itertools.count(1)
 
 
+#: Ports that were drawn in this test run.
+_drawn_ports = set()
+
+
 def free_port():
-    """Return a TCP port that is free on all local addresses."""
-    with socket.socket() as probe:
-        probe.bind(('0.0.0.0', 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that is free on all local addresses.
+
+    The system may return a port twice, as none is bound until its process
+    starts.
+    """
+    port = None
+    while port is None or port in _drawn_ports:
+        with socket.socket() as probe:
+            probe.bind(('0.0.0.0', 0))
+            port = probe.getsockname()[1]
+    _drawn_ports.add(port)
+    return port
 
 
 async def wait_until(condition):
