--- a/rattanvalve/gateway/explain_main.py
+++ b/rattanvalve/gateway/explain_main.py
@@ -4,19 +4,14 @@
 is not sent and uses no token.
 """
 
-import sys
 from collections.abc import Sequence
 
 import click
-import uvloop
 from multidict import CIMultiDict
 
 from rattanvalve.channels import Address
-from rattanvalve.errors import PeerError, SettingsError
-from rattanvalve.peers import PeerPool
+from rattanvalve.peer_command import call_process
 from rattanvalve.platform import names
-from rattanvalve.platform.programs import read_peer_secret
-from rattanvalve.settings import SETTINGS_EXIT_CODE
 from rattanvalve.tables import format_table
 from rattanvalve.turn_messages import (
     ExplainedCandidate,
@@ -27,7 +22,6 @@
 
 __all__ = ('main',)
 
-CALL_TIMEOUT_S = 3.0
 _HEADERS = (
     '',
     'endpoint',
@@ -59,7 +53,7 @@
     Previous-Turn count.
     """
     message = _build_message(host, path, header)
-    explained = _call(Address(gateway, port), message)
+    explained = call_process(Address(gateway, port), message)
     click.echo(_format(explained))
 
 
@@ -119,29 +113,5 @@
     return 'yes' if is_so else 'no'
 
 
-def _call(address: Address, message: ExplainPlacement) -> PlacementExplained:
-    try:
-        secret = read_peer_secret()
-        return uvloop.run(_exchange(secret, address, message))
-    except SettingsError as error:
-        click.echo(str(error), err=True)
-        sys.exit(SETTINGS_EXIT_CODE)
-    except PeerError as error:
-        click.echo(
-            f'{address.host}:{address.port} does not answer: {error}', err=True
-        )
-        sys.exit(1)
-
-
-async def _exchange(
-    secret: bytes, address: Address, message: ExplainPlacement
-) -> PlacementExplained:
-    pool = PeerPool(secret)
-    try:
-        return await pool.call(address, message, CALL_TIMEOUT_S)
-    finally:
-        pool.close()
-
-
 if __name__ == '__main__':
     main()
--- a/rattanvalve/turnstore/crashes_main.py
+++ b/rattanvalve/turnstore/crashes_main.py
@@ -9,20 +9,15 @@
 from dataclasses import replace
 
 import click
-import uvloop
 
 from rattanvalve import __version__
 from rattanvalve.channels import Address
-from rattanvalve.errors import PeerError, SettingsError
-from rattanvalve.peers import PeerPool
-from rattanvalve.platform.programs import read_peer_secret
-from rattanvalve.settings import SETTINGS_EXIT_CODE
+from rattanvalve.peer_command import call_process
 from rattanvalve.tables import format_table
 from rattanvalve.turn_messages import Observations, RequestCrash
 
 __all__ = ('main',)
 
-CALL_TIMEOUT_S = 3.0
 _MS_PER_S = 1000
 _HEADERS = (
     'fingerprint',
@@ -89,25 +84,7 @@
 
 def _call(address: Address, message: Observations) -> tuple[RequestCrash, ...]:
     """Send observations to a turn store and return the crashes it knows."""
-    try:
-        secret = read_peer_secret()
-        answer = uvloop.run(_exchange(secret, address, message))
-    except SettingsError as error:
-        click.echo(str(error), err=True)
-        sys.exit(SETTINGS_EXIT_CODE)
-    except PeerError as error:
-        _fail(f'{address.host}:{address.port} does not answer: {error}')
-    return answer.crashes
-
-
-async def _exchange(
-    secret: bytes, address: Address, message: Observations
-) -> Observations:
-    pool = PeerPool(secret)
-    try:
-        return await pool.call(address, message, CALL_TIMEOUT_S)
-    finally:
-        pool.close()
+    return call_process(address, message).crashes
 
 
 def _fail(text: str) -> None:
--- a/tests/steps/members_steps.py
+++ b/tests/steps/members_steps.py
@@ -1,9 +1,7 @@
 """Steps of turnstore/members.feature."""
 
-import logging
 import shutil
 import tempfile
-from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
 
@@ -27,6 +25,7 @@
 from rattanvalve.turnstore.service import TurnService
 from tests.member_lists import single_set_view
 from tests.membership_simulation import Event, play, random_schedule
+from tests.quiet_logs import quiet_logs
 
 LOST_DISKS_MAX = 1
 CHANGE_S = 4.0
@@ -36,16 +35,6 @@
 SILENT_S = memberplans.UNRESPONSIVE_TIMEOUT_S + 1
 
 
-@contextmanager
-def quiet_logs():
-    """Suppress the logs of hundreds of simulated processes."""
-    logging.disable(logging.CRITICAL)
-    try:
-        yield
-    finally:
-        logging.disable(logging.NOTSET)
-
-
 def check(seed, schedule, is_placed=bool):
     """Play a schedule; no rule may be broken."""
     with quiet_logs():
--- a/tests/steps/retention_steps.py
+++ b/tests/steps/retention_steps.py
@@ -1,11 +1,9 @@
 """Steps of turnstore/retention.feature."""
 
 import itertools
-import logging
 import shutil
 import tempfile
 import time
-from contextlib import contextmanager
 from pathlib import Path
 from unittest import mock
 
@@ -29,6 +27,7 @@
     retention_max_ms,
 )
 from tests.member_lists import single_set_view
+from tests.quiet_logs import quiet_logs
 from tests.retention_simulation import (
     losses_in_turn,
     play_pauses,
@@ -136,16 +135,6 @@
     assert len(chain) == count
 
 
-@contextmanager
-def quiet_logs():
-    """Suppress the logs of simulated processes."""
-    logging.disable(logging.CRITICAL)
-    try:
-        yield
-    finally:
-        logging.disable(logging.NOTSET)
-
-
 @then(
     'every turn can be continued if {count:d} stores lose their disks in turn'
 )
