End a head with more headers than allowed at once, and measure without the test

Traced: with the same scenario the gateway's own durations were 151 ms at most (quiet and beside ten busy processes), the rest was the test, whose 300 callers began at once in its own process. With callers in a process of their own, short fields still took 0.69 and 0.80 s: each head of 60 KiB had 15,000 fields, all parsed although only 256 were kept.

The callers are a process of their own now and begin 5 ms apart, the bound of 1 s stays. A head ends with header 257. The check that header lines without end are given up after 64 KiB now asks for 256 lines, which is earlier; that one line and trailers end after 64 KiB is checked as before.

--- a/rattanvalve/gateway/response_parser.py
+++ b/rattanvalve/gateway/response_parser.py
@@ -63,7 +63,6 @@
         self._request_id = ''
         self._request_count = 0
         self._headers: CIMultiDict[str] = CIMultiDict()
-        self._header_count = 0
         self._is_matched = False
         self._is_close_delimited = False
         self._is_in_head = False
@@ -147,7 +146,6 @@
     def on_message_begin(self) -> None:
         """Reset the header state at the first byte of a response."""
         self._headers = CIMultiDict()
-        self._header_count = 0
         self._is_in_head = True
         self._is_matched = False
         if self.is_complete:
@@ -159,20 +157,21 @@
 
         :param name: name of the header.
         :param content: value of the header.
+        :raises ValueError: if the head has too many headers, which ends the
+            parsing.
         """
         if not self._is_in_head:
             # Trailers are unused, and a server may send any number of them.
             return
-        self._header_count += 1
-        if self._header_count > HEADER_COUNT_MAX:
-            return
+        if len(self._headers) >= HEADER_COUNT_MAX:
+            raise ValueError(name)
         self._headers.add(name.decode('latin-1'), content.decode('latin-1'))
 
     def on_headers_complete(self) -> None:
         """Match the response to the request; store the head on a match.
 
-        :raises ValueError: if the status is not between 100 and 599 or the head
-            has too many headers, which ends the parsing.
+        :raises ValueError: if the status is not between 100 and 599, which
+            ends the parsing.
         """
         self._is_in_head = False
         self._head_bytes = 0
@@ -180,8 +179,6 @@
         if status not in _STATUSES:
             self._invalid_status = status
             raise ValueError(status)
-        if self._header_count > HEADER_COUNT_MAX:
-            raise ValueError(self._header_count)
         self._is_matched = self._matches_request(status)
         if not self._is_matched:
             return
--- a/tests/gateway/endless_bytes.feature
+++ b/tests/gateway/endless_bytes.feature
@@ -1,7 +1,7 @@
 Feature: servers that send bytes without an end
 
   Scenario: a head without an end breaks the connection
-    Then header lines without end are given up after 64 KiB
+    Then header lines without end are given up after 256 lines
     And one header line without end is given up after 64 KiB
     And trailers without end are given up after 64 KiB
     And interim responses without end are given up after 1 MiB
--- a/tests/limited_gateway.py
+++ b/tests/limited_gateway.py
@@ -10,13 +10,12 @@
 import tempfile
 from pathlib import Path
 
-import aiohttp
-
 from rattanvalve.child_processes import Children
 from rattanvalve.platform.nodefile import ENVIRONMENT_VARIABLE
 from rattanvalve.platform.programs import SECRET_VARIABLE
+from tests.crowd_callers import post
 from tests.loopback import network
-from tests.platform_fleet import KEY, SECRET, configuration, free_port
+from tests.platform_fleet import SECRET, configuration, free_port
 from tests.platform_servers import PlatformServer
 from tests.platform_store import PlatformStore
 
@@ -132,14 +131,20 @@
 
     async def request(self, body_bytes=2000, field_count=0, path='/look/whole'):
         """Send a request with short fields; return its status or 0."""
-        url = f'http://{self.host}:{self.callers_port}{path}'
-        headers = {
-            'Host': 'farm.example',
-            'Request-Id': f'request-{next(_request_numbers)}',
-            'X-Api-Key': KEY,
-        }
-        headers |= {f'f{number}': '1' for number in range(field_count)}
-        return await _status(url, headers, bytes(body_bytes))
+        name = f'request-{next(_request_numbers)}'
+        fields = {f'f{number}': '1' for number in range(field_count)}
+        return await post(self._url(path), name, bytes(body_bytes), fields)
+
+    async def send_crowd(self, path, count):
+        """Send requests from another process, until all have ended."""
+        url = self._url(path)
+        self._children.start('crowd', 'tests.crowd_callers', url, str(count))
+        crowd = self._children.running['crowd']
+        while crowd.poll() is None:  # noqa: ASYNC110 - no event to wait for
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    def _url(self, path):
+        return f'http://{self.host}:{self.callers_port}{path}'
 
     def _register(self, service, address):
         spec = {
@@ -163,7 +168,7 @@
 
     async def _is_ready(self):
         url = f'http://{self.host}:{self.ready_port}/ready'
-        return await _status(url, {}, b'') == 200
+        return await post(url, 'probe') == 200
 
     async def _sample(self):
         while self.is_alive():
@@ -195,17 +200,3 @@
             SECRET_VARIABLE: SECRET.decode(),
         }
         self._children.start(name, module)
-
-
-async def _status(url, headers, body):
-    """Return the status of a response; 0 without one."""
-    timeout = aiohttp.ClientTimeout(total=3)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
-        try:
-            async with session.post(url, headers=headers, data=body) as answer:
-                # Long responses are not collected.
-                while not answer.content.at_eof():
-                    await answer.content.readany()
-                return answer.status
-        except (aiohttp.ClientError, TimeoutError):
-            return 0
--- a/tests/steps/caller_limits_steps.py
+++ b/tests/steps/caller_limits_steps.py
@@ -74,9 +74,7 @@
 
     async def send():
         ordinary = asyncio.ensure_future(send_ordinary())
-        await asyncio.gather(
-            *(gateway.request(path=path) for _ in range(count))
-        )
+        await gateway.send_crowd(path, count)
         has_ended.set()
         await ordinary
 
--- a/tests/steps/gateway_endless_steps.py
+++ b/tests/steps/gateway_endless_steps.py
@@ -61,12 +61,13 @@
     assert abs(total - limit_kib * KIB) <= 2 * PIECE_BYTES, total
 
 
-@then('header lines without end are given up after {limit:d} KiB')
+@then('header lines without end are given up after {limit:d} lines')
 def step_lines(context, limit):
-    assert_near_limit(
-        bytes_until_error(parser_feed(), STATUS_LINE, fill_piece(HEADER_LINE)),
-        limit,
-    )
+    total = bytes_until_error(parser_feed(), STATUS_LINE, HEADER_LINE)
+    line_count = (total - len(STATUS_LINE)) // len(HEADER_LINE)
+    # The parser reports a header at the beginning of the next one.
+    assert limit < line_count <= limit + 2, line_count
+    assert total <= 64 * KIB
 
 
 @then('one header line without end is given up after {limit:d} KiB')
