--- a/rattanvalve/turnstore/turnchains.py
+++ b/rattanvalve/turnstore/turnchains.py
@@ -59,8 +59,8 @@
     """Turns and their expiry, whatever the order in which they are added.
 
     A store may get a turn before its predecessors, for example while it reads
-    the records of others. A turn therefore extends the expiry of those that
-    are missing, too: it is kept until the missing turn is added.
+    the records of others. The expiry that a turn needs of a missing one is
+    therefore remembered until that one is added.
     """
 
     def __init__(self) -> None:
