Send without end by the stand-in's own method

EndlessServer had a second loop that sends until the gateway closes; it differed from PlatformServer._send_endless only in the size of its writes. Test code only, no assertion changes.

--- a/tests/endless_servers.py
+++ b/tests/endless_servers.py
@@ -12,8 +12,8 @@
 
 __all__ = ('EndlessServer',)
 
-#: Bytes that are written at a time.
-WRITE_BYTES = 64 * 1024
+#: Bytes that are repeated without end; several of them are written at a time.
+WRITE_BYTES = 4 * 1024
 #: Size of a head or event that is below the limits, but never completed.
 HELD_HEAD_BYTES = 60 * 1024
 HELD_EVENT_BYTES = 250 * 1024
@@ -55,22 +55,22 @@
     async def _do_events(self, request_id, reader, writer):
         """Send events of two bytes of data."""
         head = self._stream_head(request_id)
-        await self._send_until_closed(writer, head, _EVENTS)
+        await self._send_endless(writer, head, _EVENTS)
 
     async def _do_comments(self, request_id, reader, writer):
         """Send events without data."""
         head = self._stream_head(request_id)
-        await self._send_until_closed(writer, head, _COMMENTS)
+        await self._send_endless(writer, head, _COMMENTS)
 
     async def _do_eventchunks(self, request_id, reader, writer):
         """Send events in chunks of one byte."""
         head = self._stream_head(request_id)
-        await self._send_until_closed(writer, head, _SMALL_EVENT_CHUNKS)
+        await self._send_endless(writer, head, _SMALL_EVENT_CHUNKS)
 
     async def _do_chunks(self, request_id, reader, writer):
         """Send a body in chunks of one byte."""
         head = self._stream_head(request_id)
-        await self._send_until_closed(writer, head, _SMALL_CHUNKS)
+        await self._send_endless(writer, head, _SMALL_CHUNKS)
 
     async def _do_shortlines(self, request_id, reader, writer):
         """Send an event of very many lines, and then nothing."""
@@ -86,7 +86,7 @@
         """Send a whole response, and then bytes without end."""
         response = self._whole(request_id, b'whole')
         interim = repeat(b'HTTP/1.1 100 Continue\r\n\r\n')
-        await self._send_until_closed(writer, response, interim)
+        await self._send_endless(writer, response, interim)
 
     async def _do_longline(self, request_id, reader, writer):
         """Send one line of an event in very small pieces."""
@@ -100,15 +100,6 @@
         except CONNECTION_ERRORS:
             self.endless_ended += 1
 
-    async def _send_until_closed(self, writer, start, data):
-        writer.write(start)
-        try:
-            while True:
-                writer.write(data)
-                await writer.drain()
-        except CONNECTION_ERRORS:
-            self.endless_ended += 1
-
     async def _send_and_wait(self, reader, writer, data):
         writer.write(data)
         await reader.read(1)
