Keep 512 connections in the queue of each listener

Callers saw: when more connections than a sixteenth of the descriptors (102 of 1638) arrived while a gateway was busy for some milliseconds, the others were answered a second later, as the kernel drops a SYN that does not fit into the queue of the listener, and its peer sends it again after one second.

Cause: the queue was short because all of it was believed to be accepted before the guard closes what is too much. uvloop accepts one connection of a listener in each iteration (300 of 300, measured), so no descriptors have to be kept for the queue. Peers had the default of 100.

Related: connections of peers, which all gateways open at once after the start of a turn store.

--- a/rattanvalve/gateway/caller_limits.py
+++ b/rattanvalve/gateway/caller_limits.py
@@ -30,9 +30,9 @@
 PEER_DESCRIPTORS = 64
 #: Descriptors of a caller: its connection and that of its endpoint.
 CALLER_DESCRIPTORS = 2
-BACKLOG_MAX = 512
-#: Connections that arrive at once are accepted before one can be closed.
-BACKLOG_SHARE = 1 / 16
+#: Descriptors of connections that are accepted before others are closed. The
+#: event loop accepts one connection of a listener at a time.
+ACCEPTED_DESCRIPTORS = 64
 CONNECTIONS_MIN = 16
 PROBES_SHARE = 1 / 8
 #: Fields count without the colon, the space and the line end on the wire, so
@@ -50,7 +50,6 @@
 
     connections_max: int
     probes_max: int
-    backlog: int
     held_bytes_max: int
 
 
@@ -64,8 +63,7 @@
     memory_bytes = memory_mb * 1_000_000
     free_bytes = max(memory_bytes * (1 - CACHE_SHARE) - IDLE_BYTES, 0)
     by_memory = free_bytes * CONNECTION_SHARE / CONNECTION_BYTES
-    backlog = min(BACKLOG_MAX, int(descriptors_max * BACKLOG_SHARE))
-    reserved = FILE_DESCRIPTORS + PEER_DESCRIPTORS + 2 * backlog
+    reserved = FILE_DESCRIPTORS + PEER_DESCRIPTORS + ACCEPTED_DESCRIPTORS
     by_descriptors = (descriptors_max - reserved) / CALLER_DESCRIPTORS
     count = max(int(min(by_memory, by_descriptors)), CONNECTIONS_MIN)
     probes_max = max(int(count * PROBES_SHARE), CONNECTIONS_MIN)
@@ -73,7 +71,6 @@
     return CallerLimits(
         connections_max=max(count - probes_max, CONNECTIONS_MIN),
         probes_max=probes_max,
-        backlog=max(backlog, CONNECTIONS_MIN),
         held_bytes_max=max(held_bytes, HELD_BYTES_MIN),
     )
 
--- a/rattanvalve/gateway/caller_socket.py
+++ b/rattanvalve/gateway/caller_socket.py
@@ -11,12 +11,11 @@
 
 import socket
 
-from rattanvalve.addresses import Address
+from rattanvalve.addresses import LISTEN_BACKLOG, Address
 from rattanvalve.platform.nodefile import NodeSettings
 
 __all__ = ('open_caller_socket', 'open_listener')
 
-LISTEN_BACKLOG = 512
 #: Bytes that the kernel keeps of a caller that is not read; it doubles the
 #: value. By default this grows to some megabytes for each connection.
 RECEIVE_BUFFER_BYTES = 64 * 1024
--- a/rattanvalve/gateway/listening.py
+++ b/rattanvalve/gateway/listening.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from rattanvalve.channels import Address
+from rattanvalve.addresses import LISTEN_BACKLOG, Address
 from rattanvalve.counters import Metrics
 from rattanvalve.gateway.caller_connection import CallerServer
 from rattanvalve.gateway.caller_limits import (
@@ -62,14 +62,12 @@
 class CallerGuards:
     """Guards of the listeners for callers and for readiness probes.
 
-    ``memory`` is their budget of bytes, and ``backlog`` the largest number of
-    connections that wait to be accepted.
+    ``memory`` is their budget of bytes.
     """
 
     memory: CallerMemory
     callers: ConnectionGuard
     probes: ConnectionGuard
-    backlog: int
 
 
 def create_guards(state: SharedState) -> CallerGuards:
@@ -97,7 +95,6 @@
         memory=memory,
         callers=create(limits.connections_max),
         probes=create(limits.probes_max),
-        backlog=limits.backlog,
     )
 
 
@@ -144,18 +141,18 @@
 async def listen(
     server: web.Server,
     address: Address,
-    backlog: int,
     listening: ListeningSocket | None = None,
 ) -> asyncio.Server:
     """Accept connections at an address.
 
     :param server: factory of one protocol per connection.
     :param address: local address to bind.
-    :param backlog: largest number of connections that are not yet accepted.
     :param listening: socket that already listens there, if any.
     :returns: the listener; the caller closes it, and with it the socket.
     :raises OSError: if the address cannot be bound.
     """
     return await asyncio.get_running_loop().create_server(
-        server, sock=listening or open_listener(address), backlog=backlog
+        server,
+        sock=listening or open_listener(address),
+        backlog=LISTEN_BACKLOG,
     )
--- a/rattanvalve/gateway/process.py
+++ b/rattanvalve/gateway/process.py
@@ -171,15 +171,13 @@
         callers: web.Server,
         closers: AsyncExitStack,
     ) -> None:
-        backlog = self._guards.backlog
         self._listener = await listen(
-            callers, self._node.callers, backlog, self._caller_socket
+            callers, self._node.callers, self._caller_socket
         )
         closers.callback(self._listener.close)
         server = await listen(
             readiness_server(self._is_ready, self._guards.probes),
             self._node.readiness,
-            backlog,
         )
         closers.callback(server.close)
         metrics_server = await serve_metrics(self._page, self._node)
--- a/rattanvalve/peer_server.py
+++ b/rattanvalve/peer_server.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from rattanvalve import wire
+from rattanvalve.addresses import LISTEN_BACKLOG
 from rattanvalve.channels import READ_LIMIT_BYTES, Address, Channel, Handler
 from rattanvalve.counters import Counter, Metrics
 from rattanvalve.errors import FrameError, InvariantError, PeerError
@@ -62,6 +63,7 @@
             address.host,
             address.port,
             limit=READ_LIMIT_BYTES,
+            backlog=LISTEN_BACKLOG,
         )
         port = self._server.sockets[0].getsockname()[1]
         return Address(address.host, port)
--- a/tests/limited_gateway.py
+++ b/tests/limited_gateway.py
@@ -7,6 +7,7 @@
 import itertools
 import os
 import shutil
+import signal
 import tempfile
 from pathlib import Path
 
@@ -24,6 +25,8 @@
 START_TIMEOUT_S = 20.0
 ANSWER_TIMEOUT_S = 20.0
 SAMPLE_INTERVAL_S = 0.02
+#: Less than the second after which the kernel sends a dropped SYN again.
+PAUSE_S = 0.9
 GRACE_S = 2.0
 LARGE_BYTES = 4_000_000
 #: Third octets of the scenarios' addresses, apart from those of other tests.
@@ -111,10 +114,39 @@
         return self._children.running['gateway'].poll() is None
 
     def memory_peak_kb(self):
-        """Return the peak of the resident memory (``VmHWM``)."""
-        text = (self._proc() / 'status').read_text()
-        line = next(row for row in text.splitlines() if 'VmHWM' in row)
-        return int(line.split()[1])
+        """Return the peak of the resident memory."""
+        return self._kernel_count('VmHWM')
+
+    def descriptor_table_size(self):
+        """Return the size of the table of descriptors, which never shrinks."""
+        return self._kernel_count('FDSize')
+
+    async def connect_while_paused(self, port, count):
+        """Open connections to a port of the process while it is paused.
+
+        :param port: ``callers``, ``probes`` or ``peers``.
+        :returns: the writers of those that the kernel has completed in time.
+        """
+        ports = {
+            'callers': self.callers_port,
+            'probes': self.ready_port,
+            'peers': self._internal_port,
+        }
+        pid = self._children.running['gateway'].pid
+        os.kill(pid, signal.SIGSTOP)
+        try:
+            attempts = [
+                asyncio.ensure_future(
+                    asyncio.open_connection(self.host, ports[port])
+                )
+                for _ in range(count)
+            ]
+            opened, late = await asyncio.wait(attempts, timeout=PAUSE_S)
+        finally:
+            os.kill(pid, signal.SIGCONT)
+        for unfinished in late:
+            unfinished.cancel()
+        return [finished.result()[1] for finished in opened]
 
     async def is_answered(self, **options):
         """Return whether an ordinary request gets 200 within the timeout.
@@ -163,6 +195,11 @@
             arguments.extend((f'{service}-1', str(port)))
         self._children.start('servers', 'tests.endless_servers', *arguments)
 
+    def _kernel_count(self, name):
+        text = (self._proc() / 'status').read_text()
+        line = next(row for row in text.splitlines() if name in row)
+        return int(line.split()[1])
+
     def _proc(self):
         return Path(f'/proc/{self._children.running["gateway"].pid}')
 
--- a/tests/steps/caller_limits_steps.py
+++ b/tests/steps/caller_limits_steps.py
@@ -33,6 +33,29 @@
     context.run(run_crowd(kind, count, gateway.host, port, path))
 
 
+@when('{count:d} connections to its {port} are opened while it is paused')
+def step_paused(context, count, port):
+    gateway = context.limited
+    context.writers = context.run(gateway.connect_while_paused(port, count))
+
+    async def close():
+        for writer in context.writers:
+            writer.close()
+
+    context.closers.append(close)
+
+
+@then('its table of descriptors never had more than {count:d} entries')
+def step_table(context, count):
+    size = context.limited.descriptor_table_size()
+    assert size <= count, size
+
+
+@then('all {count:d} connections were open before the process went on')
+def step_open(context, count):
+    assert len(context.writers) == count, len(context.writers)
+
+
 @then('the process lives within its memory and its descriptors')
 def step_within_limits(context):
     gateway = context.limited
