Do not take an endpoint for unreachable while it answers others

Callers saw: 503 (1203, the queue is full) for up to 138 of 240 requests that came at once, although the only server was up and answered the others.

Cause: the kernel of a server drops connections that do not fit into the queue of its listener. The connect timed out after 0.6 s, the server was avoided for a second and the request had no other server.

Change: a connect that times out counts as a failure only if no response has come from the endpoint since the connect began. Otherwise the request tries once more, first with connections that have become idle, and the counter connection.not_accepted grows. A refused connection counts at once, as before.

The stand-in server awaits the end of a cancelled read now; without that it closed the connection of a held request.

--- a/rattanvalve/counters.py
+++ b/rattanvalve/counters.py
@@ -58,6 +58,7 @@
     CONNECTION_OPENED_EXPIRED = 'connection.opened_expired'
     CONNECTION_OPENED_REFUSED = 'connection.opened_refused'
     CONNECTION_OPENED_CHECK = 'connection.opened_check'
+    CONNECTION_NOT_ACCEPTED = 'connection.not_accepted'
     CONNECTION_OUTSIDE_SUBSET = 'connection.outside_subset'
     RATE_START_REFUSED = 'rate.start_refused'
     RATE_CONTINUATION_REFUSED = 'rate.continuation_refused'
--- a/rattanvalve/entry_process.py
+++ b/rattanvalve/entry_process.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from rattanvalve import admin_api, history, views
+from rattanvalve.addresses import LISTEN_BACKLOG
 from rattanvalve.blackboard import Blackboard
 from rattanvalve.busy_connections import BusyConnections
 from rattanvalve.caller_api import (
@@ -208,6 +209,7 @@
             listen.host,
             listen.port,
             ssl_context=self._tls[f'{name}_tls'],
+            backlog=LISTEN_BACKLOG,
         ).start()
 
     async def _close_idle(self) -> None:
--- a/rattanvalve/gateway/attempt_health.py
+++ b/rattanvalve/gateway/attempt_health.py
@@ -14,14 +14,17 @@
 from rattanvalve.gateway.loads import EndpointLoad
 from rattanvalve.gateway.placement import Demand
 from rattanvalve.gateway.trace import Trace
+from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 
-__all__ = ('HealthRecorder', 'SentRequest')
+__all__ = ('HealthRecorder', 'SentRequest', 'avoid')
 
 #: A request that the caller cancels after this time or later counts as a
 #: failure of the endpoint, because the endpoint probably hangs.
 HANG_THRESHOLD_S = 1.5
 
+_log = part_logger(LogPart.GATEWAY)
+
 
 class _Outcome(Enum):
     """Result of a request for the health statistics of its endpoint."""
@@ -129,3 +132,25 @@
             sent.costs.record_duration(duration_s * 1000)
             slowness = self._average_durations.add(call.route.name, duration_s)
             health.record_success(slowness, now_s)
+
+
+def avoid(
+    endpoint: EndpointEntry, load: EndpointLoad, duration_s: float
+) -> None:
+    """Let placement avoid an endpoint for some time after a failure.
+
+    :param endpoint: the endpoint.
+    :param load: its load.
+    :param duration_s: time in seconds.
+    """
+    now_s = time.monotonic()
+    if load.avoided_until_s < now_s:
+        _log.warning(
+            'endpoint avoided',
+            extra={
+                'endpoint': endpoint.name,
+                'duration_s': duration_s,
+                'failure_ratio': round(load.health.failure_ratio(now_s), 2),
+            },
+        )
+    load.avoided_until_s = now_s + duration_s
--- a/rattanvalve/gateway/attempts.py
+++ b/rattanvalve/gateway/attempts.py
@@ -5,16 +5,20 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from rattanvalve.clocks import boot_time_s
 from rattanvalve.counters import Counter
 from rattanvalve.errors import (
     QuorumError,
     ResponseStatusError,
     ServerExchangeError,
-    ServerUnreachableError,
 )
-from rattanvalve.gateway.attempt_health import HealthRecorder, SentRequest
+from rattanvalve.gateway.attempt_errors import AttemptFailedError
+from rattanvalve.gateway.attempt_health import (
+    HealthRecorder,
+    SentRequest,
+    avoid,
+)
 from rattanvalve.gateway.calls import Call
+from rattanvalve.gateway.connecting import Connector
 from rattanvalve.gateway.endpoint_choice import ChosenEndpoint
 from rattanvalve.gateway.endpoint_tables import EndpointTables
 from rattanvalve.gateway.events import EventParser
@@ -25,17 +29,15 @@
 from rattanvalve.gateway.sinks import Sink
 from rattanvalve.gateway.trace import Trace
 from rattanvalve.gateway.turns import TurnManager
-from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.platform import names
 from rattanvalve.platform.requests import encode_request
 from rattanvalve.sharedstate.endpoints import EndpointEntry
 from rattanvalve.sharedstate.shared_state import SharedState
 
-__all__ = ('AttemptFailedError', 'Attempts', 'GrantExpiredError')
+__all__ = ('Attempts',)
 
-#: Seconds for which placement avoids an endpoint after a failed connect.
-UNREACHABLE_AVOID_S = 1.0
-#: The same after a connection that broke during a request.
+#: Seconds for which placement avoids an endpoint after a connection that broke
+#: during a request.
 BROKEN_AVOID_S = 0.3
 #: Longest wait for the check of an endpoint before a request goes to the next.
 CRASH_CHECK_WAIT_S = 0.1
@@ -45,32 +47,6 @@
 BUFFER_SPARE = 8
 SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
 
-_log = part_logger(LogPart.GATEWAY)
-
-
-class AttemptFailedError(Exception):
-    """An attempt that ended without a complete response.
-
-    ``may_have_run`` is false if the endpoint certainly did not execute the
-    request. ``is_endpoint_down`` is true if the endpoint did not accept a new
-    connection after the failure; checked on resumable routes only.
-    """
-
-    def __init__(
-        self,
-        reason: str,
-        *,
-        may_have_run: bool,
-        is_endpoint_down: bool = False,
-    ) -> None:
-        super().__init__(reason)
-        self.may_have_run = may_have_run
-        self.is_endpoint_down = is_endpoint_down
-
-
-class GrantExpiredError(Exception):
-    """The rate grant of a request expired before the request was sent."""
-
 
 class Attempts:
     """Sends requests to endpoints and records their load and health.
@@ -95,6 +71,7 @@
         self._tables = tables
         self._loads = tables.loads
         self._pool = tables.pool
+        self._connector = Connector(tables)
         self._turns = turns
         self._health = HealthRecorder()
         self._crash_watch = tables.crash_watch
@@ -122,7 +99,7 @@
             stream is withdrawn.
         """
         endpoint = chosen.endpoint
-        connection = await self._connect(call, chosen)
+        connection = await self._connector.connect(call, chosen)
         trace.connections.append(connection.origin)
         load = self._loads.get(endpoint)
         sent = SentRequest.now(demand, endpoint, load, time.monotonic())
@@ -144,7 +121,7 @@
                 self._tables.crashes.record_served(call)
         except ServerExchangeError as error:
             connection.close()
-            self._avoid(endpoint, BROKEN_AVOID_S)
+            avoid(endpoint, load, BROKEN_AVOID_S)
             raise AttemptFailedError(
                 self._broken_reason(error),
                 may_have_run=True,
@@ -194,31 +171,6 @@
         if limit_per_s is not None:
             self._state.metrics.count(Counter.ENDPOINT_LIMITED_REQUESTS)
 
-    async def _connect(
-        self, call: Call, chosen: ChosenEndpoint
-    ) -> ServerConnection:
-        """Acquire a connection and check that all grants are still valid."""
-        endpoint = chosen.endpoint
-        connection = await self._acquire(call, endpoint)
-        try:
-            _check_grants(call, chosen)
-        except (GrantExpiredError, AttemptFailedError):
-            self._pool.release(endpoint, connection)
-            raise
-        return connection
-
-    async def _acquire(
-        self, call: Call, endpoint: EndpointEntry
-    ) -> ServerConnection:
-        try:
-            return await self._pool.acquire(endpoint, call.request_id)
-        except ServerUnreachableError as error:
-            self._loads.get(endpoint).health.record_failure(time.monotonic())
-            self._avoid(endpoint, UNREACHABLE_AVOID_S)
-            raise AttemptFailedError(
-                'unreachable', may_have_run=False
-            ) from error
-
     async def _is_down(
         self, call: Call, sent: SentRequest, endpoint: EndpointEntry
     ) -> bool:
@@ -249,7 +201,8 @@
     ) -> None:
         _send(call, endpoint, connection)
         head = await connection.read_head(sink.hold)
-        self._loads.get(endpoint).health.record_answered(call.request_id)
+        health = self._loads.get(endpoint).health
+        health.record_head(call.request_id, time.monotonic())
         if names.SERVER_LEAVING in head.headers:
             self._tables.directory.mark_leaving(endpoint)
         load_text = head.headers.get(names.SERVER_LOAD, '')
@@ -335,28 +288,6 @@
         )
         await self._turns.commit(call, event_parser.output(), tokens)
 
-    def _avoid(self, endpoint: EndpointEntry, duration_s: float) -> None:
-        now_s = time.monotonic()
-        load = self._loads.get(endpoint)
-        if load.avoided_until_s < now_s:
-            _log.warning(
-                'endpoint avoided',
-                extra={
-                    'endpoint': endpoint.name,
-                    'duration_s': duration_s,
-                    'failure_ratio': round(load.health.failure_ratio(now_s), 2),
-                },
-            )
-        load.avoided_until_s = now_s + duration_s
-
-
-def _check_grants(call: Call, chosen: ChosenEndpoint) -> None:
-    now_s = boot_time_s()
-    if now_s > call.grant_expires_s:
-        raise GrantExpiredError
-    if now_s > chosen.grant_expires_s:
-        raise AttemptFailedError('token expired', may_have_run=False)
-
 
 def _loop_time(monotonic_s: float) -> float:
     now_s = asyncio.get_running_loop().time()
--- a/rattanvalve/gateway/endpoint_health.py
+++ b/rattanvalve/gateway/endpoint_health.py
@@ -31,6 +31,7 @@
     _failure_weight: float = 0
     _slowness_sum: float = 0
     _sent_times_s: dict[str, float] = field(default_factory=dict)
+    _head_s: float = -math.inf
 
     def record_sent(self, request_id: str, now_s: float) -> None:
         """Record that a request is sent and awaits its response.
@@ -47,6 +48,23 @@
         """
         self._sent_times_s.pop(request_id, None)
 
+    def record_head(self, request_id: str, now_s: float) -> None:
+        """Record that the endpoint sent the head of a response.
+
+        :param request_id: id of the request.
+        :param now_s: current time.
+        """
+        self._head_s = now_s
+        self.record_answered(request_id)
+
+    def has_answered_since(self, start_s: float) -> bool:
+        """Return whether the endpoint has answered any request since a time.
+
+        :param start_s: the time.
+        :returns: whether the head of a response arrived then or later.
+        """
+        return self._head_s >= start_s
+
     def record_failure(self, now_s: float) -> None:
         """Count a request that was refused, failed or hung.
 
--- a/rattanvalve/gateway/forwarding.py
+++ b/rattanvalve/gateway/forwarding.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 
 from rattanvalve.counters import Counter
-from rattanvalve.gateway.attempts import (
+from rattanvalve.gateway.attempt_errors import (
     AttemptFailedError,
-    Attempts,
     GrantExpiredError,
 )
+from rattanvalve.gateway.attempts import Attempts
 from rattanvalve.gateway.balancing.admission import Admission
 from rattanvalve.gateway.balancing.bought_priority import has_bought_priority
 from rattanvalve.gateway.caller_memory import CallerMemoryError
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -166,9 +166,9 @@
         await self.store.stop()
         shutil.rmtree(self.folder)
 
-    async def add_server(self, name):
+    async def add_server(self, name, kind=PlatformServer):
         """Start a server and register it in the object store."""
-        server = self.servers[name] = PlatformServer(name)
+        server = self.servers[name] = kind(name)
         server.deadly = self.deadly
         await server.start()
         self._register(server, born_ms=1)
--- a/tests/platform_servers.py
+++ b/tests/platform_servers.py
@@ -259,6 +259,8 @@
             self.left.set()
         else:
             closed.cancel()
+            # The next request cannot be read before this read has ended.
+            await asyncio.wait((closed,))
             writer.write(self._whole(request_id, b'released'))
 
     def _whole(
