Read the other entries beside one with text that is no character

Cause: the decoder checks the escapes of all strings, also of text that is only passed on, so one entry made each list and watch of its kind fail in all processes.

Change: an answer that cannot be decoded is decoded again with null in place of unreadable strings and of NaN and Infinity (an empty key for an unreadable one). The object keeps its name, as its content is known to be unusable.

Of the new examples in tests/gateway/odd_entries.feature the three odd servers failed before (the change did not arrive within the bound); the odd turn store passed before, as members are not needed to serve.

--- a/rattanvalve/platform/objects.py
+++ b/rattanvalve/platform/objects.py
@@ -20,6 +20,7 @@
     cut_deep_values,
     is_too_deep,
 )
+from rattanvalve.platform.json_repair import replace_unreadable
 from rattanvalve.platform.malformed import MALFORMED_JSON
 
 __all__ = (
@@ -265,16 +266,15 @@
 def _decode(body: bytes, kind: type) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
-    except RecursionError:
-        # One entry must not make the others unreadable.
-        return _decode_cut(cut_deep_values(body, CUT_DEPTH), kind)
     except MALFORMED_JSON as error:
-        raise StoreError(f'malformed answer: {error}') from error
-
-
-def _decode_cut(body: bytes, kind: type) -> Any:
+        _log.warning(
+            'unreadable values in an answer of the store, read as null',
+            extra={'error': str(error)},
+        )
+    # One entry must not make the others unreadable.
+    readable = replace_unreadable(cut_deep_values(body, CUT_DEPTH))
     try:
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(readable, type=kind)
     except MALFORMED_JSON as error:
         raise StoreError(f'malformed answer: {error}') from error
 
--- a/tests/gateway/odd_entries.feature
+++ b/tests/gateway/odd_entries.feature
@@ -1,5 +1,7 @@
 Feature: an odd entry of another writer harms nobody
 
+  # Guards against a list of servers that stands still for all processes, as one
+  # unreadable entry makes each list and watch fail.
   Scenario Outline: changes arrive everywhere beside an odd entry of a server
     Given a fleet on the platform
     When another writer adds an entry of a server <oddity>
@@ -18,6 +20,9 @@
       | that is cold for 1e308 ms          |
       | at port 99999999                   |
       | with a name of 100000 characters   |
+      | whose service is half of a pair    |
+      | keyed by half of a pair            |
+      | of NaN slots                       |
 
   Scenario Outline: changes arrive everywhere beside an odd member or retirement
     Given a fleet on the platform
@@ -32,6 +37,7 @@
       | turnstores | {"host": "no address", "port": 80, "zone": ""}              |
       | turnstores | {"host": "a..b", "port": 80, "zone": ""}                    |
       | turnstores | nested 960 levels deep                                      |
+      | turnstores | {"host": "\ud800", "port": 80, "zone": ""}                  |
       | turnstorelists | {"members": {}, "sets": []}                             |
       | turnstorelists | nested 960 levels deep                                  |
       | retirements | nested 1100 levels deep                                    |
@@ -50,6 +56,18 @@
       | that is cold for 1e308 ms             |
       | at port 99999999                      |
       | nested 65 levels deep                 |
+      | whose service is half of a pair       |
+      | keyed by half of a pair               |
+      | of NaN slots                          |
 
   Scenario: values that are nested too deeply are cut out, others are kept
     Then each of 300 random values keeps its upper levels when it is cut
+
+  Scenario Outline: only values that cannot be read are replaced
+    Then the JSON text <text> is read as <expected>
+
+    Examples:
+      | text                                 | expected                           |
+      | ["\ud800", "\udc00\ud800", "a"]      | [null, null, "a"]                  |
+      | {"\udfff" : 1, "b": "\ud83d\ude00"}  | {"" : 1, "b": "\ud83d\ude00"}      |
+      | [NaN, -Infinity, "NaN", "\\\"NaN: "] | [null, null, "NaN", "\\\"NaN: "]   |
--- a/tests/steps/gateway_odd_entries_steps.py
+++ b/tests/steps/gateway_odd_entries_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from rattanvalve.platform.json_bounds import cut_deep_values
+from rattanvalve.platform.json_repair import replace_unreadable
 from rattanvalve.platform.objects import (
     ObjectStore,
     StoredEntry,
@@ -24,6 +25,8 @@
 #: Sorted before all servers, so that it is on the first page of a list.
 ODD_NAME = 'aa-odd'
 REQUEST_INTERVAL_S = 0.05
+#: JSON text by the grammar, but no character.
+HALF_PAIR = r'"\ud800"'
 SOUND_SPEC = {
     'service': 'app',
     'address': '127.0.0.1:1',
@@ -49,6 +52,9 @@
         'born': {'born': '9' * 400},
         'that': {'coldRemainingMs': number},
         'at': {'address': f'"127.0.0.1:{number}"'},
+        'whose': {'service': HALF_PAIR},
+        'of': {'slots': 'NaN'},
+        'keyed': {HALF_PAIR.strip('"'): '1', 'slots': 'null'},
     }
     spec = {name: json.dumps(part) for name, part in SOUND_SPEC.items()}
     spec |= fields[words[0]]
@@ -165,6 +171,11 @@
         assert json.loads(cut) == _without_depth(content, levels), content
 
 
+@then('the JSON text {text} is read as {expected}')
+def step_replaced(context, text, expected):
+    assert replace_unreadable(text.encode()) == expected.encode()
+
+
 @given('a store with pages of two entries, of which the second page is odd')
 def step_paged_store(context):
     context.store = PlatformStore()
