Ignore further signals to stop while a process drains

Cause: the handler cancels the task of the process each time, and the second cancellation ends the drain. The signal is logged and ignored now, in all processes of the platform.

Test: tests/gateway/repeated_stop.feature; before, the process had ended at the third signal, 0.4 s after the first, while its request was held.

--- a/rattanvalve/platform/programs.py
+++ b/rattanvalve/platform/programs.py
@@ -36,7 +36,7 @@
 
 
 def run_program(factory: Callable[[NodeSettings, bytes], Program]) -> None:
-    """Run a program until SIGTERM or SIGINT.
+    """Run a program until SIGTERM or SIGINT; further ones are ignored.
 
     It exits with ``SETTINGS_EXIT_CODE`` if the settings are invalid.
 
@@ -78,8 +78,16 @@
 async def _run_until_signal(run: Callable[[], Awaitable[None]]) -> None:
     loop = asyncio.get_running_loop()
     task = asyncio.ensure_future(run())
+
+    def stop() -> None:
+        if task.cancelling():
+            # A second cancellation would end the graceful shutdown.
+            _log.warning('signal ignored, already stopping')
+        else:
+            task.cancel()
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, task.cancel)
+        loop.add_signal_handler(signal_number, stop)
     # SIGHUP is only logged: settings that can change come from the store.
     loop.add_signal_handler(signal.SIGHUP, _log.info, 'reload requested')
     unblock_signals()
--- a/tests/limited_gateway.py
+++ b/tests/limited_gateway.py
@@ -100,6 +100,10 @@
                 await asyncio.sleep(0.1)
         self._sampler = asyncio.ensure_future(self._sample())
 
+    def release(self):
+        """Let the server answer the requests that it holds."""
+        self._server.release.set()
+
     async def stop(self):
         """Stop the processes and the stand-ins."""
         if self._sampler is not None:
@@ -121,6 +125,10 @@
         """Return the size of the table of descriptors, which never shrinks."""
         return self._kernel_count('FDSize')
 
+    def terminate(self):
+        """Send SIGTERM to the process."""
+        os.kill(self._children.running['gateway'].pid, signal.SIGTERM)
+
     async def connect_while_paused(self, port, count):
         """Open connections to a port of the process while it is paused.
 
