--- a/tests/steps/gateway_withdrawn_steps.py
+++ b/tests/steps/gateway_withdrawn_steps.py
@@ -75,7 +75,7 @@
 @when('the process is paused for {pause_s:d} s between a grant and its use')
 def step_paused(context, pause_s):
     later = mock.patch(
-        'rattanvalve.gateway.attempts.boot_time_s',
+        'rattanvalve.gateway.connecting.boot_time_s',
         lambda: boot_time_s() + pause_s,
     )
     with later:
