Close connections of a leaving endpoint process from the entries' side

Callers saw: 502 (1503, it is unknown whether the request ran) during a planned restart of an endpoint process.

Cause: the process refuses runs once it leaves, and then closes its connections. A run that an entry sends on an idle connection at that moment is lost, and a lost run can't be told from one that a crash interrupted. The owner asks again until the successor listens, which answers unknown for another incarnation.

Change: the process stops listening, announces once more that it leaves, and handles what arrives until its peers have closed their connections, for 3 s at most. An entry closes its idle connections to it before it acknowledges, those in use at the end of their request.

--- a/rattanvalve/channels.py
+++ b/rattanvalve/channels.py
@@ -29,6 +29,8 @@
     :param incoming: verifies the received frames.
     :param secret: secret of the sent frames on the connecting side; empty on
         the accepting side.
+    :param retire_count: how often connections to the peer had been retired
+        when this one was opened; 0 on the accepting side.
     """
 
     def __init__(
@@ -38,8 +40,10 @@
         outgoing: wire.FrameSealer | AcceptingSealer,
         incoming: wire.FrameSealer | AcceptingSealer,
         secret: bytes = b'',
+        retire_count: int = 0,
     ) -> None:
         self.secret = secret
+        self.retire_count = retire_count
         self._reader = reader
         self._writer = writer
         self._outgoing = outgoing
--- a/rattanvalve/control.py
+++ b/rattanvalve/control.py
@@ -60,7 +60,8 @@
     """Dependencies of the controllers of one entry process.
 
     ``clock`` returns monotonic seconds; ``sleep`` takes seconds. Tests replace
-    both to run in simulated time. The configuration controller sets
+    both to run in simulated time. ``retire`` closes the idle connections to a
+    process that is about to end. The configuration controller sets
     ``observe_generation``, and the view controller calls it. The view
     controller sets ``request_heartbeat``, which starts a heartbeat round at
     once, and the configuration controller calls it.
@@ -71,6 +72,7 @@
     store: Store
     call: Call
     metrics: Metrics
+    retire: Callable[[Address], None] = lambda _address: None
     seed_peers: tuple[Address, ...] = ()
     clock: Callable[[], float] = time.monotonic
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
--- a/rattanvalve/endpoint_process.py
+++ b/rattanvalve/endpoint_process.py
@@ -37,6 +37,8 @@
 
 HEALTH_INTERVAL_S = 1.0
 _SHUTDOWN_MARGIN_S = 10
+#: Longest wait at a stop for peers to close their connections, in seconds.
+_UNUSED_TIMEOUT_S = 3.0
 _INCARNATION_BYTES = 8
 
 _log = part_logger(LogPart.PROCESS)
@@ -114,6 +116,7 @@
         # Program caches are not kept after this process ends.
         if self._parts.client.keeps_cache:
             await self._parts.client.release_all()
+        await self._wait_unused()
         for task in self._tasks:
             task.cancel()
         await self._server.stop()
@@ -121,6 +124,18 @@
         await self._session.close()
         _log.info('stopped')
 
+    async def _wait_unused(self) -> None:
+        """Wait until no peer can have a request on its way to this process.
+
+        A request that crosses the close of its connection has an unknown
+        outcome, even though nothing ran.
+        """
+        self._server.stop_listening()
+        # Entries close their idle connections before they acknowledge this.
+        await self._announcer.announce_now()
+        if not await self._server.wait_unused(_UNUSED_TIMEOUT_S):
+            _log.warning('connections of peers are still open at the end')
+
     def _build_parts(self) -> EndpointParts:
         settings = self._settings
         board = Blackboard()
--- a/rattanvalve/entry_parts.py
+++ b/rattanvalve/entry_parts.py
@@ -72,6 +72,7 @@
             blackboard=shared.blackboard,
             store=shared.store,
             call=shared.pool.call,
+            retire=shared.pool.retire,
             metrics=shared.metrics,
             seed_peers=tuple(
                 Address(seed.host, seed.port) for seed in settings.seed_peers
--- a/rattanvalve/load_controller.py
+++ b/rattanvalve/load_controller.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from rattanvalve.channels import Handler, Send
+from rattanvalve.channels import Address, Handler, Send
 from rattanvalve.control import ControlContext
 from rattanvalve.loads import ENDPOINT_SILENT_S, EndpointLoads
 from rattanvalve.messages import Ack, Announce, Member
@@ -102,6 +102,10 @@
         now_s = self._context.clock()
         self._loads.report(message, now_s)
         self._loads.set_view(self._context.blackboard.view)
-        if not message.is_leaving:
-            self._membership.add_endpoint(message.member)
+        member = message.member
+        if message.is_leaving:
+            # Before the acknowledgement: the process ends once it has it.
+            self._context.retire(Address(member.host, member.port))
+        else:
+            self._membership.add_endpoint(member)
         await send(self._membership.handle_announce(message))
--- a/rattanvalve/peer_server.py
+++ b/rattanvalve/peer_server.py
@@ -12,6 +12,7 @@
 from rattanvalve.errors import FrameError, InvariantError, PeerError
 from rattanvalve.logs import LogPart, part_logger
 from rattanvalve.peersecrets import AcceptingSealer, PeerSecrets
+from rattanvalve.workset import WorkSet
 
 __all__ = ('PeerServer',)
 
@@ -42,7 +43,7 @@
         self._handlers = handlers
         self._metrics = metrics
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._writers = WorkSet()
 
     def add_handlers(self, handlers: dict[type, Handler]) -> None:
         """Add handlers of parts that are built later.
@@ -68,11 +69,26 @@
         port = self._server.sockets[0].getsockname()[1]
         return Address(address.host, port)
 
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
+    def stop_listening(self) -> None:
+        """Accept no more connections; open ones are not affected."""
         if self._server is not None:
             self._server.close()
-        for writer in tuple(self._writers):
+
+    async def wait_unused(self, timeout_s: float) -> bool:
+        """Wait until peers have closed all connections.
+
+        Messages that arrive until then are handled. One that crosses the
+        close of its connection by this side is lost.
+
+        :param timeout_s: longest wait in seconds.
+        :returns: whether no connection is left.
+        """
+        return await self._writers.wait_empty(timeout_s)
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        self.stop_listening()
+        for writer in self._writers:
             writer.close()
 
     async def _serve_connection(
--- a/rattanvalve/peers.py
+++ b/rattanvalve/peers.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -38,6 +38,7 @@
     def __init__(self, peer_secrets: PeerSecrets | bytes) -> None:
         self._secrets = PeerSecrets.from_secret(peer_secrets)
         self._idle: dict[Address, list[Channel]] = defaultdict(list)
+        self._retire_counts: Counter[Address] = Counter()
 
     async def call(
         self,
@@ -98,6 +99,20 @@
             else:
                 channel.close()
 
+    def retire(self, address: Address) -> None:
+        """Close the idle connections to a process that is about to end.
+
+        Those in use are closed at the end of their request. A message on an
+        idle connection that the peer has closed meanwhile would be lost, and
+        the sender could not tell whether it was handled.
+
+        :param address: address of the peer; connections opened from now on
+            are reused again.
+        """
+        self._retire_counts[address] += 1
+        for channel in self._idle.pop(address, ()):
+            channel.close()
+
     def close(self) -> None:
         """Close all idle connections; those in use are not affected."""
         for channels in self._idle.values():
@@ -123,22 +138,26 @@
         idle = self._idle[address]
         while idle:
             channel = idle.pop()
-            if self._is_usable(channel):
+            if self._is_usable(address, channel):
                 return channel
             channel.close()
         return None
 
     def _release(self, address: Address, channel: Channel) -> None:
         idle = self._idle[address]
-        if self._is_usable(channel) and len(idle) < MAX_IDLE_PER_PEER:
+        is_full = len(idle) >= MAX_IDLE_PER_PEER
+        if self._is_usable(address, channel) and not is_full:
             idle.append(channel)
         else:
             channel.close()
 
-    def _is_usable(self, channel: Channel) -> bool:
-        return channel.is_open() and channel.secret == self._secrets.first
+    def _is_usable(self, address: Address, channel: Channel) -> bool:
+        is_current = channel.secret == self._secrets.first
+        is_retired = channel.retire_count < self._retire_counts[address]
+        return channel.is_open() and is_current and not is_retired
 
     async def _connect(self, address: Address) -> Channel:
+        retire_count = self._retire_counts[address]
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(
                 address.host,
@@ -159,6 +178,7 @@
             wire.FrameSealer(secret, nonce, b'c'),
             wire.FrameSealer(secret, nonce, b's'),
             secret,
+            retire_count,
         )
 
 
--- a/rattanvalve/workset.py
+++ b/rattanvalve/workset.py
@@ -1,7 +1,7 @@
 """Set of work in progress, with a wait until it is empty."""
 
 import asyncio
-from collections.abc import Container, Hashable
+from collections.abc import Container, Hashable, Iterator
 from contextlib import suppress
 
 __all__ = ('WorkSet',)
@@ -22,6 +22,13 @@
         """
         return len(self._items)
 
+    def __iter__(self) -> Iterator[Hashable]:
+        """Iterate over the unfinished items, which may end meanwhile.
+
+        :returns: items at the time of the call.
+        """
+        return iter(tuple(self._items))
+
     def __contains__(self, item: Hashable) -> bool:
         """Check whether an item is unfinished.
 
