Give open requests of fault runs more time than they may wait

Cause: fleets of fault runs end open requests 4 s after a stop begins, while a request may wait 15 s for a new owner and then runs. The product's default is 300 s.

Change: 10 s more than the longest wait. The check that planned stops interrupt nothing is as it was. tests/fleet.feature failed before.

--- a/rattanvalve/fleet_settings.py
+++ b/rattanvalve/fleet_settings.py
@@ -8,6 +8,7 @@
 from itertools import cycle
 
 from rattanvalve.errors import SettingsError
+from rattanvalve.owner_client import OWNER_WAIT_MAX_S
 from rattanvalve.scenario import Scenario, ServiceSpec
 
 __all__ = (
@@ -28,7 +29,10 @@
 #: takes a chosen port before its process listens.
 _PORTS = range(15_000, 32_000)
 _DRAIN_GRACE_S = 0.2
-_STOP_TIMEOUT_S = 4.0
+#: Time in seconds in which a request that has found its owner ends.
+_RUN_S = 10.0
+#: A request that is open at a stop may wait for a new owner before it runs.
+_STOP_TIMEOUT_S = OWNER_WAIT_MAX_S + _RUN_S
 _SECRET_BYTES = 32
 
 
--- a/tests/fleet.feature
+++ b/tests/fleet.feature
@@ -13,3 +13,7 @@
 
   Scenario: settings fit the programs
     Then the planned settings of all processes are valid and use distinct ports
+
+  Scenario: a planned stop leaves open requests the time to end
+    # Stops cut requests of busy fleets after 4 s, less than they may wait.
+    Then each process may take longer to stop than a request waits for an owner
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -13,6 +13,7 @@
 from rattanvalve.child_processes import ChildError, Children
 from rattanvalve.fleet import running_fleet
 from rattanvalve.fleet_settings import plan_fleet
+from rattanvalve.owner_client import OWNER_WAIT_MAX_S
 from rattanvalve.scenario import load_scenario
 from rattanvalve.settings import (
     EndpointSettings,
@@ -148,3 +149,16 @@
                 ports.append(loaded.admin_listen.port)
     assert len({settings['zone'] for settings, _ in planned}) == 3
     assert len(set(ports)) == len(ports)
+
+
+@then('each process may take longer to stop than a request waits for an owner')
+def step_stop_time(context):
+    plan = plan_fleet(load_scenario('tidewater'))
+    planned = [plan.entry_settings(entry, 'a' * 64) for entry in plan.entries]
+    planned.extend(map(plan.endpoint_settings, plan.endpoints))
+    short = [
+        settings['name']
+        for settings in planned
+        if settings['stop_timeout_s'] <= OWNER_WAIT_MAX_S
+    ]
+    assert not short, short
