--- a/rattanvalve/peers.py
+++ b/rattanvalve/peers.py
@@ -152,9 +152,11 @@
             channel.close()
 
     def _is_usable(self, address: Address, channel: Channel) -> bool:
-        is_current = channel.secret == self._secrets.first
-        is_retired = channel.retire_count < self._retire_counts[address]
-        return channel.is_open() and is_current and not is_retired
+        return (
+            channel.is_open()
+            and channel.secret == self._secrets.first
+            and channel.retire_count == self._retire_counts[address]
+        )
 
     async def _connect(self, address: Address) -> Channel:
         retire_count = self._retire_counts[address]
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -125,8 +125,11 @@
         assert not any(map(is_running, pids))
 
 
-@then('the planned settings of all processes are valid and use distinct ports')
-def step_settings(context):
+def plan_settings():
+    """Plan the settings of all processes of a bundled scenario.
+
+    :returns: settings and their model, for each process.
+    """
     plan = plan_fleet(load_scenario('tidewater'))
     planned = [
         (plan.entry_settings(entry, 'a' * 64), EntrySettings)
@@ -136,6 +139,12 @@
         (plan.endpoint_settings(endpoint), EndpointSettings)
         for endpoint in plan.endpoints
     )
+    return planned
+
+
+@then('the planned settings of all processes are valid and use distinct ports')
+def step_settings(context):
+    planned = plan_settings()
     ports = []
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'settings.json'
@@ -153,12 +162,9 @@
 
 @then('each process may take longer to stop than a request waits for an owner')
 def step_stop_time(context):
-    plan = plan_fleet(load_scenario('tidewater'))
-    planned = [plan.entry_settings(entry, 'a' * 64) for entry in plan.entries]
-    planned.extend(map(plan.endpoint_settings, plan.endpoints))
     short = [
         settings['name']
-        for settings in planned
+        for settings, _ in plan_settings()
         if settings['stop_timeout_s'] <= OWNER_WAIT_MAX_S
     ]
     assert not short, short
